--- /dev/null
+++ b/src/bin/banyanwharf.rs
@@ -0,0 +1,3 @@
+//! The `banyanwharf` program.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/banyanwharfd.rs
@@ -0,0 +1,3 @@
+//! The `banyanwharfd` program.
+
+fn main() {}
--- /dev/null
+++ b/src/flow/fingerprint.rs
@@ -0,0 +1,29 @@
+use serde::{Deserialize, Serialize};
+
+use crate::flow::Slot;
+
+/// A keyed 128-bit hash of a flow's [`Key`](crate::flow::Key).
+///
+/// Two flows share a fingerprint with a probability of about 2⁻¹²⁸ for each pair, which
+/// is taken as never.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Returns the slot that decides the flow's owners: the 12 highest bits.
+    ///
+    /// ```
+    /// use banyanwharf::flow::{Fingerprint, SLOTS};
+    ///
+    /// assert_eq!(Fingerprint(0).slot(), 0);
+    /// assert_eq!(Fingerprint(u128::MAX).slot(), SLOTS - 1);
+    /// ```
+    pub fn slot(self) -> Slot {
+        (self.0 >> 116) as Slot
+    }
+
+    /// Returns the low 64 bits, which choose the target and are independent of the slot.
+    pub fn low(self) -> u64 {
+        self.0 as u64
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! A layer-4 load balancer without shared state.
+//!
+//! A fabric sprays the packets of each flow over all daemons. Each daemon must
+//! therefore find the target of any flow, although no daemon can write shared
+//! state or keep anything on disk. The flow's two *owner* daemons hold the answer;
+//! every other daemon caches it. `docs/design.md` gives the reasons.
+//!
+//! The modules that decide ([`packet`], [`flow`], [`member`], [`ticket`],
+//! [`route`], [`place`], [`load`], [`forward`], [`spread`]) do no I/O and read no
+//! clock. [`node`] runs them on sockets and timers.
+
+pub mod flow;
+pub mod forward;
+pub mod load;
+pub mod member;
+pub mod packet;
+pub mod place;
+pub mod route;
+pub mod spread;
+pub mod ticket;
+pub mod wire;
+
+mod util;
--- /dev/null
+++ b/src/packet/mod.rs
@@ -0,0 +1,1 @@
+//! Parsing and building of the IP packets that the daemon carries.
--- /dev/null
+++ b/src/route/table.rs
@@ -0,0 +1,90 @@
+use std::{collections::HashMap, net::SocketAddr};
+
+use crate::{
+    flow::Protocol,
+    route::{Service, ServiceIndex, Target},
+    ticket::TargetId,
+};
+
+/// The sender of a return packet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Source {
+    /// The target's address.
+    pub address: SocketAddr,
+    /// The service's index.
+    pub service: ServiceIndex,
+}
+
+/// The lookup tables of the packet path.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    services: Vec<Service>,
+    addresses: HashMap<(Protocol, SocketAddr), ServiceIndex>,
+    targets: HashMap<TargetId, Target>,
+    sources: HashMap<Source, TargetId>,
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub fn new() -> Table {
+        Table::default()
+    }
+
+    /// Adds a service with its addresses and the targets of its newest generation.
+    ///
+    /// The `service` field of the targets is set to the index of the new service.
+    pub fn insert(
+        &mut self,
+        service: Service,
+        addresses: &[(Protocol, SocketAddr)],
+        targets: Vec<Target>,
+    ) -> ServiceIndex {
+        let index = self.services.len() as ServiceIndex;
+        for address in addresses {
+            self.addresses.insert(*address, index);
+        }
+        for mut target in targets {
+            target.service = index;
+            self.sources.insert(
+                Source {
+                    address: target.address,
+                    service: index,
+                },
+                target.id,
+            );
+            self.targets.insert(target.id, target);
+        }
+        self.services.push(service);
+        index
+    }
+
+    /// Returns the index of the service that owns an address.
+    pub fn service_at(&self, protocol: Protocol, address: SocketAddr) -> Option<ServiceIndex> {
+        self.addresses.get(&(protocol, address)).copied()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, index: ServiceIndex) -> Option<&Service> {
+        self.services.get(index as usize)
+    }
+
+    /// Returns a target of the newest generation of any service.
+    pub fn target(&self, id: TargetId) -> Option<&Target> {
+        self.targets.get(&id)
+    }
+
+    /// Returns the target of `service` that sends from `address`.
+    pub fn target_at(&self, service: ServiceIndex, address: SocketAddr) -> Option<TargetId> {
+        self.sources.get(&Source { address, service }).copied()
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+}
--- /dev/null
+++ b/src/ticket/content.rs
@@ -0,0 +1,80 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ticket::{Number, Service};
+
+/// A numbered change ticket: the whole new state of each object that it changes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Ticket {
+    /// The ticket's number.
+    pub number: Number,
+    /// A note for operators; it has no effect.
+    #[serde(default)]
+    pub note: Option<Arc<str>>,
+    /// The services that the ticket sets.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// The availability zones that the ticket takes out or brings back.
+    #[serde(default)]
+    pub zones: Vec<Zone>,
+    /// The policies that the ticket sets.
+    #[serde(default)]
+    pub policies: Vec<Policy>,
+}
+
+/// An availability zone's state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Zone {
+    /// The zone's name.
+    pub name: Arc<str>,
+    /// Whether the zone is in service.
+    pub state: ZoneState,
+}
+
+/// Whether an availability zone is in service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ZoneState {
+    /// The zone is in service.
+    In,
+    /// The zone gets no packets; flows ending there are reset.
+    Out,
+}
+
+/// What a service weighs more when stability and balance clash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Broken flows weigh more.
+    #[default]
+    Stability,
+    /// Imbalance across targets weighs more.
+    Balance,
+}
+
+/// A placement policy that services refer to by name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Policy {
+    /// The policy's name.
+    pub name: Arc<str>,
+    /// What weighs more; sets the defaults of the other fields.
+    #[serde(default)]
+    pub priority: Priority,
+    /// The load bound as a multiple of the mean, 1.0 to 4.0.
+    #[serde(default)]
+    pub bound: Option<f64>,
+}
+
+impl Policy {
+    /// Returns the load bound as a multiple of the mean.
+    pub fn bound(&self) -> f64 {
+        self.bound.unwrap_or(match self.priority {
+            Priority::Stability => 1.25,
+            Priority::Balance => 1.05,
+        })
+    }
+}
--- /dev/null
+++ b/src/ticket/service.rs
@@ -0,0 +1,47 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{flow::Protocol, ticket::Target};
+
+/// An address that callers use to reach a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Address {
+    /// The transport protocol.
+    pub protocol: Protocol,
+    /// The IP address and port.
+    pub address: SocketAddr,
+}
+
+/// Whether a service exists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceState {
+    /// The service accepts flows.
+    #[default]
+    Active,
+    /// The service was removed. The removal is kept, so that a late older ticket cannot
+    /// bring the service back.
+    Removed,
+}
+
+/// A service: its addresses and the targets behind them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Service {
+    /// The service's name.
+    pub name: Arc<str>,
+    /// Whether the service exists.
+    #[serde(default)]
+    pub state: ServiceState,
+    /// The addresses that callers use.
+    #[serde(default)]
+    pub addresses: Vec<Address>,
+    /// The targets.
+    #[serde(default)]
+    pub targets: Vec<Target>,
+    /// The name of the placement policy; the default policy if absent.
+    #[serde(default)]
+    pub policy: Option<Arc<str>>,
+}
--- /dev/null
+++ b/src/util/bucket.rs
@@ -0,0 +1,46 @@
+use std::time::Instant;
+
+/// A token bucket: `rate` tokens a second up to `burst` tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct TokenBucket {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    refilled_at: Instant,
+}
+
+impl TokenBucket {
+    /// Creates a full bucket.
+    pub(crate) fn new(rate: f64, burst: f64, now: Instant) -> TokenBucket {
+        TokenBucket {
+            rate,
+            burst,
+            tokens: burst,
+            refilled_at: now,
+        }
+    }
+
+    /// Takes `amount` tokens if there are as many.
+    pub(crate) fn take(&mut self, now: Instant, amount: f64) -> bool {
+        self.refill(now);
+        if self.tokens < amount {
+            return false;
+        }
+        self.tokens -= amount;
+        true
+    }
+
+    /// Takes `amount` tokens, also below zero, for messages that must not wait.
+    pub(crate) fn force(&mut self, now: Instant, amount: f64) {
+        self.refill(now);
+        self.tokens -= amount;
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now
+            .saturating_duration_since(self.refilled_at)
+            .as_secs_f64();
+        self.tokens = (self.tokens + elapsed * self.rate).min(self.burst);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+}
--- /dev/null
+++ b/src/util/mod.rs
@@ -0,0 +1,9 @@
+//! Private helpers that several modules share.
+
+#[allow(dead_code)]
+mod bucket;
+mod score;
+
+#[allow(unused_imports)]
+pub(crate) use bucket::TokenBucket;
+pub(crate) use score::{hash_bytes, score};
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,16 @@
+//! Frames between daemons: codec and authentication.
+//!
+//! Each frame is one UDP datagram. A data packet that hops between daemons follows
+//! the encoded body as it is, so it is copied once and never parsed by the codec.
+
+mod body;
+mod error;
+mod frame;
+mod keyring;
+mod trace;
+
+pub use body::{Body, Hop, Record, RecordState, Stage};
+pub use error::{Error, Result};
+pub use frame::{Frame, MAX_FRAME_BYTES};
+pub use keyring::{KeyNumber, Keyring};
+pub use trace::Trace;
--- /dev/null
+++ b/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around banyanwharf, for tests and examples.
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,69 @@
+//! Frames must survive the codec, and a changed or foreign frame must be refused.
+
+use banyanwharf::{
+    flow::Fingerprint,
+    wire::{Body, Error, Frame, Hop, Keyring, Stage},
+};
+
+fn keyring(number: u8) -> Keyring {
+    Keyring::new([(number, [number; 32])]).expect("a key is given")
+}
+
+/// Guards against a codec that loses the packet after the body.
+#[test]
+fn hop_keeps_its_packet() {
+    let body = Body::Hop(Hop {
+        stage: Stage::Store { target: 9 },
+        hops_left: 3,
+        trace: None,
+    });
+    let frame = Frame {
+        sender: 1,
+        body,
+        packet: &[0x45, 1, 2, 3],
+    };
+    let mut buffer = Vec::new();
+    frame
+        .encode(&keyring(1), &mut buffer)
+        .expect("the frame is short");
+    assert_eq!(
+        Frame::decode(&buffer, &keyring(1)).expect("the frame is whole"),
+        frame
+    );
+}
+
+/// Guards against accepting frames that were changed on the way or signed with another key.
+#[test]
+fn changed_frames_are_refused() {
+    bolero::check!()
+        .with_type::<(u16, u8)>()
+        .for_each(|&(position, change)| {
+            let body = Body::Query {
+                fingerprint: Fingerprint(77),
+            };
+            let frame = Frame {
+                sender: 1,
+                body,
+                packet: &[],
+            };
+            let mut buffer = Vec::new();
+            frame
+                .encode(&keyring(1), &mut buffer)
+                .expect("the frame is short");
+            assert!(matches!(
+                Frame::decode(&buffer, &keyring(2)),
+                Err(Error::UnknownKey(1))
+            ));
+            let position = usize::from(position) % buffer.len();
+            buffer[position] ^= change;
+            assert_eq!(Frame::decode(&buffer, &keyring(1)).is_ok(), change == 0);
+        });
+}
+
+/// Guards against a panic on arbitrary datagrams.
+#[test]
+fn arbitrary_datagrams_do_not_panic() {
+    bolero::check!().for_each(|bytes| {
+        let _ = Frame::decode(bytes, &keyring(1));
+    });
+}
