--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,14 +9,19 @@
 //! [`route`], [`place`], [`load`], [`forward`], [`spread`]) do no I/O and read no
 //! clock. [`node`] runs them on sockets and timers.
 
+pub mod admin;
 pub mod flow;
 pub mod forward;
 pub mod load;
 pub mod member;
+pub mod node;
 pub mod packet;
 pub mod place;
+pub mod platform;
 pub mod route;
+pub mod settings;
 pub mod spread;
+pub mod telemetry;
 pub mod ticket;
 pub mod wire;
 
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! The actors, sockets and the packet loop of a daemon.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! The settings of a daemon: JSON with comments, strictly checked.
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Metrics, traces and logs.
