Place new flows by bounded load, units of cold targets and load classes

An owner balances its own counts, which balances the sum without messages. Cold targets are protected by whole units held by one daemon each.

Ruled out: dividing an allowance into fractions, since the first flow of each of 275 daemons would come at once; following the last reported load, since all daemons would choose the same target.

--- /dev/null
+++ b/src/load/monitor.rs
@@ -0,0 +1,161 @@
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    load::{Class, Config, Observation, Reading, Report, track::Track},
+    member::{Id, Status, View},
+    route::{Table, Target},
+    ticket::TargetId,
+    util,
+};
+
+/// The unit of [`Report::age`].
+const AGE_UNIT: Duration = Duration::from_millis(100);
+
+/// A change of a target's class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// The target.
+    pub target: TargetId,
+    /// The new class.
+    pub class: Class,
+    /// When the class was observed.
+    pub since: Instant,
+}
+
+/// Decides the classes of all targets.
+#[derive(Debug, Clone)]
+pub struct Monitor {
+    config: Config,
+    own: Id,
+    tracks: HashMap<TargetId, Track>,
+    classes: HashMap<TargetId, Class>,
+}
+
+impl Monitor {
+    /// Creates a monitor for the member `own` that knows nothing of any target.
+    pub fn new(config: Config, own: Id) -> Monitor {
+        Monitor {
+            config,
+            own,
+            tracks: HashMap::new(),
+            classes: HashMap::new(),
+        }
+    }
+
+    /// Returns whether this daemon reads the endpoints of `target`: the member of the target's
+    /// zone with the highest rendezvous score does, or of the region if the zone has none.
+    pub fn is_reader(&self, view: &View, region: &str, target: &Target) -> bool {
+        let live = |zone: Option<&str>| {
+            view.iter()
+                .filter(|(_, member)| member.status == Status::Alive)
+                .filter(|(_, member)| &*member.info.region == region)
+                .filter(|(_, member)| zone.is_none_or(|zone| &*member.info.zone == zone))
+                .map(|(id, _)| id)
+                .max_by_key(|id| (util::score(target.id, *id), *id))
+        };
+        live(Some(&target.zone)).or_else(|| live(None)) == Some(self.own)
+    }
+
+    /// Takes a reading of a target's endpoints and returns the report to spread, if any.
+    pub fn on_reading(
+        &mut self,
+        now: Instant,
+        target: TargetId,
+        reading: &Reading,
+    ) -> Option<Report> {
+        let config = &self.config;
+        let track = self.tracks.entry(target).or_default();
+        let class = track.read(config, reading);
+        let is_due = match track.sent {
+            None => class != Class::Normal,
+            Some((sent, _)) if sent != class => true,
+            Some((Class::Normal, _)) => false,
+            Some((_, at)) => now.saturating_duration_since(at) >= config.repeat,
+        };
+        // A start is a single event: the ramp runs from it and must not begin again.
+        if class != Class::Normal || !matches!(track.reported, Some((Class::Cold, _))) {
+            track.reported = Some((class, now));
+        }
+        if !is_due {
+            return None;
+        }
+        track.sent = Some((class, now));
+        track.sequence += 1;
+        Some(Report {
+            target,
+            class,
+            start: track.start,
+            sequence: track.sequence,
+            age: 0,
+        })
+    }
+
+    /// Takes a report of another daemon. Of two reports the later observation counts.
+    pub fn on_report(&mut self, now: Instant, report: &Report) {
+        let age = AGE_UNIT * u32::from(report.age);
+        let at = now.checked_sub(age).unwrap_or(now);
+        let track = self.tracks.entry(report.target).or_default();
+        if track.reported.is_none_or(|(_, known)| known <= at) {
+            track.reported = Some((report.class, at));
+        }
+        if report.start != 0 {
+            track.start = report.start;
+        }
+    }
+
+    /// Takes an observation of this daemon's packet path.
+    pub fn on_observation(&mut self, now: Instant, target: TargetId, observation: Observation) {
+        self.tracks
+            .entry(target)
+            .or_default()
+            .observe(now, &self.config, observation);
+    }
+
+    /// Returns the classes that have changed since the last call, capping ejections per service.
+    ///
+    /// Targets that are no longer in `table` are forgotten.
+    pub fn take_changes(&mut self, now: Instant, table: &Table) -> Vec<Change> {
+        self.tracks.retain(|id, _| table.target(*id).is_some());
+        let mut changes = Vec::new();
+        for service in table.services() {
+            let mut budget = self.ejections(service.targets.len());
+            for target in &service.targets {
+                let Some(track) = self.tracks.get(target) else {
+                    continue;
+                };
+                let (mut class, since) = track.class(now, &self.config);
+                if class == Class::Failing {
+                    if budget == 0 {
+                        class = Class::Normal;
+                    }
+                    budget = budget.saturating_sub(1);
+                }
+                let previous = self.classes.insert(*target, class).unwrap_or_default();
+                if previous != class {
+                    changes.push(Change {
+                        target: *target,
+                        class,
+                        since,
+                    });
+                }
+            }
+        }
+        self.classes.retain(|id, _| self.tracks.contains_key(id));
+        changes
+    }
+
+    /// Returns how many of `targets` targets may be failing at the same time. With more than two
+    /// targets it is at least one, since the others can bear the load of one.
+    fn ejections(&self, targets: usize) -> usize {
+        let share = (targets as f64 * self.config.eject_share) as usize;
+        if targets > 2 { share.max(1) } else { share }
+    }
+
+    /// Returns the class of a target.
+    pub fn class(&self, target: TargetId) -> Class {
+        self.classes.get(&target).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/place/caller.rs
@@ -0,0 +1,57 @@
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
+
+use crate::util;
+
+/// Callers share a counter if their addresses have the same hash. A fixed table keeps a flood from
+/// many forged addresses from taking memory.
+const COUNTERS: usize = 8192;
+
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Limits the new flows of each caller address while the daemon is over its limit.
+#[derive(Debug, Clone)]
+pub(super) struct CallerLimit {
+    seed: u64,
+    window: Instant,
+    total: u32,
+    counters: Vec<u32>,
+}
+
+impl CallerLimit {
+    /// Creates a limit whose counters are chosen by `seed`.
+    pub(super) fn new(seed: u64, now: Instant) -> CallerLimit {
+        CallerLimit {
+            seed,
+            window: now,
+            total: 0,
+            counters: vec![0; COUNTERS],
+        }
+    }
+
+    /// Counts a new flow of `caller` and returns whether it is within the limits.
+    pub(super) fn admit(&mut self, now: Instant, caller: IpAddr, limit: u32, share: f64) -> bool {
+        if now.saturating_duration_since(self.window) >= WINDOW {
+            self.window = now;
+            self.total = 0;
+            self.counters.fill(0);
+        }
+        let index = self.index(caller);
+        if self.total >= limit && f64::from(self.counters[index]) >= f64::from(limit) * share {
+            return false;
+        }
+        self.total = self.total.saturating_add(1);
+        self.counters[index] = self.counters[index].saturating_add(1);
+        true
+    }
+
+    fn index(&self, caller: IpAddr) -> usize {
+        let octets = match caller {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
+            IpAddr::V6(ip) => ip.octets(),
+        };
+        util::hash_bytes(&[&self.seed.to_le_bytes(), &octets]) as usize % COUNTERS
+    }
+}
--- a/src/place/mod.rs
+++ b/src/place/mod.rs
@@ -1,7 +1,24 @@
 //! Placement of new flows on targets.
+//!
+//! The primary owner of a flow decides alone, without asking anybody. The owners
+//! see uniform samples of a service's flows, so an owner that balances its own
+//! counts balances the sum. Load reports only exclude targets or scale their
+//! weights; a daemon that ran after the target last reported idle would send the whole
+//! fleet there.
+//!
+//! What a cold target bears is divided into whole units ([`Unit`]), each held by
+//! one daemon. Fractions would not do: a target with 4 slots and 275 daemons in its region
+//! would get 275 first flows at once.
 
+mod caller;
+mod config;
+mod count;
 mod placer;
+mod ramp;
 mod refusal;
+mod unit;
 
+pub use config::Config;
 pub use placer::Placer;
 pub use refusal::Refusal;
+pub use unit::{Holders, Unit};
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -1,46 +1,273 @@
-use std::time::Instant;
+use std::{collections::HashSet, net::IpAddr, time::Instant};
 
 use crate::{
     flow::{Fingerprint, Key},
-    place::Refusal,
-    route::{Service, Table},
+    load::Class,
+    member::{Id, View},
+    place::{
+        Config, Holders, Refusal,
+        caller::CallerLimit,
+        count::{Count, Counts},
+        ramp::Ramp,
+    },
+    route::{Service, Table, Target},
     ticket::TargetId,
+    util,
 };
 
-/// Places new flows and counts the open flows that it has placed.
-#[derive(Debug, Clone, Default)]
-pub struct Placer {}
+/// The weight of a target that reports more load than it bears, relative to its full weight.
+const HOT_SHARE: f64 = 0.5;
+
+/// Below this share of connections a decider may exceed its share by three standard
+/// deviations. Flows fall on deciders at random, so with small shares an exact limit
+/// would refuse flows while the target has room. The target itself refuses what is too much, and the
+/// flow is placed again.
+const EXACT_SHARE: u32 = 100;
+
+/// Places new flows and counts the open flows that this daemon owns as primary.
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use banyanwharf::{member, place::{Config, Placer}};
+///
+/// let now = Instant::now();
+/// let placer = Placer::new(Config::default(), member::id("entry-1"), 7, now);
+/// assert_eq!(placer.open(42), 0);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Placer {
+    config: Config,
+    own: Id,
+    started: Instant,
+    holders: Holders,
+    counts: Counts,
+    known: Option<HashSet<TargetId>>,
+    callers: CallerLimit,
+}
 
 impl Placer {
-    /// Creates a placer without flows.
-    pub fn new() -> Placer {
-        Placer::default()
+    /// Creates a placer without flows for the member `own`.
+    pub fn new(config: Config, own: Id, seed: u64, now: Instant) -> Placer {
+        Placer {
+            config,
+            own,
+            started: now,
+            holders: Holders::default(),
+            counts: Counts::new(),
+            known: None,
+            callers: CallerLimit::new(seed, now),
+        }
+    }
+
+    /// Sets the members that share the limits of the targets with this daemon.
+    pub fn set_members(&mut self, view: &View, region: &str) {
+        self.holders = Holders::new(view, region, self.config.failed_hold);
+    }
+
+    /// Takes over a new route table. Targets that appear later than the first table are cold.
+    ///
+    /// The targets of the first table are not: a daemon that starts would otherwise refuse most
+    /// flows for the length of the ramp.
+    pub fn set_routes(&mut self, now: Instant, table: &Table) {
+        let ids: HashSet<TargetId> = table.targets().map(|target| target.id).collect();
+        if let Some(known) = &self.known {
+            for id in ids.difference(known) {
+                self.counts.entry(*id).or_default().ramp = Some(Ramp::new(now));
+            }
+        }
+        self.counts
+            .retain(|id, count| ids.contains(id) || count.open > 0);
+        self.known = Some(ids);
+    }
+
+    /// Sets the class of a target. `since` is when a cold target started.
+    pub fn set_class(&mut self, target: TargetId, class: Class, since: Instant) {
+        let count = self.counts.entry(target).or_default();
+        count.class = class;
+        if class == Class::Cold {
+            count.ramp = Some(Ramp::new(since));
+        }
+    }
+
+    /// Counts a new flow of `caller` against its share.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal::CallerLimit`] if the daemon is over its limit and the caller over its share.
+    pub fn admit(&mut self, now: Instant, caller: IpAddr) -> Result<(), Refusal> {
+        let Config {
+            new_flows_per_second: limit,
+            caller_share: share,
+            ..
+        } = self.config;
+        if self.callers.admit(now, caller, limit, share) {
+            Ok(())
+        } else {
+            Err(Refusal::CallerLimit)
+        }
     }
 
     /// Chooses the target of a new flow, leaving out the targets in `excluded`.
     ///
+    /// A unit of a cold target is spent at once; [`Placer::opened`] counts the flow.
+    ///
     /// # Errors
     ///
     /// Returns a [`Refusal`] if no target can take the flow.
     pub fn place(
         &mut self,
-        _now: Instant,
-        _table: &Table,
+        now: Instant,
+        table: &Table,
         service: &Service,
         _key: &Key,
         fingerprint: Fingerprint,
-        _excluded: &[TargetId],
+        excluded: &[TargetId],
     ) -> Result<TargetId, Refusal> {
-        service
+        let targets: Vec<&Target> = service
+            .targets
+            .iter()
+            .filter_map(|id| table.target(*id))
+            .filter(|target| target.is_placeable() && !excluded.contains(&target.id))
+            .collect();
+        if targets.is_empty() {
+            return Err(Refusal::NoTarget);
+        }
+        let level = self.level(now, &targets);
+        let base = service
             .generations
             .first()
-            .and_then(|g| g.base(fingerprint))
-            .ok_or(Refusal::NoTarget)
+            .and_then(|generation| generation.base(fingerprint));
+        let base = targets.iter().find(|target| Some(target.id) == base);
+        let bound = service.policy.bound();
+        if let Some(base) = base
+            && self.is_below(now, base, bound * level)
+            && self.spend(now, base)
+        {
+            return Ok(base.id);
+        }
+        self.place_elsewhere(now, targets, fingerprint, bound * level)
+            .ok_or(Refusal::Full)
+    }
+
+    /// Notes that this daemon owns an open flow on `target` as primary.
+    pub fn opened(&mut self, target: TargetId) {
+        self.counts.entry(target).or_default().open += 1;
+    }
+
+    /// Notes that a flow counted by [`Placer::opened`] has ended or has another primary owner.
+    pub fn closed(&mut self, target: TargetId) {
+        if let Some(count) = self.counts.get_mut(&target) {
+            count.open = count.open.saturating_sub(1);
+        }
+    }
+
+    /// Returns the open flows on `target` that this daemon owns as primary.
+    pub fn open(&self, target: TargetId) -> u32 {
+        self.counts.get(&target).map_or(0, |count| count.open)
+    }
+
+    /// Returns the mean count of open flows per unit of effective weight.
+    fn level(&self, now: Instant, targets: &[&Target]) -> f64 {
+        let open: u32 = targets.iter().map(|target| self.open(target.id)).sum();
+        let weight: f64 = targets.iter().map(|target| self.weight(now, target)).sum();
+        f64::from(open + 1) / weight.max(f64::MIN_POSITIVE)
     }
 
-    /// Notes that a flow placed by this placer or taken over by it is open on `target`.
-    pub fn opened(&mut self, _now: Instant, _target: TargetId) {}
+    /// Returns the weight of a target, scaled by its ramp and class.
+    fn weight(&self, now: Instant, target: &Target) -> f64 {
+        let full = f64::from(target.weight);
+        let Some(count) = self.counts.get(&target.id) else {
+            return full;
+        };
+        let share = count.ramp.map_or(1.0, |ramp| ramp.share(now, target));
+        match count.class {
+            Class::Failing => 0.0,
+            Class::Hot => full * share * HOT_SHARE,
+            Class::Cold | Class::Normal => full * share,
+        }
+    }
+
+    /// Returns whether a further flow keeps the target within the bound and its limits.
+    fn is_below(&self, now: Instant, target: &Target, level: f64) -> bool {
+        let open = f64::from(self.open(target.id));
+        open <= level * self.weight(now, target) && self.is_within_limits(target)
+    }
+
+    /// Returns whether the target takes a flow at all.
+    fn is_within_limits(&self, target: &Target) -> bool {
+        let Some(count) = self.counts.get(&target.id) else {
+            return true;
+        };
+        count.class != Class::Failing && count.open < self.connections(target)
+    }
 
-    /// Notes that an open flow on `target` has ended or moved away.
-    pub fn closed(&mut self, _now: Instant, _target: TargetId) {}
+    /// Returns this daemon's part of the target's connections.
+    fn connections(&self, target: &Target) -> u32 {
+        let share = target.connections / self.holders.deciders() as u32;
+        if share >= EXACT_SHARE {
+            return share;
+        }
+        let share = f64::from(target.connections) / self.holders.deciders() as f64;
+        (share + 3.0 * share.sqrt()).ceil() as u32
+    }
+
+    /// Places a flow that its base target cannot take on the first target within the bound,
+    /// in rendezvous order, or else on the least loaded target within the limits.
+    fn place_elsewhere(
+        &mut self,
+        now: Instant,
+        mut targets: Vec<&Target>,
+        fingerprint: Fingerprint,
+        level: f64,
+    ) -> Option<TargetId> {
+        targets.retain(|target| self.is_within_limits(target));
+        targets.sort_by_cached_key(|target| {
+            std::cmp::Reverse((util::score(fingerprint.low(), target.id), target.id))
+        });
+        for target in &targets {
+            if self.is_below(now, target, level) && self.spend(now, target) {
+                return Some(target.id);
+            }
+        }
+        let load = |placer: &Placer, target: &Target| {
+            f64::from(placer.open(target.id)) / placer.weight(now, target).max(f64::MIN_POSITIVE)
+        };
+        targets.sort_by(|a, b| load(self, a).total_cmp(&load(self, b)));
+        targets
+            .iter()
+            .find(|target| self.spend(now, target))
+            .map(|target| target.id)
+    }
+
+    /// Spends a unit if the target is cold. Returns whether the flow may be placed.
+    fn spend(&mut self, now: Instant, target: &Target) -> bool {
+        let Some(ramp) = self.ramp(now, target) else {
+            return true;
+        };
+        if now.saturating_duration_since(self.started) < self.config.join_delay {
+            return false;
+        }
+        let units = self
+            .holders
+            .held(now, target, ramp.slots(now, target), self.own);
+        let period = self.config.unit_period;
+        let Count { spent, .. } = self.counts.entry(target.id).or_default();
+        spent.retain(|at| now.saturating_duration_since(*at) < period);
+        if spent.len() >= units {
+            return false;
+        }
+        spent.push(now);
+        true
+    }
+
+    /// Returns the ramp of a target that is still cold, and forgets one that is over.
+    fn ramp(&mut self, now: Instant, target: &Target) -> Option<Ramp> {
+        let count = self.counts.get_mut(&target.id)?;
+        count.ramp = count.ramp.filter(|ramp| !ramp.is_over(now, target));
+        if count.ramp.is_none() {
+            count.spent = Vec::new();
+        }
+        count.ramp
+    }
 }
--- /dev/null
+++ b/src/place/unit.rs
@@ -0,0 +1,86 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    member::{Id, Status, View},
+    route::Target,
+    util,
+};
+
+/// The index of a unit of a cold target's allowance.
+pub type Unit = u16;
+
+/// A member that can hold units.
+#[derive(Debug, Clone)]
+struct Holder {
+    id: Id,
+    zone: Arc<str>,
+    /// When a failed member loses its units.
+    until: Option<Instant>,
+}
+
+/// The members that share the allowances of cold targets.
+///
+/// A unit belongs to one member by rendezvous over the members of the target's zone, or of
+/// the region if the zone has none. Units stay in the zone, so a partition along zone borders does not
+/// double them.
+#[derive(Debug, Clone, Default)]
+pub struct Holders {
+    holders: Vec<Holder>,
+    deciders: usize,
+}
+
+impl Holders {
+    /// Lists the members of `region` that hold units. A failed member keeps its units for `hold`.
+    pub fn new(view: &View, region: &str, hold: Duration) -> Holders {
+        let mut holders = Vec::new();
+        let mut deciders = 0;
+        for (id, member) in view
+            .iter()
+            .filter(|(_, member)| &*member.info.region == region)
+        {
+            let until = match member.status {
+                Status::Alive | Status::Suspect => None,
+                Status::Failed => Some(member.since + hold),
+                Status::Leaving | Status::Left => continue,
+            };
+            deciders += 1;
+            holders.push(Holder {
+                id,
+                zone: member.info.zone.clone(),
+                until,
+            });
+        }
+        Holders { holders, deciders }
+    }
+
+    /// Returns how many members may place flows. Failed members count, since they may only be
+    /// unreachable.
+    pub fn deciders(&self) -> usize {
+        self.deciders.max(1)
+    }
+
+    /// Returns how many of the units below `units` belong to the member `id`.
+    pub fn held(&self, now: Instant, target: &Target, units: Unit, id: Id) -> usize {
+        let has_zone = self.present(now).any(|holder| holder.zone == target.zone);
+        (0..units)
+            .filter(|unit| self.holder(now, target, *unit, has_zone) == Some(id))
+            .count()
+    }
+
+    fn holder(&self, now: Instant, target: &Target, unit: Unit, has_zone: bool) -> Option<Id> {
+        let key = util::score(target.id, u64::from(unit));
+        self.present(now)
+            .filter(|holder| !has_zone || holder.zone == target.zone)
+            .max_by_key(|holder| (util::score(key, holder.id), holder.id))
+            .map(|holder| holder.id)
+    }
+
+    fn present(&self, now: Instant) -> impl Iterator<Item = &Holder> {
+        self.holders
+            .iter()
+            .filter(move |holder| holder.until.is_none_or(|until| now < until))
+    }
+}
