--- /dev/null
+++ b/src/node/outbox.rs
@@ -0,0 +1,104 @@
+use std::{io::IoSlice, net::SocketAddr, ops::Range, os::fd::AsRawFd};
+
+use nix::{
+    errno::Errno,
+    sys::socket::{MsgFlags, MultiHeaders, SockaddrStorage, sendmmsg},
+};
+
+use crate::node::inbox::{BATCH, Inbox};
+
+/// The content of a datagram to send.
+#[derive(Debug, Clone)]
+enum Content {
+    /// The datagram `index` of the inbox, which is forwarded without a copy.
+    Received(usize),
+    /// Bytes of the outbox's own buffer.
+    Owned(Range<usize>),
+}
+
+/// Datagrams that wait to be sent through one socket.
+pub(super) struct Outbox {
+    headers: MultiHeaders<SockaddrStorage>,
+    addresses: Vec<Option<SockaddrStorage>>,
+    contents: Vec<Content>,
+    buffer: Vec<u8>,
+}
+
+impl Outbox {
+    /// Creates an empty outbox.
+    pub(super) fn new() -> Outbox {
+        Outbox {
+            headers: MultiHeaders::preallocate(BATCH, None),
+            addresses: Vec::with_capacity(BATCH),
+            contents: Vec::with_capacity(BATCH),
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Queues the datagram `index` of the inbox that is given to [`Outbox::flush`].
+    pub(super) fn push_received(&mut self, to: SocketAddr, index: usize) {
+        self.push(to, Content::Received(index));
+    }
+
+    /// Queues the bytes that `write` appends to the buffer. Nothing is queued if it fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of `write`.
+    pub(super) fn push_with<E>(
+        &mut self,
+        to: SocketAddr,
+        write: impl FnOnce(&mut Vec<u8>) -> Result<(), E>,
+    ) -> Result<(), E> {
+        let start = self.buffer.len();
+        if let Err(error) = write(&mut self.buffer) {
+            self.buffer.truncate(start);
+            return Err(error);
+        }
+        let end = self.buffer.len();
+        self.push(to, Content::Owned(start..end));
+        Ok(())
+    }
+
+    /// Sends all queued datagrams and returns how many could not be sent.
+    ///
+    /// A datagram that the system refuses is lost like one that the network loses.
+    pub(super) fn flush(&mut self, socket: &impl AsRawFd, inbox: &Inbox) -> u64 {
+        let mut failed = 0;
+        let mut first = 0;
+        while first < self.contents.len() {
+            let last = self.contents.len().min(first + BATCH);
+            let slices: Vec<[IoSlice<'_>; 1]> = self.contents[first..last]
+                .iter()
+                .map(|content| match content {
+                    Content::Received(index) => {
+                        inbox.datagram(*index).map_or(&[] as &[u8], |(_, bytes)| bytes)
+                    }
+                    Content::Owned(range) => &self.buffer[range.clone()],
+                })
+                .map(|bytes| [IoSlice::new(bytes)])
+                .collect();
+            let addresses = &self.addresses[first..last];
+            let flags = MsgFlags::MSG_DONTWAIT;
+            let fd = socket.as_raw_fd();
+            match sendmmsg(fd, &mut self.headers, slices.iter(), addresses, [], flags) {
+                Ok(sent) => first += sent.count().max(1),
+                Err(Errno::EINTR) => {}
+                Err(_) => {
+                    // The error belongs to the first datagram of the batch.
+                    failed += 1;
+                    first += 1;
+                }
+            }
+        }
+        self.contents.clear();
+        self.addresses.clear();
+        self.buffer.clear();
+        failed
+    }
+
+    fn push(&mut self, to: SocketAddr, content: Content) {
+        self.addresses.push(Some(SockaddrStorage::from(to)));
+        self.contents.push(content);
+    }
+}
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -56,11 +56,12 @@
         })
     }
 
-    /// Appends the encoded frame to `buffer` after clearing it.
+    /// Appends the encoded frame to `buffer`, so that the frames of a batch can share one.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Long`] if the frame does not fit in a datagram.
+    /// Returns [`Error::Long`] if the frame does not fit in a datagram. The buffer may then hold a
+    /// part of the frame after its former end.
     ///
     /// ```
     /// use banyanwharf::{flow::Fingerprint, wire::{Body, Frame, Keyring}};
