Add settings with located errors and sample files

serde_json5 converts numbers with 'as', so 70000 in a u16 field became 65535 without an error. Number fields of the settings therefore go through a visitor that checks ranges. Excerpts in errors are masked, since miette prints the lines around an error, which may hold a key.

37 refused cases are checked for place, message and help text.

--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,244 @@
+use std::{collections::HashSet, net::SocketAddr, ops::RangeInclusive};
+
+use crate::settings::{Problem, Settings, Step};
+
+use Step::{Field, Index};
+
+/// The longest name in bytes. Names travel in datagrams of the failure detector.
+const MAXIMUM_NAME: usize = 64;
+
+type Check = Result<(), Problem>;
+
+/// Checks all settings and returns the first problem.
+pub(super) fn settings(settings: &Settings) -> Check {
+    name("name", &settings.name)?;
+    name("region", &settings.region)?;
+    name("zone", &settings.zone)?;
+    zones(settings)?;
+    addresses(settings)?;
+    platform(settings)?;
+    keys(settings)?;
+    figures(settings)
+}
+
+fn problem(path: &[Step], message: String, help: &str) -> Problem {
+    Problem {
+        path: path.to_vec(),
+        message,
+        help: help.to_owned(),
+    }
+}
+
+fn name(field: &'static str, text: &str) -> Check {
+    if is_name(text) {
+        return Ok(());
+    }
+    Err(bad_name(&[Field(field)], text))
+}
+
+fn is_name(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-._".contains(&byte);
+    !text.is_empty() && text.len() <= MAXIMUM_NAME && text.bytes().all(is_allowed)
+}
+
+fn bad_name(path: &[Step], text: &str) -> Problem {
+    problem(
+        path,
+        format!("{text:?} is not a name"),
+        "use 1 to 64 ASCII letters, digits, '-', '.' and '_'",
+    )
+}
+
+fn zones(settings: &Settings) -> Check {
+    let mut seen = HashSet::new();
+    for (index, zone) in settings.zones.iter().enumerate() {
+        let path = [Field("zones"), Index(index)];
+        if !is_name(zone) {
+            return Err(bad_name(&path, zone));
+        }
+        if !seen.insert(zone) {
+            let message = format!("zone {zone:?} is listed twice");
+            return Err(problem(&path, message, "list each zone once"));
+        }
+    }
+    if !seen.is_empty() && !seen.contains(&settings.zone) {
+        return Err(problem(
+            &[Field("zone")],
+            format!("zone {:?} is not in the list of zones", settings.zone),
+            "correct the zone, or add it to `zones`",
+        ));
+    }
+    Ok(())
+}
+
+fn addresses(settings: &Settings) -> Check {
+    let udp = [
+        ("data", settings.data),
+        ("fabric", settings.fabric),
+        ("peer", settings.peer),
+    ];
+    let tcp = [("admin", settings.admin), ("metrics", settings.metrics)];
+    for (field, address) in udp.into_iter().chain(tcp) {
+        usable(field, address)?;
+    }
+    distinct(&udp)?;
+    distinct(&tcp)
+}
+
+fn usable(field: &'static str, address: SocketAddr) -> Check {
+    let refuse = |message: String, help| Err(problem(&[Field(field)], message, help));
+    if address.ip().is_unspecified() {
+        return refuse(
+            format!("address {address} is unspecified"),
+            "name one address of the VM, since other VMs send to it",
+        );
+    }
+    if address.ip().is_multicast() {
+        return refuse(
+            format!("address {address} is a multicast address"),
+            "name a unicast address",
+        );
+    }
+    if address.port() == 0 {
+        return refuse(
+            format!("address {address} has port 0"),
+            "name a port from 1 to 65535",
+        );
+    }
+    Ok(())
+}
+
+fn distinct(addresses: &[(&'static str, SocketAddr)]) -> Check {
+    for (index, (field, address)) in addresses.iter().enumerate() {
+        let earlier = addresses[..index].iter().find(|(_, a)| a == address);
+        if let Some((other, _)) = earlier {
+            return Err(problem(
+                &[Field(field)],
+                format!("address {address} is already used by `{other}`"),
+                "give each purpose its own address or port",
+            ));
+        }
+    }
+    Ok(())
+}
+
+fn platform(settings: &Settings) -> Check {
+    let url = &settings.platform;
+    let refuse = |message: String| {
+        let help = "write a URL such as \"http://192.0.2.1:8500\"";
+        Err(problem(&[Field("platform")], message, help))
+    };
+    if url.scheme() != "http" {
+        return refuse(format!("scheme {:?} is not \"http\"", url.scheme()));
+    }
+    if !url.username().is_empty() || url.password().is_some() {
+        return refuse("URL has a user name or password".to_owned());
+    }
+    if url.query().is_some() || url.fragment().is_some() {
+        return refuse("URL has a query or fragment".to_owned());
+    }
+    Ok(())
+}
+
+fn keys(settings: &Settings) -> Check {
+    if settings.keys.is_empty() {
+        let message = "list of keys is empty".to_owned();
+        return Err(problem(&[Field("keys")], message, "add at least one key"));
+    }
+    let mut numbers = HashSet::new();
+    for (index, key) in settings.keys.iter().enumerate() {
+        if !numbers.insert(key.number) {
+            return Err(problem(
+                &[Field("keys"), Index(index), Field("number")],
+                format!("key number {} is used twice", key.number),
+                "give each key its own number; the highest one signs",
+            ));
+        }
+    }
+    Ok(())
+}
+
+fn figures(settings: &Settings) -> Check {
+    let limits = &settings.limits;
+    let control = &settings.control;
+    let whole: [(&[Step], u32, RangeInclusive<u32>, &str); 8] = [
+        (
+            &[Field("limits"), Field("owned_flows")],
+            limits.owned_flows,
+            1_000..=20_000_000,
+            "flows",
+        ),
+        (
+            &[Field("limits"), Field("cached_flows")],
+            limits.cached_flows,
+            1_000..=20_000_000,
+            "flows",
+        ),
+        (
+            &[Field("limits"), Field("pending_packets")],
+            limits.pending_packets,
+            16..=65_536,
+            "packets",
+        ),
+        (
+            &[Field("limits"), Field("new_flows_per_second")],
+            limits.new_flows_per_second,
+            1..=10_000_000,
+            "flows a second",
+        ),
+        (
+            &[Field("drain_seconds")],
+            settings.drain_seconds,
+            0..=3_600,
+            "seconds",
+        ),
+        (
+            &[Field("control"), Field("bytes_per_second")],
+            control.bytes_per_second,
+            256..=10_000_000,
+            "bytes a second",
+        ),
+        (
+            &[Field("control"), Field("burst_bytes")],
+            control.burst_bytes,
+            2_048..=10_000_000,
+            "bytes",
+        ),
+        (
+            &[Field("handover_bytes_per_second")],
+            settings.handover_bytes_per_second,
+            1_024..=100_000_000,
+            "bytes a second",
+        ),
+    ];
+    for (path, value, range, unit) in whole {
+        figure(path, value, range, unit)?;
+    }
+    figure(
+        &[Field("limits"), Field("caller_share")],
+        limits.caller_share,
+        0.000_001..=1.0,
+        "of the new flows",
+    )?;
+    figure(
+        &[Field("trace"), Field("ratio")],
+        settings.trace.ratio,
+        0.0..=1.0,
+        "of the packets",
+    )
+}
+
+fn figure<T>(path: &[Step], value: T, range: RangeInclusive<T>, unit: &str) -> Check
+where
+    T: PartialOrd + std::fmt::Display,
+{
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let (low, high) = range.into_inner();
+    Err(problem(
+        path,
+        format!("{value} {unit} is out of range"),
+        &format!("the range is {low} to {high} {unit}"),
+    ))
+}
--- /dev/null
+++ b/src/settings/document.rs
@@ -0,0 +1,128 @@
+use std::{fs, net::SocketAddr, path::Path, sync::Arc};
+
+use serde::Deserialize;
+use url::Url;
+
+use crate::{
+    settings::{
+        Control, Error, Key, Limits, Log, MAXIMUM_BYTES, Problem, Result, Secret, Trace, check,
+        locate, strict::strict,
+    },
+    wire::{self, Keyring},
+};
+
+/// The settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Settings {
+    /// The daemon's name, unique in the fleet.
+    pub name: Arc<str>,
+    /// The region of the daemon's availability zone.
+    pub region: Arc<str>,
+    /// The daemon's availability zone.
+    pub zone: Arc<str>,
+    /// The availability zones of all regions. If the list is not empty, `zone` must be in it.
+    #[serde(default)]
+    pub zones: Vec<Arc<str>>,
+    /// The UDP address for encapsulated packets from the fabric and from targets.
+    pub data: SocketAddr,
+    /// The fabric's UDP address, which takes encapsulated return packets.
+    pub fabric: SocketAddr,
+    /// The UDP address for frames from other daemons.
+    pub peer: SocketAddr,
+    /// The TCP address of the admin API. It must be a management address: the API has no
+    /// authentication.
+    pub admin: SocketAddr,
+    /// The TCP address of the metrics endpoint.
+    pub metrics: SocketAddr,
+    /// The base URL of the platform, with the scheme `http`.
+    pub platform: Url,
+    /// The key of the flow fingerprints; the same in all daemons.
+    pub flow_key: Secret<16>,
+    /// The keys that authenticate frames between daemons.
+    pub keys: Vec<Key>,
+    /// The sizes of tables and the rates of callers.
+    #[serde(default)]
+    pub limits: Limits,
+    /// The time in which the fabric stops sending to a leaving daemon, in seconds.
+    #[serde(default = "default_drain_seconds", deserialize_with = "strict")]
+    pub drain_seconds: u32,
+    /// The byte budget of control messages.
+    #[serde(default)]
+    pub control: Control,
+    /// The rate at which a leaving daemon copies flows, in bytes a second.
+    #[serde(
+        default = "default_handover_bytes_per_second",
+        deserialize_with = "strict"
+    )]
+    pub handover_bytes_per_second: u32,
+    /// The log.
+    #[serde(default)]
+    pub log: Log,
+    /// The trace spans.
+    #[serde(default)]
+    pub trace: Trace,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Read`] if the file cannot be read, and the errors of
+    /// [`Settings::parse`].
+    pub fn load(path: &Path) -> Result<Settings> {
+        let text = fs::read_to_string(path).map_err(|source| Error::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Settings::parse(&path.display().to_string(), &text)
+    }
+
+    /// Parses and checks a settings text; `source_name` names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Long`] if the text exceeds [`MAXIMUM_BYTES`], and [`Error::Located`] with
+    /// the place of the first problem.
+    pub fn parse(source_name: &str, text: &str) -> Result<Settings> {
+        if text.len() > MAXIMUM_BYTES {
+            return Err(Error::Long {
+                source_name: source_name.to_owned(),
+                bytes: text.len(),
+            });
+        }
+        let settings: Settings = serde_json5::from_str(text)
+            .map_err(|error| locate::syntax_error(source_name, text, &error))?;
+        settings
+            .validate()
+            .map_err(|problem| locate::problem(source_name, text, problem))?;
+        Ok(settings)
+    }
+
+    /// Checks settings that were made in code.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`Problem`].
+    pub fn validate(&self) -> Result<(), Problem> {
+        check::settings(self)
+    }
+
+    /// Returns the key ring for frames.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`wire::Error::NoKey`] if `keys` is empty, which [`Settings::validate`] refuses.
+    pub fn keyring(&self) -> wire::Result<Keyring> {
+        Keyring::new(self.keys.iter().map(|key| (key.number, *key.key.bytes())))
+    }
+}
+
+fn default_drain_seconds() -> u32 {
+    30
+}
+
+fn default_handover_bytes_per_second() -> u32 {
+    256 * 1024
+}
--- /dev/null
+++ b/src/settings/locate.rs
@@ -0,0 +1,154 @@
+use std::fmt;
+
+use miette::{NamedSource, SourceSpan};
+use serde::de::{
+    DeserializeSeed, Deserializer, Error as _, IgnoredAny, MapAccess, SeqAccess, Visitor,
+};
+
+use crate::settings::{Error, Located, Problem, Step, mask::mask};
+
+/// Returns the error for a text that `serde_json5` refused.
+pub(super) fn syntax_error(source_name: &str, text: &str, error: &serde_json5::Error) -> Error {
+    let serde_json5::Error::Message { msg, location } = error;
+    // A syntax error carries a drawing of the place, which the report shows already.
+    let message = match msg.rsplit_once("\n  = ") {
+        Some((_, expected)) => format!("syntax error: {expected}"),
+        None => msg.clone(),
+    };
+    let help = help_for(&message);
+    let place = location.as_ref().map_or((1, 1), |l| (l.line, l.column));
+    located(source_name, text, message, help.to_owned(), place)
+}
+
+/// Returns the error for a text whose value was refused.
+pub(super) fn problem(source_name: &str, text: &str, problem: Problem) -> Error {
+    let place = place_of(text, &problem.path);
+    located(source_name, text, problem.to_string(), problem.help, place)
+}
+
+fn help_for(message: &str) -> &'static str {
+    if message.starts_with("unknown field") {
+        "check the spelling, or remove the field"
+    } else if message.starts_with("duplicate field") {
+        "remove one of the two fields"
+    } else if message.starts_with("missing field") {
+        "add the field; samples/ shows a whole settings file"
+    } else if message.contains("socket address") {
+        "write an IP address and a port, such as \"192.0.2.1:7000\" or \"[2001:db8::1]:7000\""
+    } else if message.contains("URL") || message.contains("url") {
+        "write a URL such as \"http://192.0.2.1:8500\""
+    } else if message.starts_with("key ") {
+        "make a key from a random source, one hex digit for four bits"
+    } else if message.starts_with("syntax error") {
+        "settings are JSON with comments; check quotes, commas and brackets"
+    } else {
+        "docs/settings.md and samples/ show the type of each setting"
+    }
+}
+
+fn located(
+    source_name: &str,
+    text: &str,
+    message: String,
+    help: String,
+    (line, column): (usize, usize),
+) -> Error {
+    let offset = offset(text, line, column);
+    let length = token_length(&text[offset..]);
+    Error::Located(Box::new(Located {
+        message: mask(&message),
+        help,
+        line,
+        column,
+        text: NamedSource::new(source_name, mask(text)),
+        span: SourceSpan::new(offset.into(), length),
+    }))
+}
+
+/// Returns the offset in bytes of a line and a column in characters, both from 1.
+fn offset(text: &str, line: usize, column: usize) -> usize {
+    let start: usize = text
+        .split_inclusive('\n')
+        .take(line.saturating_sub(1))
+        .map(str::len)
+        .sum();
+    text[start..]
+        .char_indices()
+        .nth(column.saturating_sub(1))
+        .map_or(text.len(), |(index, _)| start + index)
+}
+
+/// Returns the length in bytes of the token at the start of `text`.
+fn token_length(text: &str) -> usize {
+    let mut chars = text.char_indices();
+    let Some((_, first)) = chars.next() else {
+        return 0;
+    };
+    let end = match first {
+        '"' | '\'' => chars
+            .find(|(_, c)| *c == first || *c == '\n')
+            .map(|(index, c)| if c == first { index + 1 } else { index }),
+        '{' | '[' => Some(1),
+        _ => chars
+            .find(|(_, c)| c.is_whitespace() || ",:{}[]".contains(*c))
+            .map(|(index, _)| index),
+    };
+    end.unwrap_or(text.len())
+}
+
+/// Returns the line and column of the value at `path`, or of its last parent that the text has.
+fn place_of(text: &str, path: &[Step]) -> (usize, usize) {
+    let Ok(mut deserializer) = serde_json5::Deserializer::from_str(text) else {
+        return (1, 1);
+    };
+    match (Finder { path }).deserialize(&mut deserializer) {
+        Err(serde_json5::Error::Message {
+            location: Some(location),
+            ..
+        }) => (location.line, location.column),
+        _ => (1, 1),
+    }
+}
+
+/// Walks to the value at `path` and fails there, because only errors carry locations.
+struct Finder<'a> {
+    path: &'a [Step],
+}
+
+impl<'de> DeserializeSeed<'de> for Finder<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Finder<'_> {
+    type Value = ();
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the value that is looked for")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        if let [Step::Field(field), path @ ..] = self.path {
+            while let Some(key) = map.next_key::<String>()? {
+                if key == *field {
+                    return map.next_value_seed(Finder { path });
+                }
+                map.next_value::<IgnoredAny>()?;
+            }
+        }
+        Err(A::Error::custom("found"))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<(), A::Error> {
+        if let [Step::Index(index), path @ ..] = self.path {
+            for _ in 0..*index {
+                list.next_element::<IgnoredAny>()?;
+            }
+            list.next_element_seed(Finder { path })?;
+        }
+        Err(A::Error::custom("found"))
+    }
+}
--- /dev/null
+++ b/src/settings/log.rs
@@ -0,0 +1,46 @@
+use std::path::PathBuf;
+
+use ::log::LevelFilter;
+use serde::Deserialize;
+
+/// The least severe level that is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Level {
+    /// Nothing is logged.
+    Off,
+    /// Failures that need an operator.
+    Error,
+    /// Unexpected events that the daemon handles.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Details for diagnosis.
+    Debug,
+    /// All details.
+    Trace,
+}
+
+impl From<Level> for LevelFilter {
+    fn from(level: Level) -> LevelFilter {
+        match level {
+            Level::Off => LevelFilter::Off,
+            Level::Error => LevelFilter::Error,
+            Level::Warn => LevelFilter::Warn,
+            Level::Info => LevelFilter::Info,
+            Level::Debug => LevelFilter::Debug,
+            Level::Trace => LevelFilter::Trace,
+        }
+    }
+}
+
+/// The settings of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields, default)]
+pub struct Log {
+    /// The least severe level that is logged, unless `file` is given.
+    pub level: Level,
+    /// A `log4rs` configuration in JSON, which replaces the log on stderr.
+    pub file: Option<PathBuf>,
+}
--- /dev/null
+++ b/src/settings/strict.rs
@@ -0,0 +1,40 @@
+use std::{fmt, marker::PhantomData};
+
+use serde::{
+    Deserialize, Deserializer,
+    de::{Error, IntoDeserializer as _, Visitor},
+};
+
+/// Deserializes a number with range checks.
+///
+/// `serde_json5` converts numbers with `as`, so 70,000 would become 65,535 in a `u16` and 1.9
+/// would become 1. A visitor that takes the number as it is written refuses both.
+pub(super) fn strict<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    deserializer.deserialize_any(Number(PhantomData))
+}
+
+struct Number<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for Number<T> {
+    type Value = T;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a number")
+    }
+
+    fn visit_i64<E: Error>(self, value: i64) -> Result<T, E> {
+        T::deserialize(value.into_deserializer())
+    }
+
+    fn visit_u64<E: Error>(self, value: u64) -> Result<T, E> {
+        T::deserialize(value.into_deserializer())
+    }
+
+    fn visit_f64<E: Error>(self, value: f64) -> Result<T, E> {
+        T::deserialize(value.into_deserializer())
+    }
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,195 @@
+//! Wrong settings must be refused at the right place, and no key may be shown.
+
+use std::{fs, path::PathBuf};
+
+use banyanwharf::{
+    settings::{Error, Level, Located, MAXIMUM_BYTES, Output, Settings},
+    ticket::Ticket,
+};
+use miette::Diagnostic as _;
+
+const FLOW_KEY: &str = "000102030405060708090a0b0c0d0e0f";
+
+fn sample(name: &str) -> (PathBuf, String) {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("samples")
+        .join(name);
+    let text = fs::read_to_string(&path).expect("the sample is readable");
+    (path, text)
+}
+
+fn refusal(text: &str) -> Box<Located> {
+    match Settings::parse("test.jsonc", text) {
+        Err(Error::Located(located)) => located,
+        other => panic!("expected a located error, got {other:?}"),
+    }
+}
+
+/// Guards against samples that the program refuses.
+#[test]
+fn samples_load() {
+    for (name, zone, slots, services) in [
+        ("a", "mvd-cerro", 4, ["turnos", "fichas"]),
+        ("b", "caerdydd", 2, ["stondin", "taflen"]),
+    ] {
+        let settings = Settings::load(&sample(&format!("deployment-{name}.jsonc")).0)
+            .expect("the sample is correct");
+        assert_eq!(&*settings.zone, zone);
+        assert_eq!(settings.log.level, Level::Info);
+        assert_eq!(settings.trace.output, Output::Stderr);
+        settings.keyring().expect("there is a key");
+        let ticket: Ticket = serde_json5::from_str(&sample(&format!("ticket-{name}.jsonc")).1)
+            .expect("the ticket is correct");
+        let names: Vec<_> = ticket.services.iter().map(|s| &*s.name).collect();
+        assert_eq!(names, services);
+        let counts: Vec<_> = ticket.services.iter().map(|s| s.targets.len()).collect();
+        assert_eq!(counts, [14, 4]);
+        let targets = ticket.services.iter().flat_map(|s| &s.targets);
+        for target in targets {
+            assert_eq!((target.slots, target.connections), (slots, 2000));
+            assert!(settings.zones.contains(&target.zone));
+        }
+    }
+    for name in ["ticket-zone-out.jsonc", "ticket-drain.jsonc"] {
+        serde_json5::from_str::<Ticket>(&sample(name).1).expect("the ticket is correct");
+    }
+}
+
+/// Guards against accepting a wrong value, or refusing it at the wrong place or without help.
+#[test]
+fn wrong_values_are_located() {
+    // Each case: a piece of the sample, its replacement, the text at the place of the error, a
+    // part of the message and a part of the help.
+    #[rustfmt::skip] // One case a line.
+    let cases = [
+        ("\"region\"", "\"regoin\"", "\"regoin\"", "unknown field `regoin`", "spelling"),
+        ("  \"region\": \"montevideo\",\n", "", "{", "missing field `region`", "samples/"),
+        ("\"montevideo\"", "7", "7", "invalid type: integer `7`", "docs/settings.md"),
+        ("\"montevideo\"", "\"\"", "\"\"", "region: \"\" is not a name", "1 to 64"),
+        ("\"entry-cerro-1\"", "\"a b\"", "\"a b\"", "name: \"a b\"", "1 to 64"),
+        ("\"zone\": \"mvd-cerro\"", "\"zone\": \"mvd\"", "\"mvd\"", "not in the list", "`zones`"),
+        ("\"mvd-prado\"", "\"mvd-cerro\"", "\"mvd-cerro\", \"mvd-ciu", "zones[1]: zone", "once"),
+        ("192.0.2.11:6080", "192.0.2.11", "\"192.0.2.11\"", "invalid socket address", "port"),
+        ("192.0.2.11:6080", "0.0.0.0:6080", "\"0.0.0.0:6080\"", "data: address", "one address"),
+        ("192.0.2.11:7001", "[::]:7001", "\"[::]:7001\"", "unspecified", "one address"),
+        ("192.0.2.11:7001", "224.0.0.1:7001", "\"224.0.0.1:7001\"", "multicast", "unicast"),
+        ("192.0.2.11:7001", "192.0.2.11:0", "\"192.0.2.11:0\"", "port 0", "1 to 65535"),
+        ("192.0.2.11:7001", "192.0.2.11:6080", "\"192.0.2.11:6080\",\n  // TCP", "`data`", "own"),
+        ("192.0.2.11:7003", "192.0.2.11:7002", "\"192.0.2.11:7002\",\n\n", "`admin`", "own"),
+        ("http://192.0.2.2:8500", "192.0.2.2", "\"192.0.2.2\"", "relative URL", "http://"),
+        ("http://192.0.2.2:8500", "https://x", "\"https://x\"", "scheme \"https\"", "http://"),
+        ("http://192.0.2.2:8500", "http://a@b", "\"http://a@b\"", "user name", "http://"),
+        ("http://192.0.2.2:8500", "http://b?a=1", "\"http://b?a", "query", "http://"),
+        (FLOW_KEY,
+            "00ff", "\"****\"", "key has 4 characters, expected 32", "random"),
+        ("0f10", "0g10", "\"*********", "not a hex digit", "random"),
+        ("[\n    { \"number\": 1", "[{ \"number\": 300", "300", "300", "docs/settings.md"),
+        ("{ \"number\": 1", "{ \"number\": -1", "-1", "-1", "docs/settings.md"),
+        ("{ \"number\": 1", "{ \"number\": 1.5", "1.5", "1.5", "docs/settings.md"),
+        ("\"owned_flows\": 1000000", "\"owned_flows\": 9", "9", "limits.owned_flows: 9", "1000 to"),
+        ("\"cached_flows\": 1000000", "\"cached_flows\": 9", "9", "limits.cached", "1000 to"),
+        ("\"pending_packets\": 4096", "\"pending_packets\": 1", "1,", "limits.pending", "packets"),
+        ("\"new_flows_per_second\": 20000", "\"new_flows_per_second\": 0", "0,", "new_", "a second"),
+        ("\"caller_share\": 0.01", "\"caller_share\": 1.5", "1.5", "limits.caller", "to 1"),
+        ("\"caller_share\": 0.01", "\"caller_share\": NaN", "NaN", "NaN of the new", "to 1"),
+        ("\"drain_seconds\": 30", "\"drain_seconds\": 4000", "4000", "4000 seconds", "0 to 3600"),
+        ("_per_second\": 2048", "_per_second\": 1", "1", "control.bytes", "256 to"),
+        ("\"burst_bytes\": 65536", "\"burst_bytes\": 1", "1", "control.burst", "2048 to"),
+        ("262144", "1", "1,", "handover_bytes_per_second: 1 bytes", "1024 to"),
+        ("\"ratio\": 0.0001", "\"ratio\": -0.5", "-0.5", "trace.ratio", "0 to 1"),
+        ("\"info\"", "\"loud\"", "\"loud\"", "unknown variant `loud`", "docs/settings.md"),
+        ("\"name\":", "\"name\"", "\"name\" \"entry", "syntax error: expected", "JSON with comments"),
+        ("\"data\":", "\"name\": \"x\", \"data\":", "{", "duplicate field `name`", "one of"),
+    ];
+    let text = sample("deployment-a.jsonc").1;
+    for (old, new, place, message, help) in cases {
+        assert!(text.contains(old), "{old} is not in the sample");
+        let located = refusal(&text.replacen(old, new, 1));
+        let masked = located.text.inner();
+        let found = &masked[located.span.offset()..];
+        assert!(
+            found.starts_with(place),
+            "{new}: place is {}",
+            &found[..found.len().min(60)]
+        );
+        assert!(
+            located.message.contains(message),
+            "{new}: {}",
+            located.message
+        );
+        assert!(located.help.contains(help), "{new}: {}", located.help);
+        let line = masked[..located.span.offset()].split('\n').count();
+        assert_eq!(located.line, line, "{new}");
+    }
+}
+
+/// Guards against an error that points at the first of two equal keys, or at none.
+#[test]
+fn keys_are_checked_and_never_shown() {
+    let text = sample("deployment-a.jsonc").1;
+    let key = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+    let second = text.replace(
+        "],\n\n  // All",
+        &format!("{{ number: 1, key: '{key}' }}],\n// All"),
+    );
+    let located = refusal(&second);
+    assert_eq!(
+        located.message,
+        "keys[1].number: key number 1 is used twice"
+    );
+    assert_eq!(&second[located.span.offset()..][..1], "1");
+    let none = text.replace(&format!("{{ \"number\": 1, \"key\": \"{key}\" }},"), "");
+    assert!(
+        refusal(&none)
+            .message
+            .contains("keys: list of keys is empty")
+    );
+
+    let settings = Settings::parse("a", &text).expect("the sample is correct");
+    assert_eq!(settings.flow_key.bytes()[15], 15);
+    let unquoted = text.replace(&format!("\"{key}\""), "12345678901234567890123456789012");
+    let moved = text.replace("\"montevideo\"", &format!("[\"{key}\"]"));
+    let misspelt = text.replace("\"flow_key\":", "flow_key");
+    let mut shown = format!("{settings:?}");
+    for text in [second, unquoted, moved, misspelt] {
+        let error = Settings::parse("a", &text).expect_err("the text is wrong");
+        shown += &format!("{error} {error:?} ");
+        shown += &format!("{:?}", miette::Report::new(error));
+    }
+    for part in ["0001020304", "0a0b0c0d0e", "1234567890", "[0, 1, 2"] {
+        assert!(!shown.contains(part), "{part} is shown: {shown}");
+    }
+}
+
+/// Guards against a missing or oversized file that is reported without its name.
+#[test]
+fn unreadable_files_are_named() {
+    let error = Settings::load(&PathBuf::from("missing.jsonc")).expect_err("there is no file");
+    assert!(error.to_string().contains("missing.jsonc") && error.help().is_some());
+    let error = Settings::parse("big", &" ".repeat(MAXIMUM_BYTES + 1)).expect_err("it is long");
+    assert!(error.to_string().contains("big have 65537 bytes"));
+}
+
+/// Guards against panics and wrong spans on any text, also deeply nested.
+#[test]
+fn mutated_settings_never_panic() {
+    let text = sample("deployment-a.jsonc").1;
+    for deep in ["[", "{\"a\":", "/*", "[1,"] {
+        let _ = Settings::parse("deep", &deep.repeat(MAXIMUM_BYTES / deep.len()));
+    }
+    bolero::check!()
+        .with_type::<(u16, u8, Vec<u8>)>()
+        .for_each(|(position, removed, inserted)| {
+            let mut bytes = text.clone().into_bytes();
+            let start = usize::from(*position) % bytes.len();
+            let end = (start + usize::from(*removed)).min(bytes.len());
+            bytes.splice(start..end, inserted.iter().copied());
+            let text = String::from_utf8_lossy(&bytes);
+            if let Err(Error::Located(located)) = Settings::parse("mutated", &text) {
+                let masked = located.text.inner();
+                assert_eq!(masked.len(), text.len());
+                let end = located.span.offset() + located.span.len();
+                assert!(masked.get(located.span.offset()..end).is_some());
+            }
+        });
+}
