Add the platform client, its call schedule and the reader of target endpoints

The schedule holds no clock and makes no call, so its rate is tested with bolero without waiting. Tickets pass as raw JSON text: a parsed value would lose the place of an error.

--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,73 @@
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde::Deserialize;
+use url::Url;
+
+use crate::platform::{Error, Index, Platform, Result, Tickets, Timeouts, Vms, fetch::Fetch};
+
+/// The largest response in bytes: a value of 1 MB and what surrounds it.
+const MAXIMUM_RESPONSE: usize = 1_000_000 + 64 * 1024;
+
+/// The platform over HTTP.
+#[derive(Debug, Clone)]
+pub struct Client {
+    base: Url,
+    fetch: Fetch,
+}
+
+impl Client {
+    /// Creates a client of the platform at the base URL `base`.
+    ///
+    /// ```
+    /// use banyanwharf::platform::{Client, Timeouts};
+    ///
+    /// let base = "http://192.0.2.2:8500".parse().unwrap();
+    /// let client = Client::new(base, Timeouts::default());
+    /// ```
+    pub fn new(base: Url, timeouts: Timeouts) -> Client {
+        Client {
+            base,
+            fetch: Fetch::new(timeouts, MAXIMUM_RESPONSE),
+        }
+    }
+
+    async fn watch<T>(&self, list: &str, index: Index, wait: Duration) -> Result<T>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        let url = self.url(list, index, wait);
+        let (status, body) = self.fetch.get(&url, wait).await?;
+        match status {
+            StatusCode::OK => {
+                serde_json::from_slice(&body).map_err(|source| Error::Malformed { url, source })
+            }
+            StatusCode::GONE => Err(Error::Gone { index }),
+            StatusCode::TOO_MANY_REQUESTS => Err(Error::Limited),
+            StatusCode::SERVICE_UNAVAILABLE => Err(Error::Unavailable { url }),
+            status => Err(Error::Status { url, status }),
+        }
+    }
+
+    fn url(&self, list: &str, index: Index, wait: Duration) -> String {
+        let mut url = self.base.clone();
+        // Fails only for URLs that cannot be a base, which `Fetch` refuses.
+        if let Ok(mut segments) = url.path_segments_mut() {
+            segments.pop_if_empty().extend(["v1", list]);
+        }
+        url.query_pairs_mut()
+            .append_pair("index", &index.to_string())
+            .append_pair("wait_ms", &wait.as_millis().to_string());
+        url.into()
+    }
+}
+
+impl Platform for Client {
+    async fn tickets(&self, index: Index, wait: Duration) -> Result<Tickets> {
+        self.watch("tickets", index, wait).await
+    }
+
+    async fn vms(&self, index: Index, wait: Duration) -> Result<Vms> {
+        self.watch("vms", index, wait).await
+    }
+}
--- /dev/null
+++ b/tests/platform_client.rs
@@ -0,0 +1,223 @@
+//! The client must come back with a typed error whatever the server does, and must not call more
+//! often than allowed.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use banyanwharf::platform::{
+    Client, Endpoint, Error, Health, Pace, Platform, Schedule, Timeouts, VmState,
+};
+use http_body_util::{Either, Full};
+use hyper::{
+    Request, Response,
+    body::{Body, Bytes, Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// A response body that never ends.
+struct Stalled;
+
+impl Body for Stalled {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Pending
+    }
+}
+
+const TICKETS: &str = r#"{"index": 12, "tickets": [{"number": 7, "x": [1 , 2]}, 9], "more": true}"#;
+const VMS: &str = r#"{"index": 3, "vms": [{"name": "entry-1", "region": "r", "zone": "z",
+    "peer": "192.0.2.1:7001", "admin": "[2001:db8::1]:7002", "state": "leaving", "new": 1}]}"#;
+const LOAD: &str = r#"{"start": "s1", "slots": 4, "busy": 2, "queued": 0, "connections": 310}"#;
+
+async fn respond(
+    request: Request<Incoming>,
+) -> Result<Response<Either<Full<Bytes>, Stalled>>, Infallible> {
+    let path = request.uri().path_and_query().map_or("", |p| p.as_str());
+    let (status, text) = match path {
+        "/v1/tickets?index=5&wait_ms=200" => {
+            // A long poll: longer than the read timeout, shorter than the wait and the timeout.
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            (200, TICKETS.to_owned())
+        }
+        "/p/v1/vms?index=0&wait_ms=0" => (200, VMS.to_owned()),
+        "/v1/vms?index=6&wait_ms=0" => (429, String::new()),
+        "/v1/vms?index=7&wait_ms=0" => (410, String::new()),
+        "/v1/vms?index=8&wait_ms=0" => (503, String::new()),
+        "/v1/vms?index=9&wait_ms=0" => (302, String::new()),
+        "/v1/vms?index=10&wait_ms=0" => (200, "{\"index\": -1".to_owned()),
+        "/v1/vms?index=11&wait_ms=0" => (200, " ".repeat(1_100_000)),
+        "/v1/vms?index=12&wait_ms=0" => {
+            return Ok(Response::new(Either::Right(Stalled)));
+        }
+        "/v1/vms?index=13&wait_ms=0" => std::future::pending().await,
+        "/healthy" => (200, "well".to_owned()),
+        "/sick" => (503, String::new()),
+        "/load" => (200, LOAD.to_owned()),
+        "/big" => (200, format!("{{\"start\": \"{}\"}}", "x".repeat(20_000))),
+        _ => (404, String::new()),
+    };
+    let mut response = Response::new(Either::Left(Full::from(text)));
+    *response.status_mut() = status.try_into().expect("the status is valid");
+    Ok(response)
+}
+
+/// Starts the server and returns its URL.
+async fn server() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("the socket is bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(respond);
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    format!("http://{address}")
+}
+
+fn timeouts() -> Timeouts {
+    Timeouts {
+        connect: Duration::from_millis(100),
+        read: Duration::from_millis(100),
+    }
+}
+
+fn client(url: &str) -> Client {
+    Client::new(url.parse().expect("the URL is valid"), timeouts())
+}
+
+/// Guards against a read timeout that cuts a long poll, and against changing a ticket's text.
+#[tokio::test]
+async fn lists_are_read() {
+    let url = server().await;
+    let wait = Duration::from_millis(200);
+    let tickets = client(&url).tickets(5, wait).await.expect("a list");
+    assert_eq!((tickets.index, tickets.more), (12, true));
+    assert_eq!(&*tickets.tickets[0], r#"{"number": 7, "x": [1 , 2]}"#);
+    assert_eq!(&*tickets.tickets[1], "9");
+    for base in ["/p", "/p/"] {
+        let vms = client(&format!("{url}{base}")).vms(0, Duration::ZERO).await;
+        let vms = vms.expect("a list");
+        assert_eq!(vms.vms[0].state, VmState::Leaving);
+        assert_eq!(vms.vms[0].admin.port(), 7002);
+    }
+}
+
+/// Guards against hanging on, or misreading, a server that misbehaves.
+#[tokio::test]
+async fn failures_have_types() {
+    let url = server().await;
+    let client = client(&url);
+    let error = async |index| {
+        let result = client.vms(index, Duration::ZERO).await;
+        result.expect_err("the server misbehaves")
+    };
+    assert!(matches!(error(6).await, Error::Limited));
+    assert!(matches!(error(7).await, Error::Gone { index: 7 }));
+    assert!(matches!(error(8).await, Error::Unavailable { .. }));
+    assert!(matches!(error(9).await, Error::Status { status, .. } if status == 302));
+    assert!(matches!(error(10).await, Error::Malformed { .. }));
+    assert!(matches!(error(11).await, Error::Long { .. }));
+    assert!(matches!(error(12).await, Error::Timeout { .. }));
+    assert!(matches!(error(13).await, Error::Timeout { .. }));
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = closed.local_addr().expect("the socket is bound");
+    drop(closed);
+    let client = self::client(&format!("http://{address}"));
+    let error = client.vms(0, Duration::ZERO).await.expect_err("no server");
+    assert!(matches!(error, Error::Connect { .. }), "{error}");
+    assert!(error.to_string().contains(&address.to_string()));
+}
+
+/// Guards against taking an endpoint's failure for the target's.
+#[tokio::test]
+async fn endpoints_are_read() {
+    let url = server().await;
+    let endpoint = Endpoint::new(timeouts());
+    let health = async |path| endpoint.health(&format!("{url}{path}")).await;
+    assert_eq!(health("/healthy").await.expect("a health"), Health::Healthy);
+    assert_eq!(health("/sick").await.expect("a health"), Health::Unhealthy);
+    assert!(matches!(health("/none").await, Err(Error::Status { .. })));
+    let load = async |path| endpoint.load(&format!("{url}{path}")).await;
+    let read = load("/load").await.expect("a load");
+    assert_eq!((read.start.as_deref(), read.busy), (Some("s1"), 2));
+    assert!(matches!(
+        load("/healthy").await,
+        Err(Error::Malformed { .. })
+    ));
+    assert!(matches!(
+        load("/sick").await,
+        Err(Error::Unavailable { .. })
+    ));
+    assert!(matches!(load("/big").await, Err(Error::Long { .. })));
+    for bad in ["", "ftp://127.0.0.1/", "not a url", "/health"] {
+        assert!(
+            matches!(endpoint.load(bad).await, Err(Error::Url { .. })),
+            "{bad}"
+        );
+    }
+}
+
+/// Guards against calls that come faster than the floor, a delay outside its bounds, and a
+/// schedule that stays slow after the platform came back.
+#[test]
+fn schedule_keeps_its_bounds() {
+    bolero::check!()
+        .with_type::<(u64, Vec<(u8, u16)>)>()
+        .for_each(|(seed, steps)| {
+            let pace = Pace::default();
+            let start = Instant::now();
+            let mut now = start;
+            let mut schedule = Schedule::new(pace, *seed, now);
+            let mut last = None;
+            let mut failures = 0u32;
+            for (kind, millis) in steps {
+                now = schedule.next_start().max(now);
+                assert!(last.is_none_or(|last| now >= last + pace.floor));
+                last = Some(now);
+                schedule.started(now);
+                now += Duration::from_millis(u64::from(*millis));
+                let url = String::new();
+                let (first, error) = match kind % 4 {
+                    0 => (Duration::ZERO, Error::Gone { index: 1 }),
+                    1 => (pace.limited, Error::Limited),
+                    2 => (pace.first, Error::Unavailable { url }),
+                    _ => {
+                        schedule.succeeded();
+                        failures = 0;
+                        assert!(schedule.may_start(now.max(last.unwrap() + pace.floor)));
+                        continue;
+                    }
+                };
+                schedule.failed(now, &error);
+                let full = first
+                    .saturating_mul(1 << failures.min(16))
+                    .min(pace.maximum);
+                failures = if first.is_zero() { 0 } else { failures + 1 };
+                assert_eq!(schedule.failures(), failures);
+                assert!(schedule.next_start().max(now) >= now + full / 2);
+                assert!(schedule.next_start() <= now + full.max(pace.floor));
+            }
+        });
+    let delays: Vec<_> = (0..8)
+        .map(|seed| {
+            let now = Instant::now();
+            let mut schedule = Schedule::new(Pace::default(), seed, now);
+            schedule.started(now);
+            schedule.failed(now, &Error::Limited);
+            schedule.next_start() - now
+        })
+        .collect();
+    assert!(delays.iter().any(|delay| *delay != delays[0]), "{delays:?}");
+}
