Add packet parsing, flow tables and the forwarder

The packet path needs a decision for each packet without I/O. Adds the three modules that make it, without tests yet; they follow.

Stage::Store names the target that a retry replaces, so that the secondary owner can tell a moved flow from a conflict. FINs, resets and SYN-ACKs of targets also pass the secondary owner (Stage::StoreReturn), because its record would otherwise expire or stay open. Answer carries the sender's uptime: a restarted member cannot know older flows. Ranking gains former_owners, leaving and has_left.

--- a/src/flow/fingerprint.rs
+++ b/src/flow/fingerprint.rs
@@ -22,6 +22,20 @@
         (self.0 >> 116) as Slot
     }
 
+    /// Returns the value as words, which take no more than 4-byte alignment.
+    pub(super) fn words(self) -> [u32; 4] {
+        [96, 64, 32, 0].map(|shift| (self.0 >> shift) as u32)
+    }
+
+    /// Returns the fingerprint with the given words.
+    pub(super) fn from_words(words: [u32; 4]) -> Fingerprint {
+        Fingerprint(
+            words
+                .iter()
+                .fold(0, |value, word| (value << 32) | u128::from(*word)),
+        )
+    }
+
     /// Returns the low 64 bits, which choose the target and are independent of the slot.
     pub fn low(self) -> u64 {
         self.0 as u64
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -1,16 +1,27 @@
-//! Flows: their keys, fingerprints and the table that holds them.
+//! Flows: their keys, fingerprints, the table that holds them and the cache.
 //!
 //! A flow is held by a 128-bit keyed fingerprint instead of its addresses. That
 //! keeps an entry below 64 bytes for IPv4 and IPv6 alike, and the key keeps
 //! callers from choosing addresses that all fall on one target or one daemon.
 
+mod cache;
+mod cursor;
+mod entry;
 mod fingerprint;
 mod hasher;
+mod interner;
 mod key;
+mod table;
+mod timeouts;
 
+pub use cache::{Cache, Cached};
+pub use cursor::Cursor;
+pub use entry::{Entry, Mark, State};
 pub use fingerprint::Fingerprint;
 pub use hasher::Hasher;
 pub use key::{Key, Protocol};
+pub use table::{Removed, Table};
+pub use timeouts::Timeouts;
 
 /// The number of slots that the fingerprints are divided into for ranking owners.
 ///
--- /dev/null
+++ b/src/flow/table.rs
@@ -0,0 +1,311 @@
+use std::time::{Duration, Instant};
+
+use hashbrown::HashTable;
+
+use crate::{
+    flow::{Cursor, Entry, Fingerprint, Mark, State, Timeouts, interner::Interner},
+    ticket::TargetId,
+};
+
+/// The number of buckets that a full table looks at to find an entry to evict.
+const EVICTION_SAMPLE: usize = 64;
+
+/// A flow in 24 bytes. With the hash table's control byte and at the lowest load after
+/// growth (7/16) that makes 57 bytes.
+#[derive(Debug, Clone, Copy)]
+struct Packed {
+    fingerprint: [u32; 4],
+    target: u32,
+    seen: u16,
+    marks: u8,
+    /// State (2 bits), unanswered SYNs (3 bits), moves (3 bits).
+    counts: u8,
+}
+
+const _: () = assert!(size_of::<Packed>() == 24);
+
+/// A flow that a table no longer holds, or holds as closed.
+pub type Removed = Entry;
+
+/// The flows that a daemon holds as owner.
+#[derive(Debug, Clone)]
+pub struct Table {
+    entries: HashTable<Packed>,
+    targets: Interner,
+    timeouts: Timeouts,
+    capacity: usize,
+    start: Instant,
+    sweep: Cursor,
+    eviction: usize,
+}
+
+impl Table {
+    /// The resolution of the time of the last packet.
+    pub const TICK: Duration = Duration::from_secs(4);
+
+    /// Creates an empty table for at most `capacity` flows.
+    pub fn new(capacity: usize, timeouts: Timeouts, now: Instant) -> Table {
+        Table {
+            entries: HashTable::new(),
+            targets: Interner::default(),
+            timeouts,
+            capacity: capacity.max(1),
+            start: now,
+            sweep: Cursor::default(),
+            eviction: 0,
+        }
+    }
+
+    /// Returns the number of flows.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether the table holds no flow.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the memory that the flows take, in bytes.
+    pub fn memory(&self) -> usize {
+        self.entries.allocation_size()
+    }
+
+    /// Returns the number of flows held for `target`.
+    pub fn held_for(&self, target: TargetId) -> u32 {
+        self.targets.uses(target)
+    }
+
+    /// Returns a flow that has not expired.
+    pub fn get(&self, now: Instant, fingerprint: Fingerprint) -> Option<Entry> {
+        let packed = self
+            .entries
+            .find(fingerprint.low(), |packed| packed.is(fingerprint))?;
+        let entry = self.unpack(now, packed);
+        (!self.is_expired(&entry)).then_some(entry)
+    }
+
+    /// Returns a flow even if it has expired and was not removed yet.
+    pub fn peek(&self, now: Instant, fingerprint: Fingerprint) -> Option<Entry> {
+        self.entries
+            .find(fingerprint.low(), |packed| packed.is(fingerprint))
+            .map(|packed| self.unpack(now, packed))
+    }
+
+    /// Stores a flow, replaces its former entry and sets the time of its last packet.
+    ///
+    /// Returns the flow that was evicted from a full table, if any.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the entry changes the target of a live flow whose SYN-ACK was relayed: the
+    /// caller may have sent payload to the former target.
+    pub fn put(&mut self, now: Instant, entry: &Entry) -> Option<Removed> {
+        let seen = self.tick(now).wrapping_sub(entry.idle);
+        let target = self.targets.acquire(entry.target);
+        let packed = Packed::new(entry, target, seen);
+        let hash = entry.fingerprint.low();
+        let expired = self.get(now, entry.fingerprint).is_none();
+        if let Some(held) = self
+            .entries
+            .find_mut(hash, |held| held.is(entry.fingerprint))
+        {
+            assert!(
+                expired
+                    || held.target == target
+                    || held.state() == State::Closed
+                    || held.marks & Mark::Relayed as u8 == 0,
+                "flow {:?} with a relayed SYN-ACK changes its target",
+                entry.fingerprint
+            );
+            self.targets.release(held.target);
+            *held = packed;
+            return None;
+        }
+        let evicted = if self.entries.len() >= self.capacity {
+            self.evict(now)
+        } else {
+            None
+        };
+        self.entries
+            .insert_unique(hash, packed, |packed| packed.fingerprint().low());
+        evicted
+    }
+
+    /// Removes a flow.
+    pub fn remove(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<Removed> {
+        let held = self
+            .entries
+            .find_entry(fingerprint.low(), |packed| packed.is(fingerprint))
+            .ok()?;
+        let (packed, _) = held.remove();
+        let entry = self.unpack(now, &packed);
+        self.targets.release(packed.target);
+        Some(entry)
+    }
+
+    /// Looks at up to `limit` buckets, removes the flows that have expired or that `stale`
+    /// selects, and passes them to `removed`.
+    pub fn expire(
+        &mut self,
+        now: Instant,
+        limit: usize,
+        stale: impl Fn(&Entry) -> bool,
+        mut removed: impl FnMut(Removed),
+    ) {
+        let mut cursor = self.sweep;
+        let mut expired = Vec::new();
+        if self.scan(now, &mut cursor, limit, |entry| {
+            if self.is_expired(&entry) || stale(&entry) {
+                expired.push(entry.fingerprint);
+            }
+        }) {
+            cursor = Cursor::default();
+        }
+        self.sweep = cursor;
+        for fingerprint in expired {
+            if let Some(entry) = self.remove(now, fingerprint) {
+                removed(entry);
+            }
+        }
+    }
+
+    /// Passes the flows of up to `limit` buckets to `each` and moves the cursor.
+    ///
+    /// Returns whether the pass is complete.
+    pub fn scan(
+        &self,
+        now: Instant,
+        cursor: &mut Cursor,
+        limit: usize,
+        mut each: impl FnMut(Entry),
+    ) -> bool {
+        let buckets = self.entries.num_buckets();
+        if cursor.buckets != buckets {
+            *cursor = Cursor {
+                position: 0,
+                buckets,
+            };
+        }
+        let end = cursor.position.saturating_add(limit).min(buckets);
+        for position in cursor.position..end {
+            if let Some(packed) = self.entries.get_bucket(position) {
+                each(self.unpack(now, packed));
+            }
+        }
+        cursor.position = end;
+        end == buckets
+    }
+
+    /// Removes `mark` from all flows that `selects` names.
+    pub fn unmark(&mut self, mark: Mark, selects: impl Fn(Fingerprint) -> bool) {
+        for packed in self.entries.iter_mut() {
+            if selects(packed.fingerprint()) {
+                packed.marks &= !(mark as u8);
+            }
+        }
+    }
+
+    /// Sets `mark` on a flow if the table holds it.
+    pub fn mark(&mut self, fingerprint: Fingerprint, mark: Mark) {
+        let hash = fingerprint.low();
+        if let Some(packed) = self.entries.find_mut(hash, |packed| packed.is(fingerprint)) {
+            packed.marks |= mark as u8;
+        }
+    }
+
+    /// Returns whether the flow has been idle for longer than its state allows.
+    fn is_expired(&self, entry: &Entry) -> bool {
+        let half_closed = entry.has(Mark::CallerFin) || entry.has(Mark::TargetFin);
+        let timeout = match entry.state {
+            State::Closed => self.timeouts.closed,
+            _ if entry.has(Mark::Datagram) => self.timeouts.datagram,
+            State::Opening => self.timeouts.opening,
+            State::Answered | State::Open if half_closed => self.timeouts.half_closed,
+            State::Answered | State::Open => self.timeouts.open,
+        };
+        Self::TICK * u32::from(entry.idle) > timeout
+    }
+
+    /// Evicts the first flow in the order of eviction among a sample of the table.
+    fn evict(&mut self, now: Instant) -> Option<Removed> {
+        let buckets = self.entries.num_buckets();
+        let mut worst: Option<Entry> = None;
+        let mut seen = 0;
+        for step in 0..buckets {
+            let position = (self.eviction + step) % buckets;
+            let Some(packed) = self.entries.get_bucket(position) else {
+                continue;
+            };
+            let entry = self.unpack(now, packed);
+            let rank = |entry: &Entry| (entry.state, std::cmp::Reverse(entry.idle));
+            if worst.is_none_or(|worst| rank(&entry) < rank(&worst)) {
+                worst = Some(entry);
+            }
+            seen += 1;
+            if seen == EVICTION_SAMPLE {
+                self.eviction = (position + 1) % buckets;
+                break;
+            }
+        }
+        self.remove(now, worst?.fingerprint)
+    }
+
+    /// Returns the number of ticks since the table was created.
+    pub fn ticks(&self, now: Instant) -> u32 {
+        let elapsed = now.saturating_duration_since(self.start);
+        (elapsed.as_secs() / Self::TICK.as_secs()) as u32
+    }
+
+    fn tick(&self, now: Instant) -> u16 {
+        self.ticks(now) as u16
+    }
+
+    fn unpack(&self, now: Instant, packed: &Packed) -> Entry {
+        let idle = self.tick(now).wrapping_sub(packed.seen);
+        Entry {
+            fingerprint: packed.fingerprint(),
+            target: self.targets.target(packed.target),
+            state: packed.state(),
+            idle,
+            unanswered: (packed.counts >> 2) & 7,
+            moves: packed.counts >> 5,
+            marks: packed.marks,
+        }
+    }
+}
+
+impl Packed {
+    fn new(entry: &Entry, target: u32, seen: u16) -> Packed {
+        let state = match entry.state {
+            State::Closed => 0,
+            State::Opening => 1,
+            State::Answered => 2,
+            State::Open => 3,
+        };
+        Packed {
+            fingerprint: entry.fingerprint.words(),
+            target,
+            seen,
+            marks: entry.marks,
+            counts: state | (entry.unanswered.min(7) << 2) | (entry.moves.min(7) << 5),
+        }
+    }
+
+    fn is(&self, fingerprint: Fingerprint) -> bool {
+        self.fingerprint == fingerprint.words()
+    }
+
+    fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::from_words(self.fingerprint)
+    }
+
+    fn state(&self) -> State {
+        match self.counts & 3 {
+            0 => State::Closed,
+            1 => State::Opening,
+            2 => State::Answered,
+            _ => State::Open,
+        }
+    }
+}
--- a/src/forward/action.rs
+++ b/src/forward/action.rs
@@ -1,20 +1,62 @@
 use std::net::SocketAddr;
 
-use crate::{member, ticket::TargetId, wire};
+use crate::{member, packet, ticket::TargetId, wire};
 
 /// Why a packet was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Cause {
-    /// The packet is not a well-formed IP packet that can be carried.
+    /// The packet is shorter than its headers say.
+    Truncated,
+    /// The packet's length fields contradict each other or its size.
+    Length,
+    /// The packet has an invalid header.
     Malformed,
     /// The packet is a fragment.
     Fragment,
-    /// The destination is not a service address.
+    /// The IP version or the transport protocol is not supported.
+    Unsupported,
+    /// Neither the destination nor the source is a service address.
     UnknownDestination,
     /// The sender is not a target of the service.
     UnexpectedSender,
     /// The packet has taken too many hops.
     HopLimit,
+    /// No member can be an owner of the flow.
+    NoOwner,
+    /// The daemon paused and has not updated its view yet.
+    Suspended,
+    /// The pending queue is full.
+    PendingFull,
+    /// A member that may hold the flow did not answer.
+    Inconclusive,
+    /// The flow is unknown and the packet cannot start one.
+    UnknownFlow,
+    /// The packet comes from a target that is not the flow's target.
+    ResetFilter,
+    /// The target answered a SYN with a reset, and the next SYN goes to another target.
+    Retried,
+    /// The candidate does not hold the flow, and the next packet goes to another one.
+    Probed,
+    /// A new SYN of a closed flow whose target accepts no new flow.
+    ClosedFlow,
+    /// The target was removed or its zone taken out, and the packet needs no answer.
+    TargetGone,
+    /// The daemon has no ticket with the target yet.
+    TargetUnheard,
+    /// The new flow cannot be placed, and a refusal might not be true.
+    Unplaceable,
+}
+
+impl From<packet::Error> for Cause {
+    fn from(error: packet::Error) -> Cause {
+        match error {
+            packet::Error::Truncated { .. } => Cause::Truncated,
+            packet::Error::Long { .. } | packet::Error::Length { .. } => Cause::Length,
+            packet::Error::Fragment => Cause::Fragment,
+            packet::Error::Version(_) | packet::Error::Protocol(_) => Cause::Unsupported,
+            packet::Error::Header => Cause::Malformed,
+        }
+    }
 }
 
 /// What the packet loop must do. `None` as packet means the packet that caused the action.
--- /dev/null
+++ b/src/forward/config.rs
@@ -0,0 +1,66 @@
+use std::time::Duration;
+
+use crate::{flow, forward::Mode};
+
+/// The limits and times of a [`Forwarder`](super::Forwarder).
+#[derive(Debug, Clone, PartialEq)]
+pub struct Config {
+    /// How the daemons find the target of a flow.
+    pub mode: Mode,
+    /// The largest number of flows held as owner.
+    pub flows: usize,
+    /// The largest number of cached flows.
+    pub cached: usize,
+    /// How long flows are held without a packet.
+    pub timeouts: flow::Timeouts,
+    /// How long a hash slot counts as unsettled after its owners changed.
+    pub unsettled: Duration,
+    /// How long former owners are asked for unknown flows.
+    pub history: Duration,
+    /// How long a SYN waits for answers to queries.
+    pub syn_deadline: Duration,
+    /// How long other packets wait for answers to queries.
+    pub deadline: Duration,
+    /// The time between the resends of a query; there are two.
+    pub resend: Duration,
+    /// The largest number of packets in the pending queue.
+    pub pending: usize,
+    /// The largest number of packets in the pending queue for one flow.
+    pub pending_per_flow: usize,
+    /// The number of further hops that a packet may take after its first hop.
+    pub hops: u8,
+    /// The number of retries for each new flow.
+    pub retry_fraction: f64,
+    /// The largest number of retries for one flow.
+    pub retries: u8,
+    /// The rate of background copies in bytes a second.
+    pub copy_rate: f64,
+    /// The burst of background copies in bytes.
+    pub copy_burst: f64,
+    /// The rate of copies when the daemon leaves, in bytes a second.
+    pub handover_rate: f64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            mode: Mode::Owners,
+            flows: 1_000_000,
+            cached: 500_000,
+            timeouts: flow::Timeouts::default(),
+            unsettled: Duration::from_secs(10),
+            history: Duration::from_secs(600),
+            syn_deadline: Duration::from_millis(300),
+            deadline: Duration::from_secs(1),
+            resend: Duration::from_millis(100),
+            pending: 4096,
+            pending_per_flow: 4,
+            hops: 4,
+            retry_fraction: 0.1,
+            retries: 2,
+            copy_rate: 1024.0,
+            copy_burst: 32_768.0,
+            handover_rate: 262_144.0,
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/copier.rs
@@ -0,0 +1,82 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Instant,
+};
+
+use crate::{
+    flow::{Cursor, SLOTS, Slot},
+    forward::Config,
+    member,
+    util::TokenBucket,
+    wire::Record,
+};
+
+/// A pass over the table for one new owner.
+#[derive(Debug, Clone)]
+pub(super) struct Job {
+    pub(super) recipient: member::Id,
+    pub(super) slots: Vec<bool>,
+    pub(super) cursor: Cursor,
+}
+
+/// Records that were sent and not acknowledged.
+#[derive(Debug, Clone)]
+pub(super) struct Batch {
+    pub(super) recipient: member::Id,
+    pub(super) records: Vec<Record>,
+    pub(super) sent: Instant,
+    pub(super) tries: u8,
+}
+
+/// The copies of records to new owners.
+#[derive(Debug, Clone)]
+pub(super) struct Copier {
+    pub(super) jobs: VecDeque<Job>,
+    pub(super) unacknowledged: BTreeMap<u32, Batch>,
+    pub(super) bucket: TokenBucket,
+    pub(super) window: usize,
+    sequence: u32,
+}
+
+impl Copier {
+    pub(super) fn new(config: &Config, seed: u64, now: Instant) -> Copier {
+        Copier {
+            jobs: VecDeque::new(),
+            unacknowledged: BTreeMap::new(),
+            bucket: TokenBucket::new(config.copy_rate, config.copy_burst, now),
+            window: 8,
+            sequence: seed as u32,
+        }
+    }
+
+    /// Uses the handover rate from now on.
+    pub(super) fn hurry(&mut self, config: &Config, now: Instant) {
+        self.bucket = TokenBucket::new(config.handover_rate, config.handover_rate / 4.0, now);
+        self.window = 64;
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.unacknowledged.is_empty()
+    }
+
+    /// Adds a slot to the job for `recipient`, which starts again.
+    pub(super) fn add(&mut self, recipient: member::Id, slot: Slot) {
+        let found = self.jobs.iter().position(|job| job.recipient == recipient);
+        let index = found.unwrap_or_else(|| {
+            self.jobs.push_back(Job {
+                recipient,
+                slots: vec![false; usize::from(SLOTS)],
+                cursor: Cursor::default(),
+            });
+            self.jobs.len() - 1
+        });
+        let job = &mut self.jobs[index];
+        job.slots[usize::from(slot)] = true;
+        job.cursor = Cursor::default();
+    }
+
+    pub(super) fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+}
--- /dev/null
+++ b/src/forward/copying.rs
@@ -0,0 +1,162 @@
+use std::time::{Duration, Instant};
+
+use crate::{
+    flow::{Mark, SLOTS, State},
+    forward::{
+        Action, Forwarder,
+        copier::{Batch, Job},
+        history::members,
+    },
+    member::{self, Ranking},
+    wire::{Body, Record},
+};
+
+/// The number of buckets between two checks of the batch size, so the largest batch has
+/// `BATCH - 1 + STEP` records, which fit in a packet of 1,500 bytes.
+const STEP: usize = 16;
+
+/// The number of records at which a batch is sent.
+const BATCH: usize = 24;
+
+/// The largest number of buckets that one tick passes.
+const MAX_BUCKETS: usize = 4096;
+
+/// The time after which a batch is sent again.
+const RESEND: Duration = Duration::from_secs(1);
+
+/// The number of times a batch is sent. A recipient that answers none of them has failed, and
+/// the next ranking names another one.
+const TRIES: u8 = 10;
+
+/// The largest bytes of a record in a batch.
+const RECORD_BYTES: usize = 30;
+
+/// Copies of records to new owners.
+impl Forwarder {
+    /// Plans the copies for the slots whose owners have changed.
+    pub(super) fn plan_copies(&mut self, previous: &Ranking) {
+        let ranking = self.ranking.clone();
+        self.copier.jobs.retain_mut(|job| {
+            for slot in 0..SLOTS {
+                let owners = ranking.owners(slot);
+                job.slots[usize::from(slot)] &=
+                    owners.is_some_and(|owners| owners.contains(job.recipient));
+            }
+            job.slots.contains(&true)
+        });
+        for slot in 0..SLOTS {
+            let (Some(before), Some(after)) = (previous.owners(slot), ranking.owners(slot)) else {
+                continue;
+            };
+            if !before.contains(self.id) {
+                continue;
+            }
+            let survives = members(&after).any(|id| before.contains(id));
+            // The change before this one may not have been copied completely yet.
+            let restless = self.history.former(slot).len() > 1;
+            if after.contains(self.id) || self.is_leaving() || !survives || restless {
+                for id in members(&after).filter(|id| !before.contains(*id)) {
+                    self.copier.add(id, slot);
+                }
+            }
+        }
+    }
+
+    /// Sends the next records to new owners, within the byte budget.
+    pub(super) fn continue_copies(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.resend_copies(now, out);
+        let mut buckets = 0;
+        while buckets < MAX_BUCKETS
+            && self.copier.unacknowledged.len() < self.copier.window
+            && self.copier.bucket.take(now, 0.0)
+        {
+            let Some(mut job) = self.copier.jobs.pop_front() else {
+                return;
+            };
+            let mut records = Vec::new();
+            let mut complete = false;
+            while !complete && buckets < MAX_BUCKETS && records.len() < BATCH {
+                complete = self.collect(now, &mut job, &mut records);
+                buckets += STEP;
+            }
+            let recipient = job.recipient;
+            if !complete {
+                self.copier.jobs.push_front(job);
+            }
+            if !records.is_empty() {
+                let sequence = self.copier.next_sequence();
+                self.counters.copied += records.len() as u64;
+                let batch = Batch {
+                    recipient,
+                    records,
+                    sent: now,
+                    tries: 1,
+                };
+                self.send_batch(now, sequence, &batch, out);
+                self.copier.unacknowledged.insert(sequence, batch);
+            }
+        }
+    }
+
+    /// Adds the records of the job's next buckets. Returns whether the pass is complete.
+    fn collect(&self, now: Instant, job: &mut Job, records: &mut Vec<Record>) -> bool {
+        let Job { slots, cursor, .. } = job;
+        self.table.scan(now, cursor, STEP, |entry| {
+            let slot = entry.fingerprint.slot();
+            let owners = self.ranking.owners(slot);
+            let is_owner = owners.is_some_and(|owners| owners.contains(self.id));
+            let copied = is_owner && entry.has(Mark::Copied);
+            if slots[usize::from(slot)]
+                && !copied
+                && entry.state != State::Closed
+                && !entry.has(Mark::Probing)
+            {
+                records.push(entry.record());
+            }
+        })
+    }
+
+    fn resend_copies(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut due = Vec::new();
+        self.copier.unacknowledged.retain(|sequence, batch| {
+            if now.saturating_duration_since(batch.sent) < RESEND {
+                return true;
+            }
+            batch.sent = now;
+            batch.tries += 1;
+            if batch.tries <= TRIES {
+                due.push((*sequence, batch.clone()));
+            }
+            batch.tries <= TRIES
+        });
+        for (sequence, batch) in due {
+            self.send_batch(now, sequence, &batch, out);
+        }
+    }
+
+    fn send_batch(&mut self, now: Instant, sequence: u32, batch: &Batch, out: &mut Vec<Action>) {
+        let bytes = RECORD_BYTES * batch.records.len() + 32;
+        self.copier.bucket.force(now, bytes as f64);
+        let records = batch.records.clone();
+        self.tell(batch.recipient, Body::Copy { sequence, records }, out);
+    }
+
+    /// Handles the acknowledgement of a batch.
+    pub(super) fn on_copied(&mut self, sender: member::Id, sequence: u32) {
+        let batches = &mut self.copier.unacknowledged;
+        if batches
+            .get(&sequence)
+            .is_none_or(|batch| batch.recipient != sender)
+        {
+            return;
+        }
+        let Some(batch) = batches.remove(&sequence) else {
+            return;
+        };
+        for record in &batch.records {
+            if self.other_owner(record.fingerprint) == Some(sender) {
+                self.table.mark(record.fingerprint, Mark::Copied);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/forwarder.rs
@@ -0,0 +1,425 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    flow::{Cache, Entry, Fingerprint, Hasher, Key, Mark, SLOTS, State, Table},
+    forward::{
+        Action, Cause, Config, Counters, Explanation, Mode, Standing, copier::Copier,
+        history::History, inquiry::Inquiry, packet::Packet,
+    },
+    member::{self, Owners, Ranking},
+    packet,
+    place::Placer,
+    route::{self, ServiceIndex},
+    ticket::{TargetId, TargetState},
+    wire::{Body, Trace},
+};
+
+/// The number of buckets that a tick looks at for expired flows.
+///
+/// With a tick of 10 ms, a table with 2^20 buckets is passed in 10 s.
+const SWEEP_BUCKETS: usize = 1024;
+
+/// The time between two prunings of the history of owners.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The smallest and largest number of saved retries.
+const RETRY_RESERVE: (f64, f64) = (10.0, 1000.0);
+
+/// Decides what happens to each packet.
+#[derive(Debug)]
+pub struct Forwarder {
+    pub(super) config: Config,
+    pub(super) id: member::Id,
+    pub(super) hasher: Hasher,
+    pub(super) started: Instant,
+    pub(super) routes: Arc<route::Table>,
+    pub(super) ranking: Arc<Ranking>,
+    pub(super) ranked: bool,
+    pub(super) table: Table,
+    pub(super) cache: Cache,
+    pub(super) placer: Placer,
+    pub(super) history: History,
+    pub(super) inquiries: BTreeMap<Fingerprint, Inquiry>,
+    pub(super) pending: usize,
+    pub(super) copier: Copier,
+    pub(super) counters: Counters,
+    pub(super) retries: f64,
+    /// When each draining target was first seen to drain.
+    draining: HashMap<TargetId, Instant>,
+    /// The targets that a ticket removed.
+    removed: HashMap<TargetId, Instant>,
+    pruned: Instant,
+    suspended: bool,
+    leaving: bool,
+}
+
+impl Forwarder {
+    /// Creates a forwarder without routes and members.
+    pub fn new(
+        config: Config,
+        id: member::Id,
+        hasher: Hasher,
+        seed: u64,
+        now: Instant,
+    ) -> Forwarder {
+        Forwarder {
+            id,
+            hasher,
+            started: now,
+            routes: Arc::default(),
+            ranking: Arc::default(),
+            ranked: false,
+            table: Table::new(config.flows, config.timeouts, now),
+            cache: Cache::new(config.cached, now),
+            placer: Placer::new(),
+            history: History::new(),
+            inquiries: BTreeMap::new(),
+            pending: 0,
+            copier: Copier::new(&config, seed, now),
+            counters: Counters::default(),
+            retries: RETRY_RESERVE.0,
+            draining: HashMap::new(),
+            removed: HashMap::new(),
+            pruned: now,
+            suspended: false,
+            leaving: false,
+            config,
+        }
+    }
+
+    /// Replaces the routes.
+    pub fn set_routes(
+        &mut self,
+        now: Instant,
+        routes: Arc<route::Table>,
+        _actions: &mut Vec<Action>,
+    ) {
+        for target in self.routes.targets() {
+            if routes.target(target.id).is_none() {
+                self.removed.insert(target.id, now);
+            }
+        }
+        let history = self.config.timeouts.open;
+        self.removed
+            .retain(|_, at| now.saturating_duration_since(*at) <= history);
+        self.draining.retain(|id, _| {
+            routes
+                .target(*id)
+                .is_some_and(|target| target.state == TargetState::Draining)
+        });
+        for target in routes.targets() {
+            if target.state == TargetState::Draining {
+                self.draining.entry(target.id).or_insert(now);
+            }
+        }
+        self.routes = routes;
+    }
+
+    /// Replaces the ranking of owners and starts copying records to new owners.
+    pub fn set_ranking(&mut self, now: Instant, ranking: Arc<Ranking>, _actions: &mut Vec<Action>) {
+        let previous = std::mem::replace(&mut self.ranking, ranking);
+        if !self.ranked {
+            self.ranked = true;
+            self.history.begin(now, &self.ranking);
+            return;
+        }
+        let mut changed = vec![false; usize::from(SLOTS)];
+        for slot in 0..SLOTS {
+            let (before, after) = (previous.owners(slot), self.ranking.owners(slot));
+            if before != after {
+                self.history.replace(now, slot, before);
+                changed[usize::from(slot)] = true;
+            }
+        }
+        self.history.prune(now, self.config.history);
+        if self.config.mode == Mode::Owners {
+            self.table.unmark(Mark::Copied, |fingerprint| {
+                changed[usize::from(fingerprint.slot())]
+            });
+            self.plan_copies(&previous);
+        }
+    }
+
+    /// Handles an encapsulated packet from outside the fleet.
+    pub fn on_datagram(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        bytes: &[u8],
+        trace: Option<Trace>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.counters.datagrams += 1;
+        if self.suspended {
+            return self.drop(Cause::Suspended, actions);
+        }
+        let summary = match packet::parse(bytes) {
+            Ok(summary) => summary,
+            Err(error) => return self.drop(error.into(), actions),
+        };
+        let protocol = summary.protocol;
+        if let Some(service) = self.routes.service_at(protocol, summary.destination) {
+            let fingerprint = self.hasher.fingerprint(&summary.request_key());
+            let packet = Packet {
+                bytes,
+                summary,
+                fingerprint,
+                service,
+                sender: None,
+                hops_left: None,
+                trace,
+                held: false,
+            };
+            return self.request(now, &packet, actions);
+        }
+        let Some(service) = self.routes.service_at(protocol, summary.source) else {
+            return self.drop(Cause::UnknownDestination, actions);
+        };
+        let Some(target) = self.routes.target_at(service, from) else {
+            return self.drop(Cause::UnexpectedSender, actions);
+        };
+        let packet = Packet {
+            bytes,
+            summary,
+            fingerprint: self.hasher.fingerprint(&summary.return_key()),
+            service,
+            sender: None,
+            hops_left: None,
+            trace,
+            held: false,
+        };
+        self.returned(now, &packet, target, actions);
+    }
+
+    /// Does what is due by time. It must be called every 10 to 50 ms.
+    pub fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.expire(now);
+        if self.suspended {
+            return;
+        }
+        self.continue_inquiries(now, actions);
+        self.continue_copies(now, actions);
+    }
+
+    /// Starts the handover: records are copied to the new owners at the handover rate.
+    ///
+    /// The ranking without this daemon must follow.
+    pub fn begin_leave(&mut self, now: Instant) {
+        self.leaving = true;
+        self.copier.hurry(&self.config, now);
+    }
+
+    /// Returns whether this daemon leaves and all its records are at their new owners.
+    pub fn is_handed_over(&self) -> bool {
+        self.leaving && self.copier.is_idle()
+    }
+
+    /// Stops forwarding, because the process paused and its view may be stale.
+    pub fn suspend(&mut self, _now: Instant) {
+        self.suspended = true;
+    }
+
+    /// Forwards again, after the view was updated.
+    pub fn resume(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.suspended = false;
+        self.on_tick(now, actions);
+    }
+
+    /// Returns whether [`begin_leave`](Forwarder::begin_leave) was called.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns whether the forwarder is suspended.
+    pub fn is_suspended(&self) -> bool {
+        self.suspended
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the flows held as owner.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Returns the cached flows.
+    pub fn cache(&self) -> &Cache {
+        &self.cache
+    }
+
+    /// Returns the placer, for its settings and reports.
+    pub fn placer_mut(&mut self) -> &mut Placer {
+        &mut self.placer
+    }
+
+    /// Says how the packets of a flow are treated, and why.
+    pub fn explain(&self, now: Instant, key: &Key) -> Explanation {
+        let fingerprint = self.hasher.fingerprint(key);
+        let slot = fingerprint.slot();
+        let record = self.table.get(now, fingerprint);
+        let cached = self.cache.get(now, fingerprint).map(|cached| cached.target);
+        let service = self.routes.service_at(key.protocol, key.service);
+        Explanation {
+            fingerprint,
+            slot,
+            owners: self.ranking.owners(slot),
+            holders: self.holders(slot),
+            unsettled: self.history.is_unsettled(now, slot, self.config.unsettled),
+            record,
+            cached,
+            pending: self.inquiries.contains_key(&fingerprint),
+            base: service.map_or_else(Vec::new, |service| self.candidates(service, fingerprint)),
+            standing: service.and_then(|service| {
+                let target = record.map(|record| record.target).or(cached)?;
+                Some(self.standing(now, service, target))
+            }),
+        }
+    }
+
+    /// Returns what is known about a target of a service.
+    pub(super) fn standing(&self, now: Instant, service: ServiceIndex, id: TargetId) -> Standing {
+        let Some(target) = self.routes.target(id) else {
+            let removed = self.removed.contains_key(&id) || self.was_in_generation(service, id);
+            return match removed {
+                true => Standing::Gone,
+                false => Standing::Unheard,
+            };
+        };
+        let overdue = target.drain.is_some_and(|drain| {
+            self.draining
+                .get(&id)
+                .is_some_and(|since| now.saturating_duration_since(*since) > drain)
+        });
+        if target.service != service || !target.is_reachable() || overdue {
+            return Standing::Gone;
+        }
+        Standing::Usable
+    }
+
+    fn was_in_generation(&self, service: ServiceIndex, id: TargetId) -> bool {
+        self.routes.service(service).is_some_and(|service| {
+            service
+                .generations
+                .iter()
+                .any(|generation| generation.targets.iter().any(|(target, _)| *target == id))
+        })
+    }
+
+    pub(super) fn is_placeable(&self, id: TargetId) -> bool {
+        self.routes
+            .target(id)
+            .is_some_and(|target| target.is_placeable())
+    }
+
+    /// Returns the owners of the packet's flow.
+    pub(super) fn owners(&self, packet: &Packet<'_>) -> Option<Owners> {
+        self.ranking.owners(packet.fingerprint.slot())
+    }
+
+    /// Returns the other owner of the flow, if this daemon is an owner.
+    pub(super) fn other_owner(&self, fingerprint: Fingerprint) -> Option<member::Id> {
+        let owners = self.ranking.owners(fingerprint.slot())?;
+        match owners.primary == self.id {
+            true => owners.secondary,
+            false => (owners.secondary == Some(self.id)).then_some(owners.primary),
+        }
+    }
+
+    /// Stores a record and keeps the placer's counts.
+    pub(super) fn store(&mut self, now: Instant, entry: &Entry) {
+        let counts = |entry: &Entry| entry.has(Mark::Placed) && entry.state != State::Closed;
+        let before = self.table.peek(now, entry.fingerprint).filter(counts);
+        let after = Some(entry).filter(|entry| counts(entry));
+        if before.map(|entry| entry.target) != after.map(|entry| entry.target) {
+            if let Some(before) = before {
+                self.placer.closed(now, before.target);
+            }
+            if let Some(after) = after {
+                self.placer.opened(now, after.target);
+            }
+        }
+        if let Some(evicted) = self.table.put(now, entry) {
+            self.counters.evicted += 1;
+            if counts(&evicted) {
+                self.placer.closed(now, evicted.target);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.pruned) >= PRUNE_INTERVAL {
+            self.pruned = now;
+            self.history.prune(now, self.config.history);
+        }
+        let (placer, ranking, history, id) =
+            (&mut self.placer, &self.ranking, &self.history, self.id);
+        let owners_mode = self.config.mode == Mode::Owners;
+        // A member that is no owner does not hear of the end of a flow.
+        let stale = |entry: &Entry| {
+            let slot = entry.fingerprint.slot();
+            let former = || history.former(slot).iter().any(|f| f.owners.contains(id));
+            owners_mode
+                && ranking
+                    .owners(slot)
+                    .is_some_and(|owners| !owners.contains(id))
+                && !former()
+        };
+        self.table.expire(now, SWEEP_BUCKETS, stale, |entry| {
+            if entry.has(Mark::Placed) && entry.state != State::Closed {
+                placer.closed(now, entry.target);
+            }
+        });
+        self.cache.expire(now, SWEEP_BUCKETS);
+    }
+
+    /// Adds to the retry budget for a new flow.
+    pub(super) fn earn_retry(&mut self) {
+        self.retries = (self.retries + self.config.retry_fraction).min(RETRY_RESERVE.1);
+    }
+
+    /// Takes one retry from the budget.
+    pub(super) fn take_retry(&mut self) -> bool {
+        if self.retries < 1.0 {
+            self.counters.retries_denied += 1;
+            return false;
+        }
+        self.retries -= 1.0;
+        true
+    }
+
+    pub(super) fn drop(&mut self, cause: Cause, actions: &mut Vec<Action>) {
+        *self.counters.dropped.entry(cause).or_default() += 1;
+        actions.push(Action::Drop(cause));
+    }
+
+    /// Sends a control message.
+    pub(super) fn tell(&mut self, member: member::Id, body: Body, actions: &mut Vec<Action>) {
+        self.counters.control_bytes += size(&body);
+        actions.push(Action::Peer {
+            member,
+            body,
+            packet: None,
+        });
+    }
+}
+
+/// Returns the size of a control message with the frame's fixed parts, in bytes.
+fn size(body: &Body) -> u64 {
+    const FRAME: u64 = 26;
+    const RECORD: u64 = 30;
+    FRAME
+        + match body {
+            Body::Copy { records, .. } => 6 + RECORD * records.len() as u64,
+            Body::Copied { .. } => 6,
+            Body::Answer { record: None, .. } => 23,
+            _ => RECORD,
+        }
+}
--- /dev/null
+++ b/src/forward/probing.rs
@@ -0,0 +1,104 @@
+use std::time::Instant;
+
+use crate::{
+    flow::{Entry, Fingerprint, Mark, State},
+    forward::{Action, Cause, Forwarder, Standing, packet::Packet},
+    route::ServiceIndex,
+    ticket::TargetId,
+};
+
+/// Probing: finding the target of a flow that no member knows.
+impl Forwarder {
+    /// Returns the base targets of a flow under the service's generations, newest first.
+    pub(super) fn candidates(
+        &self,
+        service: ServiceIndex,
+        fingerprint: Fingerprint,
+    ) -> Vec<TargetId> {
+        let mut candidates = Vec::new();
+        let generations = self.routes.service(service).map(|s| &s.generations);
+        for generation in generations.into_iter().flatten() {
+            if let Some(target) = generation.base(fingerprint)
+                && self.routes.target(target).is_some()
+                && !candidates.contains(&target)
+            {
+                candidates.push(target);
+            }
+        }
+        candidates
+    }
+
+    /// Sends a packet of an unknown TCP flow to the first candidate.
+    pub(super) fn probe(&mut self, now: Instant, packet: &Packet<'_>, out: &mut Vec<Action>) {
+        if packet.summary.flags.rst {
+            return self.drop(Cause::UnknownFlow, out);
+        }
+        let Some(target) = self.next_candidate(now, packet, None) else {
+            return self.answer(packet, out);
+        };
+        self.counters.probes += 1;
+        let entry = Entry::new(packet.fingerprint, target, State::Open).with(Mark::Probing);
+        self.store(now, &entry);
+        self.deliver(packet, target, out);
+    }
+
+    /// Sends a further packet of the flow to the candidate, or to the target that has proved
+    /// to hold the flow by a return packet.
+    pub(super) fn continue_probe(
+        &mut self,
+        now: Instant,
+        packet: &Packet<'_>,
+        mut entry: Entry,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(cached) = self.cache.get(now, packet.fingerprint) {
+            entry.target = cached.target;
+            entry = confirmed(entry);
+        }
+        self.store(now, &entry);
+        self.deliver(packet, entry.target, out);
+    }
+
+    /// Handles the reset of a candidate.
+    pub(super) fn next_probe(
+        &mut self,
+        now: Instant,
+        packet: &Packet<'_>,
+        mut entry: Entry,
+        out: &mut Vec<Action>,
+    ) {
+        entry.idle = 0;
+        let Some(target) = self.next_candidate(now, packet, Some(entry.target)) else {
+            entry.state = State::Closed;
+            self.store(now, &entry);
+            return self.give_back(packet, out);
+        };
+        entry.target = target;
+        self.store(now, &entry);
+        self.drop(Cause::Probed, out);
+    }
+
+    fn next_candidate(
+        &self,
+        now: Instant,
+        packet: &Packet<'_>,
+        after: Option<TargetId>,
+    ) -> Option<TargetId> {
+        let candidates = self.candidates(packet.service, packet.fingerprint);
+        let skip = after.map_or(0, |after| {
+            let position = candidates.iter().position(|target| *target == after);
+            position.map_or(candidates.len(), |position| position + 1)
+        });
+        candidates
+            .into_iter()
+            .skip(skip)
+            .find(|target| self.standing(now, packet.service, *target) == Standing::Usable)
+    }
+}
+
+/// Returns the entry after its target has proved to hold the flow.
+pub(super) fn confirmed(mut entry: Entry) -> Entry {
+    entry.set(Mark::Probing, false);
+    entry.set(Mark::Relayed, true);
+    entry
+}
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -30,6 +30,8 @@
 pub struct Ranking {
     owners: Vec<Option<Owners>>,
     former: Vec<Arc<[Option<Owners>]>>,
+    leaving: Vec<Id>,
+    left: HashSet<Id>,
 }
 
 impl Ranking {
@@ -55,9 +57,16 @@
             candidates = reserve;
         }
         let owners = (0..SLOTS).map(|slot| rank(slot, &candidates)).collect();
+        let with = |status| {
+            view.iter()
+                .filter(move |(_, member)| member.status == status)
+                .map(|(id, _)| id)
+        };
         Ranking {
             owners,
             former: Vec::new(),
+            leaving: with(Status::Leaving).collect(),
+            left: with(Status::Left).collect(),
         }
     }
 
@@ -86,6 +95,23 @@
         ids
     }
 
+    /// Returns the former pairs of owners of `slot`, newest first.
+    pub fn former_owners(&self, slot: Slot) -> impl Iterator<Item = Owners> {
+        self.former
+            .iter()
+            .filter_map(move |owners| owners[usize::from(slot)])
+    }
+
+    /// Returns the members that are about to stop and still answer.
+    pub fn leaving(&self) -> &[Id] {
+        &self.leaving
+    }
+
+    /// Returns whether a member has stopped as planned, so its flows were copied.
+    pub fn has_left(&self, id: Id) -> bool {
+        self.left.contains(&id)
+    }
+
     /// Makes the owners of `previous` the newest former owners of this ranking.
     pub fn after(mut self, previous: &Ranking, _now: Instant) -> Ranking {
         self.former = previous.former.clone();
--- a/src/packet/mod.rs
+++ b/src/packet/mod.rs
@@ -1,1 +1,12 @@
-//! Parsing and building of the IP packets that the daemon carries.
+//! IP packets: reading the fields that decide about a packet, and building answers.
+//!
+//! Reading takes no allocation, because it is done for each packet. A packet whose length
+//! fields contradict each other is refused here, so no later code needs to check bounds.
+
+mod answer;
+mod error;
+mod summary;
+
+pub use answer::{reset, unreachable};
+pub use error::{Error, Result};
+pub use summary::{Flags, Summary, Version, parse};
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -12,12 +12,25 @@
     Store {
         /// The target that the primary owner chose.
         target: TargetId,
+        /// The target that the primary owner moved the flow away from with this packet.
+        replaces: Option<TargetId>,
+    },
+    /// A request packet that goes back to the primary owner, because the secondary owner has
+    /// no ticket with the target yet.
+    Deliver {
+        /// The target.
+        target: TargetId,
     },
     /// A return packet for the primary owner to check.
     Return {
         /// The target that sent the packet.
         target: TargetId,
     },
+    /// A return packet for the secondary owner, which updates the record and passes it on.
+    StoreReturn {
+        /// The target that sent the packet.
+        target: TargetId,
+    },
 }
 
 /// A data packet that hops between daemons. The IP packet follows the body in the frame.
@@ -80,6 +93,9 @@
         fingerprint: Fingerprint,
         /// The record, or `None` if the sender holds none.
         record: Option<Record>,
+        /// How long the sender has been running, in seconds. It cannot know flows that are
+        /// older.
+        uptime: u32,
     },
     /// Copies records to a new owner.
     Copy {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -13,7 +13,10 @@
 #[test]
 fn hop_keeps_its_packet() {
     let body = Body::Hop(Hop {
-        stage: Stage::Store { target: 9 },
+        stage: Stage::Store {
+            target: 9,
+            replaces: None,
+        },
         hops_left: 3,
         trace: None,
     });
