Add metrics with a scrape endpoint, trace spans and the log set-up

Trace output ends at 16 MB a run and the log level can be changed while the daemon runs. The log4rs configuration file was ruled out: its parser needs crates that are not in the lock file. The setting log.file is now the file that log lines are appended to.

--- a/src/settings/log.rs
+++ b/src/settings/log.rs
@@ -35,12 +35,25 @@
     }
 }
 
+/// How a log line is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Format {
+    /// Text for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
 /// The settings of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields, default)]
 pub struct Log {
-    /// The least severe level that is logged, unless `file` is given.
+    /// The least severe level that is logged.
     pub level: Level,
-    /// A `log4rs` configuration in JSON, which replaces the log on stderr.
+    /// How a line is written.
+    pub format: Format,
+    /// A file to append to, instead of stderr.
     pub file: Option<PathBuf>,
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -26,7 +26,7 @@
 pub use error::{Error, Located, Result};
 pub use key::Key;
 pub use limits::Limits;
-pub use log::{Level, Log};
+pub use log::{Format, Level, Log};
 pub use problem::{Problem, Step};
 pub use secret::Secret;
 pub use trace::{Output, Trace};
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,166 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{AsyncInstrument, Meter, MeterProvider as _},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::telemetry::{Instrument, Kind, Label, Result, Server, Snapshot};
+
+type Snapshots = Mutex<BTreeMap<&'static str, Arc<Snapshot>>>;
+
+/// The metrics of a daemon. Clones share their values.
+///
+/// ```
+/// use banyanwharf::telemetry::{Instrument, Metrics, Snapshot};
+///
+/// const FLOWS: Instrument = Instrument::gauge("flows", "Held flows.");
+///
+/// let metrics = Metrics::new()?;
+/// let mut snapshot = Snapshot::new();
+/// snapshot.set_plain(FLOWS, 12);
+/// metrics.publish("packet loop", snapshot);
+/// assert!(metrics.text()?.contains("banyanwharf_flows 12"));
+/// # Ok::<(), banyanwharf::telemetry::Error>(())
+/// ```
+#[derive(Clone)]
+pub struct Metrics {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    registry: Registry,
+    meter: Meter,
+    // Keeps the reader alive; the meter does not.
+    _provider: SdkMeterProvider,
+    snapshots: Arc<Snapshots>,
+    registered: Mutex<BTreeSet<Instrument>>,
+    is_ready: AtomicBool,
+}
+
+impl Metrics {
+    /// Creates metrics without values.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Exporter`](crate::telemetry::Error::Exporter) if the exporter cannot be
+    /// set up.
+    pub fn new() -> Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("banyanwharf")
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("banyanwharf");
+        Ok(Metrics {
+            inner: Arc::new(Inner {
+                registry,
+                meter,
+                _provider: provider,
+                snapshots: Arc::default(),
+                registered: Mutex::default(),
+                is_ready: AtomicBool::new(false),
+            }),
+        })
+    }
+
+    /// Replaces the values of one part of the daemon.
+    ///
+    /// If two parts publish a value with the same name and attributes, the sum is shown.
+    pub fn publish(&self, part: &'static str, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot);
+        lock(&self.inner.snapshots).insert(part, Arc::clone(&snapshot));
+        for instrument in snapshot.instruments() {
+            if lock(&self.inner.registered).insert(instrument) {
+                self.register(instrument);
+            }
+        }
+    }
+
+    /// Sets whether the daemon serves, which `/healthz` shows. It does not at the start.
+    pub fn set_ready(&self, is_ready: bool) {
+        self.inner.is_ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    /// Returns whether the daemon serves.
+    pub fn is_ready(&self) -> bool {
+        self.inner.is_ready.load(Ordering::Relaxed)
+    }
+
+    /// Returns all values in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Encode`](crate::telemetry::Error::Encode) if the encoder fails.
+    pub fn text(&self) -> Result<String> {
+        let families = self.inner.registry.gather();
+        Ok(TextEncoder::new().encode_to_string(&families)?)
+    }
+
+    /// Serves `/metrics` and `/healthz` at `address` until the server is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Bind`](crate::telemetry::Error::Bind) if the address cannot be bound.
+    pub async fn serve(&self, address: SocketAddr) -> Result<Server> {
+        Server::start(self.clone(), address).await
+    }
+
+    fn register(&self, instrument: Instrument) {
+        let snapshots = Arc::clone(&self.inner.snapshots);
+        let observe = move |observer: &dyn AsyncInstrument<u64>| {
+            for (labels, value) in sums(&snapshots, instrument) {
+                let labels = labels
+                    .into_iter()
+                    .map(|(name, text)| KeyValue::new(name, text));
+                observer.observe(value, &labels.collect::<Vec<_>>());
+            }
+        };
+        let meter = &self.inner.meter;
+        match instrument.kind {
+            Kind::Counter => {
+                meter
+                    .u64_observable_counter(instrument.name)
+                    .with_description(instrument.description)
+                    .with_callback(observe)
+                    .build();
+            }
+            Kind::Gauge => {
+                meter
+                    .u64_observable_gauge(instrument.name)
+                    .with_description(instrument.description)
+                    .with_callback(observe)
+                    .build();
+            }
+        }
+    }
+}
+
+/// Returns the values of an instrument, summed over all parts.
+fn sums(snapshots: &Snapshots, instrument: Instrument) -> BTreeMap<Vec<Label>, u64> {
+    let snapshots: Vec<_> = lock(snapshots).values().cloned().collect();
+    let mut sums = BTreeMap::new();
+    for snapshot in &snapshots {
+        for (labels, value) in snapshot.values(instrument) {
+            *sums.entry(labels.to_vec()).or_insert(0) += value;
+        }
+    }
+    sums
+}
+
+/// Locks a mutex whose data stays valid when a holder panics.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/telemetry/record.rs
@@ -0,0 +1,54 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::telemetry::{Error, Result};
+
+/// A finished span, as one line of a trace file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Record {
+    /// The trace's id in hex digits.
+    pub trace: Arc<str>,
+    /// The span's id in hex digits.
+    pub span: Arc<str>,
+    /// The id of the parent span, absent for the first hop.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parent: Option<Arc<str>>,
+    /// The hop.
+    pub name: Arc<str>,
+    /// The daemon that made the span.
+    pub daemon: Arc<str>,
+    /// The start in microseconds since the Unix epoch.
+    pub start_us: u64,
+    /// The duration in microseconds.
+    pub duration_us: u64,
+    /// The attributes.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub attributes: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+/// Reads the text of a trace file.
+///
+/// The last line may be cut, because a daemon may be writing or was killed; it is then ignored.
+///
+/// # Errors
+///
+/// Returns [`Error::Record`] for a whole line that is not a span.
+pub fn read(text: &str) -> Result<Vec<Record>> {
+    let mut records = Vec::new();
+    for (index, line) in text.split_inclusive('\n').enumerate() {
+        if line.trim().is_empty() {
+            continue;
+        }
+        match serde_json::from_str(line) {
+            Ok(record) => records.push(record),
+            Err(_) if !line.ends_with('\n') => break,
+            Err(source) => {
+                let line = index + 1;
+                return Err(Error::Record { line, source });
+            }
+        }
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/src/telemetry/server.rs
@@ -0,0 +1,130 @@
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use http_body_util::Full;
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header::{CONTENT_TYPE, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::{JoinHandle, JoinSet},
+};
+
+use crate::telemetry::{Error, Metrics, Result};
+
+/// The largest number of open connections; a scraper needs one.
+const MAXIMUM_CONNECTIONS: usize = 16;
+/// The time for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time that one connection may stay open.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(600);
+/// The pause after a failed `accept`, which fails again at once while files run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The HTTP server of the metrics. It stops when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    pub(super) async fn start(metrics: Metrics, address: SocketAddr) -> Result<Server> {
+        let bind_error = |source| Error::Bind { address, source };
+        let listener = TcpListener::bind(address).await.map_err(bind_error)?;
+        let address = listener.local_addr().map_err(bind_error)?;
+        let task = tokio::spawn(accept(metrics, listener));
+        Ok(Server { address, task })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops the server. Its address is free when this returns.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        // The task ends with the error that it was cancelled.
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(metrics: Metrics, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MAXIMUM_CONNECTIONS));
+    // Dropping the set closes the connections.
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                connections.spawn(serve(metrics.clone(), stream, permit));
+            }
+            Err(error) => {
+                log::warn!("metrics connection could not be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(metrics: Metrics, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+    let service = service_fn(move |request| {
+        let response = respond(&metrics, &request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // A scraper that goes away is no event.
+    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
+}
+
+fn respond(metrics: &Metrics, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n");
+    }
+    match request.uri().path() {
+        "/metrics" => match metrics.text() {
+            Ok(values) => {
+                let mut response = text(StatusCode::OK, values);
+                let kind = HeaderValue::from_static(prometheus::TEXT_FORMAT);
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => {
+                log::error!("metrics could not be encoded: {error}");
+                text(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "metrics could not be encoded\n",
+                )
+            }
+        },
+        "/healthz" if metrics.is_ready() => text(StatusCode::OK, "ready\n"),
+        "/healthz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        _ => text(StatusCode::NOT_FOUND, "not found\n"),
+    }
+}
+
+fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/tests/telemetry.rs
@@ -0,0 +1,194 @@
+//! What a daemon counts, traces and logs must reach the operator as it is.
+
+use std::{fs, sync::Arc};
+
+use banyanwharf::{
+    settings::{Format, Level, Log, Output, Trace},
+    telemetry::{Error, Hop, Instrument, Logs, Metrics, Snapshot, Tracing, read},
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
+const DROPPED: Instrument = Instrument::counter("dropped_packets", "Dropped packets by cause.");
+const FLOWS: Instrument = Instrument::gauge("flows", "Held flows.");
+
+async fn request(address: std::net::SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let request = format!("{request} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("it reads");
+    let mut response = String::new();
+    stream
+        .read_to_string(&mut response)
+        .await
+        .expect("it responds");
+    response
+}
+
+/// Guards against a scrape that shows old values, loses attributes or counts a part twice.
+#[tokio::test]
+async fn metrics_are_scraped() {
+    let metrics = Metrics::new().expect("metrics");
+    let local = "127.0.0.1:0".parse().expect("an address");
+    let server = metrics.serve(local).await.expect("a free port");
+    let address = server.address();
+    assert!(matches!(
+        metrics.serve(address).await,
+        Err(Error::Bind { .. })
+    ));
+    for (loop_count, flows) in [(3, 20), (5, 10)] {
+        let mut snapshot = Snapshot::new();
+        snapshot.set(DROPPED, [("cause", "fragment"), ("a", "b")], loop_count);
+        snapshot.set(DROPPED, [("cause", "hop \"limit\"")], 1);
+        snapshot.set_plain(FLOWS, flows);
+        metrics.publish("packet loop", snapshot);
+    }
+    let mut snapshot = Snapshot::new();
+    snapshot.set(DROPPED, [("a", "b"), ("cause", "fragment")], 2);
+    metrics.publish("other", snapshot);
+
+    let text = request(address, "GET /metrics").await;
+    for line in [
+        "HTTP/1.1 200 OK\r\n",
+        "content-type: text/plain; version=0.0.4\r\n",
+        "# HELP banyanwharf_dropped_packets_total Dropped packets by cause.\n",
+        "# TYPE banyanwharf_dropped_packets_total counter\n",
+        "\nbanyanwharf_dropped_packets_total{a=\"b\",cause=\"fragment\"} 7\n",
+        "\nbanyanwharf_dropped_packets_total{cause=\"hop \\\"limit\\\"\"} 1\n",
+        "# TYPE banyanwharf_flows gauge\n",
+        "\nbanyanwharf_flows 10\n",
+    ] {
+        assert!(text.contains(line), "{line} is not in {text}");
+    }
+    assert!(request(address, "GET /healthz").await.contains("503"));
+    metrics.set_ready(true);
+    assert!(
+        request(address, "GET /healthz")
+            .await
+            .ends_with("\r\nready\n")
+    );
+    assert!(request(address, "GET /x").await.contains("404"));
+    assert!(request(address, "POST /metrics").await.contains("405"));
+    server.stop().await;
+    metrics
+        .serve(address)
+        .await
+        .expect("the port is free again");
+}
+
+/// Guards against hops of one packet that do not join to one trace, and against spans of packets
+/// that are not sampled.
+#[test]
+fn hops_join_to_a_trace() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("spans.jsonl");
+    let settings = Trace {
+        ratio: 1.0,
+        output: Output::File(path.clone()),
+    };
+    let mut tracing = Tracing::new(&settings, Arc::from("entry-1"), 1).expect("a file");
+    let ingress = tracing
+        .sample(Hop::Ingress)
+        .expect("every packet is sampled");
+    let owner = tracing.continue_from(Hop::Owner, Some(ingress.context()));
+    let mut owner = owner.expect("the packet is sampled");
+    owner.set("target", "turnos-01");
+    let delivery = tracing.continue_from(Hop::Delivery, Some(owner.context()));
+    let contexts = [&ingress, &owner].map(|span| span.context());
+    assert!(tracing.continue_from(Hop::Owner, None).is_none());
+    drop((delivery, owner, ingress));
+    tracing.flush();
+    let text = fs::read_to_string(&path).expect("the file exists");
+    let records = read(&text).expect("the file is whole");
+    let names: Vec<_> = records.iter().map(|r| &*r.name).collect();
+    assert_eq!(names, ["delivery", "owner", "ingress"]);
+    assert_eq!(records[1].attributes["target"], "turnos-01".into());
+    assert_eq!(records[2].parent, None);
+    for (child, parent) in [(0, 1), (1, 2)] {
+        assert_eq!(records[child].parent.as_ref(), Some(&records[parent].span));
+        assert_eq!(records[child].trace, records[parent].trace);
+        assert_eq!(
+            &*records[parent].span,
+            format!("{:016x}", contexts[2 - parent].span)
+        );
+    }
+    assert_eq!(&*records[0].trace, format!("{:032x}", contexts[0].trace));
+
+    let cut = &text[..text.len() - 3];
+    assert_eq!(read(cut).expect("a cut last line is ignored").len(), 2);
+    let broken = text.replacen("{\"trace\"", "{\"track\"", 2);
+    assert!(matches!(read(&broken), Err(Error::Record { line: 1, .. })));
+    drop(tracing);
+
+    let sampled = |ratio, seed| {
+        let output = Output::File(path.clone());
+        let mut tracing = Tracing::new(&Trace { ratio, output }, "a".into(), seed).expect("a file");
+        (0..1000)
+            .filter(|_| tracing.sample(Hop::Ingress).is_some())
+            .count()
+    };
+    assert_eq!(sampled(0.0, 1), 0);
+    assert!((50..150).contains(&sampled(0.1, 1)), "seed 1");
+}
+
+/// Guards against a trace output that grows without bound.
+#[test]
+fn trace_output_is_bounded() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("spans.jsonl");
+    let output = Output::File(path.clone());
+    let mut tracing = Tracing::new(&Trace { ratio: 1.0, output }, "a".into(), 1).expect("a file");
+    let long = "x".repeat(1 << 20);
+    for _ in 0..20 {
+        let mut span = tracing
+            .sample(Hop::Return)
+            .expect("every packet is sampled");
+        span.set("long", long.clone());
+        drop(span);
+        tracing.flush();
+    }
+    assert_eq!(tracing.dropped(), 5);
+    let length = fs::metadata(&path).expect("the file exists").len();
+    assert!(length <= 16 << 20, "{length} bytes");
+    let text = fs::read_to_string(&path).expect("the file exists");
+    assert_eq!(read(&text).expect("the file is whole").len(), 15);
+}
+
+/// Guards against a level that cannot be changed while the daemon runs. The log belongs to the
+/// process, so this is the only test that installs one.
+#[test]
+fn log_level_changes() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("daemon.log");
+    let settings = Log {
+        level: Level::Warn,
+        format: Format::Json,
+        file: Some(path.clone()),
+    };
+    let mut logs = Logs::install(settings.clone()).expect("the first log");
+    assert!(matches!(Logs::install(settings), Err(Error::Installed(_))));
+    log::info!("one");
+    log::warn!("two");
+    logs.set_level(Level::Info).expect("the file opens");
+    log::info!("three");
+    logs.set_level(Level::Off).expect("the file opens");
+    log::error!("four");
+    assert_eq!(logs.level(), Level::Off);
+    log::logger().flush();
+    let text = fs::read_to_string(&path).expect("the file exists");
+    let lines: Vec<serde_json::Value> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a JSON line"))
+        .collect();
+    let messages: Vec<_> = lines.iter().map(|line| &line["message"]).collect();
+    assert_eq!(messages, ["two", "three"]);
+    let missing = Log {
+        file: Some(directory.path().join("a/../../missing/\0")),
+        ..Log::default()
+    };
+    assert!(matches!(Logs::install(missing), Err(Error::Open { .. })));
+}
