Add the failure detector

SWIM-style pings, indirect pings, suspicion and piggybacked updates as a pure state machine, with view comparison by bucket digests for what gossip misses, and verification of failures that a member reports right after it came back.

--- /dev/null
+++ b/src/member/detector/mod.rs
@@ -0,0 +1,560 @@
+//! The failure detector.
+//!
+//! All outputs of state changes are emitted by the next [`Detector::on_tick`] or
+//! [`Detector::on_message`], so that one place builds messages.
+
+mod apply;
+mod probe;
+mod sync;
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use postcard::ser_flavors::Size;
+use rand::{
+    RngExt, SeedableRng,
+    seq::{IteratorRandom, SliceRandom},
+};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    member::{
+        Config, Counters, Id, Incarnation, Info, Member, Message, Output, Status, Update, View,
+        buckets::Buckets, rumors::Rumors,
+    },
+    util::TokenBucket,
+};
+
+/// The most bytes of a message besides its updates.
+const MESSAGE_HEADER_BYTES: usize = 16;
+
+/// A member that lost contact and came back is not believed about failures for this long.
+///
+/// When a partition ends, the other side still reports this side's members as failed.
+const DOUBT: Duration = Duration::from_secs(60);
+
+/// How many claims of failures may wait to be verified.
+const MAX_CLAIMS: usize = 256;
+
+/// How long the departure of the local member is repeated at most.
+const FAREWELL: Duration = Duration::from_secs(2);
+
+/// How many members must have acknowledged the departure.
+const FAREWELL_ACKS: usize = 3;
+
+const HOUSEKEEPING: Duration = Duration::from_secs(10);
+
+/// A suspicion that waits for a refutation.
+#[derive(Debug)]
+struct Suspicion {
+    deadline: Instant,
+    /// When to tell the suspect again, if the suspicion began here.
+    remind_at: Option<Instant>,
+}
+
+/// The departure of the local member.
+#[derive(Debug)]
+struct Farewell {
+    until: Instant,
+    next: Instant,
+    sequences: Vec<u32>,
+    acks: HashSet<Id>,
+}
+
+/// A failure detector in the manner of SWIM: pings, indirect pings, suspicion, and updates
+/// piggybacked on these messages.
+///
+/// It does no I/O and reads no clock. The caller ticks it about every 100 ms, hands it every
+/// message, and carries out the outputs.
+///
+/// ```
+/// use std::time::Instant;
+/// use banyanwharf::member::{Config, Detector, Info, Output};
+///
+/// let info = |name: &str, port| Info {
+///     name: name.into(),
+///     region: "mvd".into(),
+///     zone: "mvd-cerro".into(),
+///     peer: ([127, 0, 0, 1], port).into(),
+///     admin: ([127, 0, 0, 1], port + 1).into(),
+/// };
+/// let now = Instant::now();
+/// let mut detector = Detector::new(Config::default(), info("entry-1", 7000), 1, 42, now);
+/// detector.add_contacts(now, [info("entry-2", 7002)]);
+/// let mut outputs = Vec::new();
+/// detector.on_tick(now, &mut outputs);
+/// assert!(matches!(outputs[0], Output::Send { .. }));
+/// ```
+#[derive(Debug)]
+pub struct Detector {
+    config: Config,
+    own: Id,
+    /// The incarnation at the start of this process.
+    started: Incarnation,
+    rng: Pcg64Mcg,
+    view: View,
+    buckets: Buckets,
+    rumors: Rumors,
+    /// Members that are pinged in turn.
+    order: Vec<Id>,
+    cursor: usize,
+    probes: Vec<probe::Probe>,
+    relays: VecDeque<probe::Relay>,
+    suspicions: BTreeMap<Id, Suspicion>,
+    claims: VecDeque<Update>,
+    /// Members that have announced their departure.
+    departing: HashSet<Id>,
+    /// When members that had failed came back.
+    recovered: HashMap<Id, Instant>,
+    contacts: BTreeMap<Id, SocketAddr>,
+    sequence: u32,
+    last_tick: Instant,
+    next_probe: Instant,
+    next_claim: Instant,
+    next_failed: Instant,
+    next_contact: Instant,
+    next_sync: Instant,
+    next_housekeeping: Instant,
+    sync_budget: TokenBucket,
+    /// Members to compare views with, because they came back.
+    sync_with: Vec<Id>,
+    confirmation: Option<sync::Confirmation>,
+    farewell: Option<Farewell>,
+    replaced: bool,
+    changed: bool,
+    counters: Counters,
+}
+
+impl Detector {
+    /// Creates a detector that knows only the local member.
+    ///
+    /// `incarnation` is the start time in ms since the Unix epoch.
+    pub fn new(
+        config: Config,
+        info: Info,
+        incarnation: Incarnation,
+        seed: u64,
+        now: Instant,
+    ) -> Detector {
+        let own = info.id();
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        // Without a random phase, daemons started together would all ping at once.
+        let phase = config.period.mul_f64(rng.random::<f64>());
+        let sync_phase = config.sync_interval.mul_f64(rng.random::<f64>());
+        let mut detector = Detector {
+            own,
+            started: incarnation,
+            view: View::new(),
+            buckets: Buckets::new(),
+            rumors: Rumors::default(),
+            order: Vec::new(),
+            cursor: 0,
+            probes: Vec::new(),
+            relays: VecDeque::new(),
+            suspicions: BTreeMap::new(),
+            claims: VecDeque::new(),
+            departing: HashSet::new(),
+            recovered: HashMap::new(),
+            contacts: BTreeMap::new(),
+            sequence: rng.random::<u32>() >> 8,
+            rng,
+            last_tick: now,
+            next_probe: now + phase,
+            next_claim: now,
+            next_failed: now + config.failed_interval.mul_f64(phase.as_secs_f64().fract()),
+            next_contact: now,
+            next_sync: now + sync_phase,
+            next_housekeeping: now + HOUSEKEEPING,
+            sync_budget: TokenBucket::new(config.sync_rate.into(), 8192.0, now),
+            sync_with: Vec::new(),
+            confirmation: None,
+            farewell: None,
+            replaced: false,
+            changed: true,
+            counters: Counters::default(),
+            config,
+        };
+        let member = Member {
+            info,
+            incarnation,
+            status: Status::Alive,
+            since: now,
+        };
+        detector.store(member);
+        detector.rumors.push(own, true);
+        detector
+    }
+
+    /// Advances the timers to `now`.
+    pub fn on_tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.observe(now);
+        self.last_tick = now;
+        if self.is_running() {
+            self.tick_probes(now, out);
+            self.tick_suspicions(now, out);
+            self.tick_contacts(now, out);
+            self.tick_sync(now, out);
+        } else {
+            self.tick_farewell(now, out);
+        }
+        self.tick_confirmation(now, out);
+        self.tick_housekeeping(now);
+        self.flush(out);
+    }
+
+    /// Handles a message from the member `from`.
+    ///
+    /// The caller has authenticated the frame that carried it.
+    pub fn on_message(
+        &mut self,
+        now: Instant,
+        from: Id,
+        from_address: SocketAddr,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        if from == self.own {
+            return;
+        }
+        self.observe(now);
+        let peer = Peer {
+            id: from,
+            address: from_address,
+        };
+        match message {
+            Message::Ping { sequence, updates } => {
+                let corrections = self.receive(now, peer, &updates, out);
+                let first = self.news_for(from).into_iter().chain(corrections);
+                let updates = self.piggyback(first.collect());
+                self.send(peer, Message::Ack { sequence, updates }, out);
+            }
+            Message::Ack { sequence, updates } => {
+                self.receive(now, peer, &updates, out);
+                self.on_ack(peer, sequence, out);
+            }
+            Message::PingRequest {
+                sequence,
+                target,
+                updates,
+            } => {
+                self.receive(now, peer, &updates, out);
+                self.on_ping_request(now, peer, sequence, target, out);
+            }
+            Message::Digest {
+                sequence,
+                urgent,
+                buckets,
+            } => self.on_digest(now, peer, sequence, urgent, &buckets, out),
+            Message::Summary {
+                sequence,
+                parts,
+                from,
+                to,
+                entries,
+            } => {
+                self.note_part(peer, sequence, parts);
+                self.on_summary(now, peer, (from, to), &entries, out);
+            }
+            Message::Updates { updates, wanted } => {
+                self.on_updates(now, peer, &updates, &wanted, out);
+            }
+        }
+        self.flush(out);
+    }
+
+    /// Replaces the contacts by the members that the platform lists.
+    ///
+    /// A contact is only a hint: it is pinged if its member is unknown or failed, and joins
+    /// the view when it answers.
+    pub fn add_contacts(&mut self, _now: Instant, contacts: impl IntoIterator<Item = Info>) {
+        self.contacts = contacts
+            .into_iter()
+            .map(|info| (info.id(), info.peer))
+            .filter(|(id, _)| *id != self.own)
+            .collect();
+    }
+
+    /// Announces that the local member is about to stop. It continues to answer.
+    pub fn leave(&mut self, now: Instant) {
+        if self.status() == Status::Alive {
+            self.set_own(now, Status::Leaving, self.incarnation(), false);
+        }
+    }
+
+    /// Announces that the local member has stopped. It pings no more.
+    pub fn left(&mut self, now: Instant) {
+        if self.is_running() {
+            self.set_own(now, Status::Left, self.incarnation(), false);
+            self.farewell = Some(Farewell {
+                until: now + FAREWELL,
+                next: now,
+                sequences: Vec::new(),
+                acks: HashSet::new(),
+            });
+        }
+    }
+
+    /// Returns whether the departure is known to enough members, so that the process may exit.
+    ///
+    /// That takes at most 2 s of ticks after [`Detector::left`].
+    pub fn is_departed(&self) -> bool {
+        !self.is_running() && self.farewell.is_none()
+    }
+
+    /// Returns all members that the local daemon knows, itself included.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the local member's id.
+    pub fn id(&self) -> Id {
+        self.own
+    }
+
+    /// Returns a hash of the members that are alive, leaving or suspected.
+    pub fn digest(&self) -> u64 {
+        self.buckets.digest()
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns whether another process has taken over the local member's name.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
+    fn own_member(&self) -> Option<&Member> {
+        self.view.get(self.own)
+    }
+
+    fn status(&self) -> Status {
+        self.own_member()
+            .map_or(Status::Alive, |member| member.status)
+    }
+
+    fn incarnation(&self) -> Incarnation {
+        self.own_member()
+            .map_or(self.started, |member| member.incarnation)
+    }
+
+    fn is_running(&self) -> bool {
+        self.status() != Status::Left
+    }
+
+    fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    /// Stops all verdicts if the local daemon was late itself: acknowledgements and
+    /// refutations may wait in its socket.
+    fn observe(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.last_tick) <= self.config.late {
+            return;
+        }
+        self.counters.late_ticks += 1;
+        self.last_tick = now;
+        self.probes.clear();
+        for (id, suspicion) in &mut self.suspicions {
+            let timeout = if self.departing.contains(id) {
+                self.config.leaving_suspicion
+            } else {
+                self.config.suspicion
+            };
+            suspicion.deadline = suspicion.deadline.max(now + timeout);
+        }
+        self.next_probe = self.next_probe.max(now);
+    }
+
+    /// Returns how often an update is sent: 3·log2(n), at least 6.
+    fn send_limit(&self) -> u32 {
+        let members = (self.order.len() + 1).max(4) as f64;
+        (3.0 * members.log2()).ceil() as u32
+    }
+
+    /// Returns what is known about `id`, with its description if `with_info` is set.
+    fn update_about(&self, id: Id, with_info: bool) -> Option<Update> {
+        let member = self.view.get(id)?;
+        Some(Update {
+            id,
+            incarnation: member.incarnation,
+            status: member.status,
+            info: with_info.then(|| Arc::new(member.info.clone())),
+        })
+    }
+
+    /// Returns what the member `id` has to know at once: that it is taken for dead, or who the
+    /// local member is.
+    fn news_for(&self, id: Id) -> Option<Update> {
+        match self.view.get(id).map(|member| member.status) {
+            Some(Status::Alive | Status::Leaving) => None,
+            Some(_) => self.update_about(id, false),
+            None => self.update_about(self.own, true),
+        }
+    }
+
+    /// Completes `updates` with queued ones up to the limits of a message.
+    fn piggyback(&mut self, mut updates: Vec<Update>) -> Vec<Update> {
+        updates.truncate(self.config.max_updates);
+        let limit = self.config.max_bytes - MESSAGE_HEADER_BYTES;
+        let mut bytes: usize = updates.iter().map(size).sum();
+        let mut sent = Vec::new();
+        // Looks a little beyond the first that does not fit, for smaller ones.
+        for (id, with_info) in self.rumors.iter().take(2 * self.config.max_updates) {
+            if updates.len() >= self.config.max_updates {
+                break;
+            }
+            if updates.iter().any(|update| update.id == id) {
+                continue;
+            }
+            let Some(update) = self.update_about(id, with_info) else {
+                sent.push((id, 0));
+                continue;
+            };
+            let size = size(&update);
+            if bytes + size <= limit {
+                bytes += size;
+                sent.push((id, self.send_limit()));
+                updates.push(update);
+            }
+        }
+        for (id, limit) in sent {
+            self.rumors.sent(id, limit);
+        }
+        updates
+    }
+
+    fn send(&self, peer: Peer, message: Message, out: &mut Vec<Output>) {
+        out.push(Output::Send {
+            to: peer.id,
+            address: peer.address,
+            message,
+        });
+    }
+
+    /// Returns the address of a known member.
+    fn peer(&self, id: Id) -> Option<Peer> {
+        let address = self.view.get(id)?.info.peer;
+        Some(Peer { id, address })
+    }
+
+    /// Returns up to `count` random members that are alive or leaving.
+    fn random_peers(&mut self, count: usize, except: Id) -> Vec<Peer> {
+        let mut ids: Vec<Id> = Vec::new();
+        // A random start and random steps avoid a copy of the whole list.
+        for _ in 0..(8 * count).min(4 * self.order.len()) {
+            let id = self.order[self.rng.random_range(0..self.order.len())];
+            let present = self
+                .view
+                .get(id)
+                .is_some_and(|member| matches!(member.status, Status::Alive | Status::Leaving));
+            if present && id != except && !ids.contains(&id) {
+                ids.push(id);
+                if ids.len() == count {
+                    break;
+                }
+            }
+        }
+        ids.into_iter().filter_map(|id| self.peer(id)).collect()
+    }
+
+    fn tick_farewell(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let Some(farewell) = &self.farewell else {
+            return;
+        };
+        let enough = FAREWELL_ACKS.min(self.order.len());
+        if farewell.acks.len() >= enough || now >= farewell.until {
+            self.farewell = None;
+            return;
+        }
+        if now < farewell.next {
+            return;
+        }
+        let mut peers = self.random_peers(FAREWELL_ACKS, self.own);
+        if peers.len() < FAREWELL_ACKS {
+            // A suspect may only have paused and then reads this message.
+            let others = self.order.iter().filter_map(|id| {
+                let address = self.view.get(*id)?.info.peer;
+                Some(Peer { id: *id, address })
+            });
+            peers.extend(others.sample(&mut self.rng, FAREWELL_ACKS));
+        }
+        for peer in peers {
+            let sequence = self.next_sequence();
+            let updates = self.update_about(self.own, false).into_iter().collect();
+            let updates = self.piggyback(updates);
+            self.send(peer, Message::Ping { sequence, updates }, out);
+            if let Some(farewell) = &mut self.farewell {
+                farewell.sequences.push(sequence);
+                farewell.next = now + Duration::from_millis(200);
+            }
+        }
+    }
+
+    /// Forgets members that failed or left long ago.
+    fn tick_housekeeping(&mut self, now: Instant) {
+        if now < self.next_housekeeping {
+            return;
+        }
+        self.next_housekeeping = now + HOUSEKEEPING;
+        self.recovered
+            .retain(|_, at| now.saturating_duration_since(*at) < DOUBT);
+        let age = |member: &Member| now.saturating_duration_since(member.since);
+        let old: Vec<Id> = self
+            .view
+            .iter()
+            .filter(|(id, member)| match member.status {
+                Status::Failed => age(member) >= self.config.failed_retention,
+                Status::Left => *id != self.own && age(member) >= self.config.left_retention,
+                Status::Alive | Status::Leaving | Status::Suspect => false,
+            })
+            .map(|(id, _)| id)
+            .collect();
+        for id in old {
+            self.view.remove(id);
+            self.rumors.remove(id);
+            self.departing.remove(&id);
+            self.changed = true;
+        }
+    }
+
+    fn flush(&mut self, out: &mut Vec<Output>) {
+        if std::mem::take(&mut self.changed) {
+            out.push(Output::ViewChanged);
+        }
+    }
+
+    /// Adds a member to the members that are pinged in turn, at a random place.
+    fn enlist(&mut self, id: Id) {
+        if id != self.own && !self.order.contains(&id) {
+            self.order.push(id);
+            let last = self.order.len() - 1;
+            let place = self.rng.random_range(0..=last);
+            self.order.swap(place, last);
+        }
+    }
+
+    fn shuffle(&mut self) {
+        self.order.shuffle(&mut self.rng);
+        self.cursor = 0;
+    }
+}
+
+/// A member and where to send its messages.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    id: Id,
+    address: SocketAddr,
+}
+
+/// Returns the encoded size of `update` in bytes.
+fn size(update: &Update) -> usize {
+    postcard::serialize_with_flavor(update, Size::default()).unwrap_or(usize::MAX / 16)
+}
--- /dev/null
+++ b/src/member/detector/probe.rs
@@ -0,0 +1,298 @@
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, seq::IteratorRandom};
+
+use super::{Detector, Peer, Suspicion};
+use crate::member::{Id, Message, Output, Status, Update};
+
+/// How many indirect pings for others may be under way.
+const MAX_RELAYS: usize = 64;
+
+/// The time between two pings that verify claims.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How often a suspect is told again that it is suspected.
+const REMIND: Duration = Duration::from_millis(500);
+
+/// A ping that waits for its answer.
+#[derive(Debug)]
+pub(super) struct Probe {
+    target: Peer,
+    sequence: u32,
+    sent: Instant,
+    helpers: Option<Vec<Id>>,
+}
+
+/// A ping on behalf of another member.
+#[derive(Debug)]
+pub(super) struct Relay {
+    sequence: u32,
+    target: Id,
+    requester: Peer,
+    requested: u32,
+    sent: Instant,
+}
+
+impl Detector {
+    pub(super) fn tick_probes(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.judge_probes(now, out);
+        if now >= self.next_probe {
+            self.next_probe = (self.next_probe + self.config.period).max(now);
+            if let Some(target) = self.next_target() {
+                self.counters.pings += 1;
+                self.probe(now, target, Vec::new(), out);
+            }
+        }
+        if now >= self.next_claim
+            && let Some(claim) = self.claims.pop_front()
+        {
+            self.next_claim = now + CLAIM_INTERVAL;
+            let present = self
+                .view
+                .get(claim.id)
+                .is_some_and(|member| matches!(member.status, Status::Alive | Status::Leaving));
+            if present && let Some(peer) = self.peer(claim.id) {
+                self.probe(now, peer, vec![claim], out);
+            }
+        }
+        if now >= self.next_failed {
+            self.ping_failed(now, out);
+        }
+    }
+
+    /// Asks others to ping the targets that have not answered, and suspects them in the end.
+    fn judge_probes(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let mut index = 0;
+        while index < self.probes.len() {
+            let probe = &self.probes[index];
+            let elapsed = now.saturating_duration_since(probe.sent);
+            if elapsed >= self.config.period {
+                let target = self.probes.swap_remove(index).target;
+                self.counters.unanswered += 1;
+                self.suspect(now, target.id);
+                continue;
+            }
+            if elapsed >= self.config.ack_timeout && probe.helpers.is_none() {
+                let (target, sequence) = (probe.target, probe.sequence);
+                let helpers = self.random_peers(self.config.indirect, target.id);
+                for helper in &helpers {
+                    let updates = self.update_about(target.id, false).into_iter().collect();
+                    let message = Message::PingRequest {
+                        sequence,
+                        target: target.id,
+                        updates: self.piggyback(updates),
+                    };
+                    self.send(*helper, message, out);
+                }
+                self.ping(target, sequence, Vec::new(), out);
+                self.probes[index].helpers = Some(helpers.iter().map(|helper| helper.id).collect());
+            }
+            index += 1;
+        }
+    }
+
+    /// Returns the next member in turn.
+    fn next_target(&mut self) -> Option<Peer> {
+        while !self.order.is_empty() {
+            if self.cursor >= self.order.len() {
+                self.shuffle();
+            }
+            let id = self.order[self.cursor];
+            match self.view.get(id) {
+                Some(member) if !matches!(member.status, Status::Failed | Status::Left) => {
+                    self.cursor += 1;
+                    return self.peer(id);
+                }
+                _ => {
+                    self.order.swap_remove(self.cursor);
+                }
+            }
+        }
+        None
+    }
+
+    fn probe(&mut self, now: Instant, target: Peer, first: Vec<Update>, out: &mut Vec<Output>) {
+        let sequence = self.next_sequence();
+        self.ping(target, sequence, first, out);
+        self.probes.push(Probe {
+            target,
+            sequence,
+            sent: now,
+            helpers: None,
+        });
+    }
+
+    fn ping(&mut self, peer: Peer, sequence: u32, mut first: Vec<Update>, out: &mut Vec<Output>) {
+        first.extend(self.news_for(peer.id));
+        let updates = self.piggyback(first);
+        self.send(peer, Message::Ping { sequence, updates }, out);
+    }
+
+    /// Begins a suspicion of a member that did not answer.
+    fn suspect(&mut self, now: Instant, id: Id) {
+        let Some(member) = self.view.get(id) else {
+            return;
+        };
+        if !matches!(member.status, Status::Alive | Status::Leaving) {
+            return;
+        }
+        let timeout = if member.status == Status::Leaving {
+            self.config.leaving_suspicion
+        } else {
+            self.config.suspicion
+        };
+        let (info, incarnation) = (member.info.clone(), member.incarnation);
+        let suspicion = Suspicion {
+            deadline: now + timeout,
+            remind_at: Some(now),
+        };
+        self.suspicions.insert(id, suspicion);
+        self.adopt(now, info, incarnation, Status::Suspect, false);
+    }
+
+    /// Reminds suspects and ends the suspicions that were not refuted.
+    pub(super) fn tick_suspicions(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let mut expired = Vec::new();
+        let mut reminded = Vec::new();
+        for (id, suspicion) in &mut self.suspicions {
+            if now >= suspicion.deadline {
+                expired.push(*id);
+            } else if suspicion.remind_at.is_some_and(|at| now >= at) {
+                suspicion.remind_at = Some(now + REMIND);
+                reminded.push(*id);
+            }
+        }
+        for id in expired {
+            self.suspicions.remove(&id);
+            if let Some(member) = self.view.get(id)
+                && member.status == Status::Suspect
+            {
+                self.counters.failures += 1;
+                let (info, incarnation) = (member.info.clone(), member.incarnation);
+                self.adopt(now, info, incarnation, Status::Failed, false);
+            }
+        }
+        for id in reminded {
+            if let Some(peer) = self.peer(id) {
+                let sequence = self.next_sequence();
+                self.ping(peer, sequence, Vec::new(), out);
+            }
+        }
+    }
+
+    /// Pings a failed member, so that the sides of a partition find each other again.
+    fn ping_failed(&mut self, now: Instant, out: &mut Vec<Output>) {
+        // A member without contact to any other has nothing else to do.
+        let alone = self.suspicions.len() >= self.order.len();
+        let interval = if alone {
+            self.config.period
+        } else {
+            self.config.failed_interval
+        };
+        self.next_failed = now + interval.mul_f64(self.rng.random_range(0.75..1.25));
+        let failed = self
+            .view
+            .iter()
+            .filter(|(_, member)| member.status == Status::Failed)
+            .map(|(id, _)| id)
+            .choose(&mut self.rng);
+        if let Some(peer) = failed.and_then(|id| self.peer(id)) {
+            let sequence = self.next_sequence();
+            self.ping(peer, sequence, Vec::new(), out);
+        }
+    }
+
+    /// Pings contacts that are unknown or failed.
+    pub(super) fn tick_contacts(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if now < self.next_contact || self.contacts.is_empty() {
+            return;
+        }
+        let alone = self.order.is_empty();
+        let (count, interval) = if alone {
+            (3, self.config.period)
+        } else {
+            (1, self.config.failed_interval)
+        };
+        self.next_contact = now + interval;
+        let candidates = self.contacts.iter().filter(|(id, _)| {
+            self.view
+                .get(**id)
+                .is_none_or(|member| member.status == Status::Failed)
+        });
+        let chosen: Vec<Peer> = candidates
+            .map(|(id, address)| Peer {
+                id: *id,
+                address: *address,
+            })
+            .sample(&mut self.rng, count);
+        for peer in chosen {
+            let sequence = self.next_sequence();
+            self.ping(peer, sequence, Vec::new(), out);
+        }
+    }
+
+    pub(super) fn on_ack(&mut self, peer: Peer, sequence: u32, out: &mut Vec<Output>) {
+        self.probes.retain(|probe| {
+            let helped = probe.helpers.as_ref();
+            let answered = probe.sequence == sequence
+                && (probe.target.id == peer.id
+                    || helped.is_some_and(|helpers| helpers.contains(&peer.id)));
+            !answered
+        });
+        if let Some(farewell) = &mut self.farewell
+            && farewell.sequences.contains(&sequence)
+        {
+            farewell.acks.insert(peer.id);
+        }
+        let relay = self
+            .relays
+            .iter()
+            .position(|relay| relay.sequence == sequence && relay.target == peer.id);
+        if let Some(relay) = relay.and_then(|index| self.relays.remove(index)) {
+            // The target's refutation goes first.
+            let updates = self.update_about(relay.target, false).into_iter().collect();
+            let message = Message::Ack {
+                sequence: relay.requested,
+                updates: self.piggyback(updates),
+            };
+            self.send(relay.requester, message, out);
+        }
+    }
+
+    pub(super) fn on_ping_request(
+        &mut self,
+        now: Instant,
+        requester: Peer,
+        requested: u32,
+        target: Id,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(member) = self.view.get(target) else {
+            return;
+        };
+        if member.status == Status::Left || target == self.own {
+            let updates = self.update_about(target, false).into_iter().collect();
+            let wanted = Vec::new();
+            self.send(requester, Message::Updates { updates, wanted }, out);
+            return;
+        }
+        let period = self.config.period;
+        self.relays
+            .retain(|relay| now.saturating_duration_since(relay.sent) < period);
+        if self.relays.len() >= MAX_RELAYS {
+            return;
+        }
+        let Some(peer) = self.peer(target) else {
+            return;
+        };
+        let sequence = self.next_sequence();
+        self.relays.push_back(Relay {
+            sequence,
+            target,
+            requester,
+            requested,
+            sent: now,
+        });
+        self.ping(peer, sequence, Vec::new(), out);
+    }
+}
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -4,14 +4,26 @@
 //! ranking is therefore a function of the view alone, and the view is spread by
 //! a failure detector whose cost does not grow with the fleet.
 
+mod buckets;
+mod config;
+mod counters;
+mod detector;
 mod info;
 mod message;
+mod output;
 mod ranking;
+mod rumors;
+mod snapshot;
 mod view;
 
+pub use config::Config;
+pub use counters::Counters;
+pub use detector::Detector;
 pub use info::{Info, Status};
-pub use message::{Message, Update};
+pub use message::{Entry, Message, Update};
+pub use output::Output;
 pub use ranking::{Owners, Ranking};
+pub use snapshot::{Snapshot, SnapshotMember};
 pub use view::{Member, View};
 
 use crate::util;
--- /dev/null
+++ b/src/member/rumors.rs
@@ -0,0 +1,72 @@
+use std::collections::{BTreeSet, HashMap};
+
+use crate::member::Id;
+
+#[derive(Debug, Clone, Copy)]
+struct Rumor {
+    sent: u32,
+    order: u64,
+    with_info: bool,
+}
+
+/// The members whose state is still to be piggybacked, least sent first.
+///
+/// Only the id is queued. The state is looked up when a message is built, so a newer state
+/// replaces an older one that is still in the queue.
+#[derive(Debug, Default)]
+pub(super) struct Rumors {
+    rumors: HashMap<Id, Rumor>,
+    queue: BTreeSet<(u32, u64, Id)>,
+    next_order: u64,
+}
+
+impl Rumors {
+    /// Queues the state of `id`, from the beginning if it is queued already.
+    pub(super) fn push(&mut self, id: Id, with_info: bool) {
+        let with_info = with_info | self.remove(id);
+        let order = self.next_order;
+        self.next_order += 1;
+        self.rumors.insert(
+            id,
+            Rumor {
+                sent: 0,
+                order,
+                with_info,
+            },
+        );
+        self.queue.insert((0, order, id));
+    }
+
+    /// Removes `id` and returns whether its description was to be sent.
+    pub(super) fn remove(&mut self, id: Id) -> bool {
+        let Some(rumor) = self.rumors.remove(&id) else {
+            return false;
+        };
+        self.queue.remove(&(rumor.sent, rumor.order, id));
+        rumor.with_info
+    }
+
+    /// Returns the queued ids and whether the description is to be sent, least sent first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (Id, bool)> {
+        self.queue.iter().map(|(_, _, id)| {
+            (
+                *id,
+                self.rumors.get(id).is_some_and(|rumor| rumor.with_info),
+            )
+        })
+    }
+
+    /// Counts one more message that carries `id` and drops it after `limit` messages.
+    pub(super) fn sent(&mut self, id: Id, limit: u32) {
+        let Some(rumor) = self.rumors.get_mut(&id) else {
+            return;
+        };
+        self.queue.remove(&(rumor.sent, rumor.order, id));
+        rumor.sent += 1;
+        if rumor.sent >= limit {
+            self.rumors.remove(&id);
+        } else {
+            self.queue.insert((rumor.sent, rumor.order, id));
+        }
+    }
+}
