Add the admin API over jsonrpsee

The server sends each call to the node as a request with a channel for the answer, so it can be tested with a fake node. Connections, request sizes, waiting requests and answer times are limited.

--- /dev/null
+++ b/src/admin/api.rs
@@ -0,0 +1,51 @@
+use jsonrpsee::{core::RpcResult, proc_macros::rpc};
+use serde_json::Value;
+
+use crate::{
+    admin::{Explanation, Flows, InForce, Member, Question, Status, Target, Tickets, Zone},
+    ticket,
+};
+
+/// The methods of the admin API.
+#[rpc(server, client)]
+pub trait Api {
+    /// Returns the daemon's own state.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<Status>;
+
+    /// Returns all members that the daemon knows.
+    #[method(name = "members")]
+    async fn members(&self) -> RpcResult<Vec<Member>>;
+
+    /// Returns all availability zones that the daemon knows.
+    #[method(name = "zones")]
+    async fn zones(&self) -> RpcResult<Vec<Zone>>;
+
+    /// Returns all targets.
+    #[method(name = "targets")]
+    async fn targets(&self) -> RpcResult<Vec<Target>>;
+
+    /// Returns the tickets that the daemon accepted and refused.
+    #[method(name = "tickets")]
+    async fn tickets(&self) -> RpcResult<Tickets>;
+
+    /// Returns whether a ticket is in force at the daemon.
+    #[method(name = "ticket_in_force")]
+    async fn ticket_in_force(&self, number: ticket::Number) -> RpcResult<InForce>;
+
+    /// Returns what the daemon would do with a flow, and why.
+    #[method(name = "explain")]
+    async fn explain(&self, question: Question) -> RpcResult<Explanation>;
+
+    /// Returns the numbers of held flows.
+    #[method(name = "flows")]
+    async fn flows(&self) -> RpcResult<Flows>;
+
+    /// Returns the member list for a joiner.
+    #[method(name = "member_snapshot")]
+    async fn member_snapshot(&self) -> RpcResult<Value>;
+
+    /// Returns the ticket state for a joiner.
+    #[method(name = "state_snapshot")]
+    async fn state_snapshot(&self) -> RpcResult<Value>;
+}
--- /dev/null
+++ b/src/admin/client.rs
@@ -0,0 +1,25 @@
+use std::{net::SocketAddr, time::Duration};
+
+use jsonrpsee::http_client::HttpClient;
+
+use crate::admin::{Error, MAXIMUM_RESPONSE, Result};
+
+/// A client of the admin API; [`ApiClient`](crate::admin::ApiClient) has its methods.
+pub type Client = HttpClient;
+
+/// The longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Creates a client of the daemon at `address`, each of whose calls may take `timeout`.
+///
+/// # Errors
+///
+/// Returns [`Error::Client`] if the client cannot be made. No connection is opened yet.
+pub fn connect(address: SocketAddr, timeout: Duration) -> Result<Client> {
+    HttpClient::builder()
+        .connect_timeout(CONNECT_TIMEOUT.min(timeout))
+        .request_timeout(timeout)
+        .max_response_size(MAXIMUM_RESPONSE)
+        .build(format!("http://{address}"))
+        .map_err(|source| Error::Client { address, source })
+}
--- /dev/null
+++ b/src/admin/error.rs
@@ -0,0 +1,25 @@
+use std::{io, net::SocketAddr};
+
+/// Why the admin API could not be served or called.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address could not be bound.
+    #[error("admin address {address} could not be bound")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The client could not be made.
+    #[error("client for {address} could not be made")]
+    Client {
+        /// The address of the daemon.
+        address: SocketAddr,
+        /// The cause.
+        source: jsonrpsee::core::client::Error,
+    },
+}
+
+/// A result with this module's [`Error`].
+pub type Result<T, E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/admin/member.rs
@@ -0,0 +1,27 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::{Incarnation, Status};
+
+/// A member as the answering daemon knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Member {
+    /// The member's name.
+    pub name: Arc<str>,
+    /// The member's region.
+    pub region: Arc<str>,
+    /// The member's availability zone.
+    pub zone: Arc<str>,
+    /// Where the member receives frames.
+    pub peer: SocketAddr,
+    /// Where the member serves the admin API.
+    pub admin: SocketAddr,
+    /// The member's state.
+    pub state: Status,
+    /// The member's incarnation.
+    pub incarnation: Incarnation,
+    /// The time in this state in seconds.
+    pub since_seconds: u64,
+}
--- /dev/null
+++ b/src/admin/server.rs
@@ -0,0 +1,148 @@
+use std::{net::SocketAddr, time::Duration};
+
+use jsonrpsee::{
+    core::{RpcResult, async_trait},
+    server::{BatchRequestConfig, ServerBuilder, ServerConfig, ServerHandle},
+    types::{ErrorObject, ErrorObjectOwned},
+};
+use serde_json::Value;
+use tokio::sync::oneshot;
+
+use crate::{
+    admin::{
+        ApiServer, Error, Explanation, Flows, InForce, MAXIMUM_RESPONSE, Member, Question, Reply,
+        Request, Result, Sender, Status, Target, Tickets, Zone,
+    },
+    ticket,
+};
+
+/// The largest request in bytes; the longest is about 200 bytes.
+const MAXIMUM_REQUEST: u32 = 16 * 1024;
+/// The largest number of open connections.
+const MAXIMUM_CONNECTIONS: u32 = 64;
+/// The longest time the node may take for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// The longest time a connection may take to send its first request.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time after which a connection without requests is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The error code of an answer that did not come in time.
+const TIMEOUT_CODE: i32 = -32001;
+/// The error code of a request that the node does not answer.
+const UNANSWERED_CODE: i32 = -32002;
+/// The error code of a request that found too many others waiting.
+const BUSY_CODE: i32 = -32003;
+
+/// The HTTP server of the admin API. It stops when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Server {
+    /// Serves the API at `address`; `node` answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Bind`] if the address cannot be bound.
+    pub async fn start(address: SocketAddr, node: Sender) -> Result<Server> {
+        let bind_error = |source| Error::Bind { address, source };
+        let config = ServerConfig::builder()
+            .http_only()
+            .max_request_body_size(MAXIMUM_REQUEST)
+            .max_response_body_size(MAXIMUM_RESPONSE)
+            .max_connections(MAXIMUM_CONNECTIONS)
+            .set_batch_request_config(BatchRequestConfig::Disabled)
+            .set_first_request_timeout(Some(FIRST_REQUEST_TIMEOUT))
+            .set_keep_alive_timeout(IDLE_TIMEOUT)
+            .build();
+        let server = ServerBuilder::with_config(config)
+            .build(address)
+            .await
+            .map_err(bind_error)?;
+        let address = server.local_addr().map_err(bind_error)?;
+        let handle = server.start(Handler { node }.into_rpc());
+        Ok(Server { address, handle })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops the server. Its address is free when this returns.
+    pub async fn stop(self) {
+        // Fails if the server has stopped already.
+        let _ = self.handle.stop();
+        self.handle.stopped().await;
+    }
+}
+
+/// Passes calls to the node.
+struct Handler {
+    node: Sender,
+}
+
+impl Handler {
+    async fn ask<T>(&self, request: impl FnOnce(Reply<T>) -> Request) -> RpcResult<T> {
+        let (reply, answer) = oneshot::channel();
+        self.node
+            .try_send(request(reply))
+            .map_err(|_| error(BUSY_CODE, "daemon is busy or stopping"))?;
+        match tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) => Err(error(UNANSWERED_CODE, "daemon does not answer the request")),
+            Err(_) => Err(error(TIMEOUT_CODE, "daemon did not answer in time")),
+        }
+    }
+}
+
+fn error(code: i32, message: &'static str) -> ErrorObjectOwned {
+    ErrorObject::owned(code, message, None::<()>)
+}
+
+#[async_trait]
+impl ApiServer for Handler {
+    async fn status(&self) -> RpcResult<Status> {
+        self.ask(Request::Status).await
+    }
+
+    async fn members(&self) -> RpcResult<Vec<Member>> {
+        self.ask(Request::Members).await
+    }
+
+    async fn zones(&self) -> RpcResult<Vec<Zone>> {
+        self.ask(Request::Zones).await
+    }
+
+    async fn targets(&self) -> RpcResult<Vec<Target>> {
+        self.ask(Request::Targets).await
+    }
+
+    async fn tickets(&self) -> RpcResult<Tickets> {
+        self.ask(Request::Tickets).await
+    }
+
+    async fn ticket_in_force(&self, number: ticket::Number) -> RpcResult<InForce> {
+        self.ask(|reply| Request::TicketInForce(number, reply))
+            .await
+    }
+
+    async fn explain(&self, question: Question) -> RpcResult<Explanation> {
+        self.ask(|reply| Request::Explain(question, reply)).await
+    }
+
+    async fn flows(&self) -> RpcResult<Flows> {
+        self.ask(Request::Flows).await
+    }
+
+    async fn member_snapshot(&self) -> RpcResult<Value> {
+        self.ask(Request::MemberSnapshot).await
+    }
+
+    async fn state_snapshot(&self) -> RpcResult<Value> {
+        self.ask(Request::StateSnapshot).await
+    }
+}
--- /dev/null
+++ b/src/admin/ticket.rs
@@ -0,0 +1,61 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ticket::Number;
+
+/// The tickets that the answering daemon knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Tickets {
+    /// The digest of the ticket state; equal in daemons with the same state.
+    pub digest: Arc<str>,
+    /// The accepted tickets that still set an object.
+    pub accepted: Vec<Accepted>,
+    /// The refused tickets, as many as the daemon keeps.
+    pub refused: Vec<Refused>,
+}
+
+/// A ticket that is in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Accepted {
+    /// The ticket's number.
+    pub number: Number,
+    /// The objects that the ticket sets and no later ticket has set, such as `service/turnos`.
+    pub objects: Vec<Arc<str>>,
+}
+
+/// A ticket that was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Refused {
+    /// The ticket's number, if it could be read.
+    pub number: Option<Number>,
+    /// Why the ticket was refused, with the place in its text.
+    pub reason: Arc<str>,
+}
+
+/// Whether a ticket is in force at a daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TicketState {
+    /// The daemon has the ticket and acts on it, or on later ones for the same objects.
+    InForce,
+    /// The daemon refused the ticket for the given reason.
+    Refused(Arc<str>),
+    /// The daemon does not know the ticket.
+    Unknown,
+}
+
+/// The answer about one ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct InForce {
+    /// The name of the answering daemon.
+    pub name: Arc<str>,
+    /// The ticket's number.
+    pub number: Number,
+    /// Whether the ticket is in force.
+    pub state: TicketState,
+}
