--- /dev/null
+++ b/testkit/src/fabric.rs
@@ -0,0 +1,232 @@
+use std::{
+    collections::HashMap,
+    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::{net::UdpSocket, sync::mpsc};
+
+use crate::{
+    Daemons, Segment,
+    segment::addresses,
+    util::{Guard, MAX_DATAGRAM, bind, lock, send},
+};
+
+/// The number of packets that wait for a caller's task.
+const CALLER_QUEUE: usize = 1 << 16;
+
+/// How the fabric selects the daemon for a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Spray {
+    /// At random for each packet.
+    #[default]
+    Packet,
+    /// By a hash of the flow over the list of daemons.
+    Flow,
+}
+
+/// The faults of the network, in both directions.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Impairment {
+    /// The share of packets that are lost, 0 to 1.
+    pub loss: f64,
+    /// The least delay.
+    pub delay: Duration,
+    /// The largest random addition to the delay; packets overtake each other.
+    pub jitter: Duration,
+}
+
+/// What the fabric counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct FabricRecord {
+    /// Packets sent to daemons.
+    pub sent: u64,
+    /// Packets handed to callers.
+    pub returned: u64,
+    /// Packets dropped on purpose.
+    pub lost: u64,
+    /// Packets that a full socket or queue dropped.
+    pub overflowed: u64,
+    /// Return packets to an unknown caller, or not readable.
+    pub unroutable: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    random: Pcg64,
+    spray: Spray,
+    impairment: Impairment,
+    callers: HashMap<IpAddr, mpsc::Sender<Vec<u8>>>,
+    record: FabricRecord,
+}
+
+/// A way through the fabric for one packet.
+enum Way {
+    Daemon(SocketAddr),
+    Caller(mpsc::Sender<Vec<u8>>),
+}
+
+#[derive(Debug)]
+struct Shared {
+    socket: UdpSocket,
+    daemons: Daemons,
+    state: Mutex<State>,
+}
+
+/// A stand-in for the network fabric between callers and daemons. Clones share the state.
+#[derive(Debug, Clone)]
+pub struct Fabric {
+    shared: Arc<Shared>,
+    _task: Arc<Guard>,
+}
+
+impl Fabric {
+    /// Starts a fabric that sends to `daemons`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the socket.
+    pub fn start(seed: u64, daemons: Daemons) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            socket: bind((Ipv4Addr::LOCALHOST, 0).into())?,
+            daemons,
+            state: Mutex::new(State {
+                random: Pcg64::seed_from_u64(seed),
+                spray: Spray::default(),
+                impairment: Impairment::default(),
+                callers: HashMap::new(),
+                record: FabricRecord::default(),
+            }),
+        });
+        let task = tokio::spawn(receive(shared.clone()));
+        Ok(Self {
+            shared,
+            _task: Arc::new(Guard(task.abort_handle())),
+        })
+    }
+
+    /// Returns the address to which daemons send packets for callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.shared.socket.local_addr()
+    }
+
+    /// Replaces the daemons that receive packets.
+    pub fn set_daemons(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        self.shared.daemons.set(addresses);
+    }
+
+    /// Sets how the daemon for a packet is selected.
+    pub fn set_spray(&self, spray: Spray) {
+        lock(&self.shared.state).spray = spray;
+    }
+
+    /// Sets the faults of the network.
+    pub fn set_impairment(&self, impairment: Impairment) {
+        lock(&self.shared.state).impairment = impairment;
+    }
+
+    /// Returns the counts.
+    pub fn record(&self) -> FabricRecord {
+        lock(&self.shared.state).record
+    }
+
+    /// Registers a caller's address and returns the packets sent to it.
+    pub fn register(&self, addresses: &[IpAddr]) -> mpsc::Receiver<Vec<u8>> {
+        let (sender, receiver) = mpsc::channel(CALLER_QUEUE);
+        let mut state = lock(&self.shared.state);
+        for address in addresses {
+            state.callers.insert(*address, sender.clone());
+        }
+        receiver
+    }
+
+    /// Sends an IP packet to a daemon.
+    pub fn send(&self, packet: Vec<u8>) {
+        let spray = lock(&self.shared.state).spray;
+        let daemon = match spray {
+            Spray::Packet => {
+                let mut state = lock(&self.shared.state);
+                self.shared.daemons.pick(&mut state.random)
+            }
+            Spray::Flow => pick_by_flow(&self.shared.daemons, &packet),
+        };
+        match daemon {
+            Some(daemon) => pass(&self.shared, Way::Daemon(daemon), packet),
+            None => lock(&self.shared.state).record.lost += 1,
+        }
+    }
+}
+
+fn pick_by_flow(daemons: &Daemons, packet: &[u8]) -> Option<SocketAddr> {
+    let flow = Segment::parse(packet).map(|segment| (segment.source, segment.destination));
+    let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one(flow);
+    let addresses = daemons.get();
+    addresses
+        .get((hash % addresses.len().max(1) as u64) as usize)
+        .copied()
+}
+
+/// Passes a packet on, now or later, or drops it.
+fn pass(shared: &Arc<Shared>, way: Way, packet: Vec<u8>) {
+    let delay = {
+        let mut state = lock(&shared.state);
+        let Impairment {
+            loss,
+            delay,
+            jitter,
+        } = state.impairment;
+        if loss > 0.0 && state.random.random_bool(loss.clamp(0.0, 1.0)) {
+            state.record.lost += 1;
+            return;
+        }
+        delay + jitter.mul_f64(state.random.random())
+    };
+    if delay.is_zero() {
+        return deliver(shared, way, packet);
+    }
+    let shared = shared.clone();
+    let at = Instant::now() + delay;
+    tokio::spawn(async move {
+        tokio::time::sleep_until(at.into()).await;
+        deliver(&shared, way, packet);
+    });
+}
+
+fn deliver(shared: &Shared, way: Way, packet: Vec<u8>) {
+    let delivered = match &way {
+        Way::Daemon(daemon) => send(&shared.socket, &packet, *daemon),
+        Way::Caller(caller) => caller.try_send(packet).is_ok(),
+    };
+    let record = &mut lock(&shared.state).record;
+    match (way, delivered) {
+        (_, false) => record.overflowed += 1,
+        (Way::Daemon(_), true) => record.sent += 1,
+        (Way::Caller(_), true) => record.returned += 1,
+    }
+}
+
+async fn receive(shared: Arc<Shared>) {
+    let mut buffer = [0; MAX_DATAGRAM];
+    loop {
+        // Errors of the socket report packets to a stopped daemon that were refused.
+        let Ok((length, _)) = shared.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let packet = &buffer[..length];
+        let caller =
+            addresses(packet).and_then(|(_, to)| lock(&shared.state).callers.get(&to).cloned());
+        match caller {
+            Some(caller) => pass(&shared, Way::Caller(caller), packet.to_vec()),
+            None => lock(&shared.state).record.unroutable += 1,
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/http.rs
@@ -0,0 +1,93 @@
+use std::{future::Future, io, net::SocketAddr, sync::Arc};
+
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, task::JoinSet};
+
+use crate::util::Guard;
+
+/// A status and a body.
+#[derive(Debug, Clone)]
+pub(crate) enum Reply {
+    /// A whole response.
+    Json(u16, serde_json::Value),
+    /// The connection is closed without a response.
+    Close,
+}
+
+/// A running HTTP server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    _task: Guard,
+}
+
+impl Server {
+    /// Serves `handler(path and query)` on `address`.
+    pub(crate) fn start<H, F>(address: SocketAddr, handler: H) -> io::Result<Self>
+    where
+        H: Fn(String) -> F + Send + Sync + 'static,
+        F: Future<Output = Reply> + Send + 'static,
+    {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, Arc::new(handler)));
+        Ok(Self {
+            address,
+            _task: Guard(task.abort_handle()),
+        })
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, handler: Arc<H>)
+where
+    H: Fn(String) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let handler = handler.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let reply = handler(request.uri().to_string());
+            async move { respond(reply.await) }
+        });
+        connections.spawn(async move {
+            // A failed connection is the client's to notice.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn respond(reply: Reply) -> io::Result<Response<Full<Bytes>>> {
+    let Reply::Json(status, value) = reply else {
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    };
+    let mut response = Response::new(Full::from(value.to_string()));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    Ok(response)
+}
+
+/// Returns the value of a numeric query parameter.
+pub(crate) fn parameter(uri: &str, name: &str) -> Option<u64> {
+    let (_, query) = uri.split_once('?')?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -1,1 +1,34 @@
-//! Stand-ins for the systems around banyanwharf, for tests and examples.
+//! Test doubles for the systems around banyanwharf, for tests and examples.
+//!
+//! The test doubles keep their own records of what they saw. A test compares these records
+//! with each other and never relies on a daemon's own figures.
+//!
+//! - [`Platform`]: the configuration service.
+//! - [`Fabric`]: sprays the callers' packets over the daemons.
+//! - [`Target`] and [`Caller`]: endpoints with a whole TCP stack.
+//! - [`Responder`] and [`Probe`]: endpoints without a stack, for very many flows.
+//! - [`scenario`]: a run that changes everything while flows exchange data.
+
+mod caller;
+mod daemons;
+mod fabric;
+mod http;
+mod message;
+mod platform;
+mod probe;
+mod responder;
+pub mod scenario;
+mod segment;
+mod stack;
+mod target;
+mod util;
+
+pub use caller::{Broken, Caller, CallerConfig, CallerRecord, Cause};
+pub use daemons::Daemons;
+pub use fabric::{Fabric, FabricRecord, Impairment, Spray};
+pub use platform::{Mode, Platform, Vm};
+pub use probe::{Probe, ProbeConfig, ProbeRecord};
+pub use responder::{Responder, ResponderRecord};
+pub use segment::Segment;
+pub use target::{Lie, Target, TargetConfig, TargetRecord};
+pub use util::free_address;
--- /dev/null
+++ b/testkit/src/probe.rs
@@ -0,0 +1,300 @@
+use std::{
+    collections::{HashMap, VecDeque},
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use tokio::sync::mpsc;
+
+use crate::{
+    Fabric, Segment,
+    util::{Guard, lock},
+};
+
+/// The ports of one caller address.
+const PORTS: usize = 60_000;
+
+/// The lowest port of a caller address.
+const FIRST_PORT: usize = 1024;
+
+/// The settings of a probe.
+#[derive(Debug, Clone)]
+pub struct ProbeConfig {
+    /// The service address.
+    pub service: SocketAddr,
+    /// The caller addresses. Each serves 60,000 flows.
+    pub addresses: Vec<IpAddr>,
+    /// The time after which an unanswered segment is sent again.
+    pub resend: Duration,
+    /// How often a segment is sent before its flow counts as unanswered.
+    pub attempts: u32,
+}
+
+/// What a probe saw.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ProbeRecord {
+    /// Flows opened.
+    pub opened: u64,
+    /// Flows reset before they were open.
+    pub refused: u64,
+    /// Open flows reset.
+    pub broken: u64,
+    /// Flows given up without an answer, open or not.
+    pub unanswered: u64,
+    /// Flows that another target answered.
+    pub moved: u64,
+    /// Answers with foreign data.
+    pub crossed: u64,
+    /// Segments answered.
+    pub answered: u64,
+    /// Segments sent again.
+    pub resent: u64,
+    /// Flows closed by FIN.
+    pub closed: u64,
+    /// Flows open now.
+    pub open: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Opening,
+    Open,
+    Closing,
+}
+
+#[derive(Debug, Clone)]
+struct Flow {
+    phase: Phase,
+    target: Option<[u8; 4]>,
+    sequence: u32,
+    received: u32,
+    /// The segment that has no answer yet and how often it was sent.
+    sent: Option<(Segment, u32)>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    flows: HashMap<usize, Flow>,
+    /// The flows with an unanswered segment, by the time it was sent last.
+    unanswered: VecDeque<(Instant, usize, u32)>,
+    record: ProbeRecord,
+}
+
+#[derive(Debug)]
+struct Shared {
+    config: ProbeConfig,
+    fabric: Fabric,
+    state: Mutex<State>,
+}
+
+/// A caller without a TCP stack, for very many flows. Flows are named by number.
+#[derive(Debug)]
+pub struct Probe {
+    shared: Arc<Shared>,
+    _task: Guard,
+}
+
+impl Probe {
+    /// Starts a probe.
+    pub fn start(config: ProbeConfig, fabric: &Fabric) -> Self {
+        let packets = fabric.register(&config.addresses);
+        let shared = Arc::new(Shared {
+            config,
+            fabric: fabric.clone(),
+            state: Mutex::default(),
+        });
+        let task = tokio::spawn(run(shared.clone(), packets));
+        Self {
+            shared,
+            _task: Guard(task.abort_handle()),
+        }
+    }
+
+    /// Sends a SYN for flow `number`, which must not be in use.
+    pub fn open(&self, number: usize) {
+        let mut syn = self.shared.segment(number, 0);
+        syn.syn = true;
+        let flow = Flow {
+            phase: Phase::Opening,
+            target: None,
+            sequence: 0,
+            received: 0,
+            sent: None,
+        };
+        lock(&self.shared.state).flows.insert(number, flow);
+        self.shared.send(number, syn);
+    }
+
+    /// Sends data on flow `number`. Returns false if the flow is not open or waits for an answer.
+    pub fn exchange(&self, number: usize) -> bool {
+        self.send_if_idle(number, false)
+    }
+
+    /// Closes flow `number`. Returns false if the flow is not open or waits for an answer.
+    pub fn close(&self, number: usize) -> bool {
+        self.send_if_idle(number, true)
+    }
+
+    /// Returns what the probe saw so far.
+    pub fn record(&self) -> ProbeRecord {
+        let state = lock(&self.shared.state);
+        let mut record = state.record;
+        let open = |flow: &&Flow| flow.phase == Phase::Open;
+        record.open = state.flows.values().filter(open).count() as u64;
+        record
+    }
+
+    fn send_if_idle(&self, number: usize, fin: bool) -> bool {
+        let mut segment = {
+            let mut state = lock(&self.shared.state);
+            let Some(flow) = state.flows.get_mut(&number) else {
+                return false;
+            };
+            if flow.phase != Phase::Open || flow.sent.is_some() {
+                return false;
+            }
+            if fin {
+                flow.phase = Phase::Closing;
+            }
+            let mut segment = self.shared.segment(number, flow.sequence);
+            segment.acknowledgment = Some(flow.received);
+            segment
+        };
+        segment.fin = fin;
+        if !fin {
+            let id = ((number as u64) << 32) | u64::from(segment.sequence);
+            segment.payload = id.to_be_bytes().to_vec();
+        }
+        self.shared.send(number, segment);
+        true
+    }
+}
+
+impl Shared {
+    fn segment(&self, number: usize, sequence: u32) -> Segment {
+        let address = self.config.addresses[number / PORTS];
+        let port = (FIRST_PORT + number % PORTS) as u16;
+        Segment::new(
+            SocketAddr::new(address, port),
+            self.config.service,
+            sequence,
+        )
+    }
+
+    fn send(&self, number: usize, segment: Segment) {
+        let packet = segment.build();
+        let mut state = lock(&self.state);
+        let sequence = segment.sequence;
+        if let Some(flow) = state.flows.get_mut(&number) {
+            flow.sequence = sequence.wrapping_add(segment.length());
+            flow.sent = Some((segment, 1));
+        }
+        state
+            .unanswered
+            .push_back((Instant::now(), number, sequence));
+        drop(state);
+        self.fabric.send(packet);
+    }
+
+    fn receive(&self, packet: &[u8]) {
+        let Some(segment) = Segment::parse(packet) else {
+            return;
+        };
+        let to = segment.destination;
+        let addresses = &self.config.addresses;
+        let Some(index) = addresses.iter().position(|address| *address == to.ip()) else {
+            return;
+        };
+        let number = index * PORTS + usize::from(to.port()).saturating_sub(FIRST_PORT);
+        let mut state = lock(&self.state);
+        let State { flows, record, .. } = &mut *state;
+        let Some(flow) = flows.get_mut(&number) else {
+            return;
+        };
+        if segment.rst {
+            match flow.phase {
+                Phase::Opening => record.refused += 1,
+                Phase::Open | Phase::Closing => record.broken += 1,
+            }
+            flows.remove(&number);
+            return;
+        }
+        let Some((sent, _)) = flow
+            .sent
+            .take_if(|_| segment.acknowledgment == Some(flow.sequence))
+        else {
+            return;
+        };
+        record.answered += 1;
+        flow.received = segment.sequence.wrapping_add(segment.length());
+        if let Some((tag, data)) = segment.payload.split_first_chunk() {
+            record.crossed += u64::from(data != sent.payload);
+            record.moved += u64::from(flow.target.replace(*tag).is_some_and(|old| old != *tag));
+        }
+        match flow.phase {
+            Phase::Opening if segment.syn => {
+                record.opened += 1;
+                flow.phase = Phase::Open;
+            }
+            Phase::Opening | Phase::Open => {}
+            Phase::Closing => {
+                record.closed += 1;
+                flows.remove(&number);
+            }
+        }
+    }
+
+    /// Sends the segments again that were not answered in time.
+    fn resend(&self, now: Instant) {
+        let mut packets = Vec::new();
+        let mut state = lock(&self.state);
+        let State {
+            flows,
+            unanswered,
+            record,
+        } = &mut *state;
+        while let Some((at, number, sequence)) = unanswered.front().copied() {
+            if at + self.config.resend > now {
+                break;
+            }
+            unanswered.pop_front();
+            let Some(flow) = flows.get_mut(&number) else {
+                continue;
+            };
+            let Some((segment, attempts)) = flow
+                .sent
+                .as_mut()
+                .filter(|(segment, _)| segment.sequence == sequence)
+            else {
+                continue;
+            };
+            if *attempts >= self.config.attempts {
+                record.unanswered += 1;
+                flows.remove(&number);
+                continue;
+            }
+            *attempts += 1;
+            record.resent += 1;
+            packets.push(segment.build());
+            unanswered.push_back((now, number, sequence));
+        }
+        drop(state);
+        for packet in packets {
+            self.fabric.send(packet);
+        }
+    }
+}
+
+async fn run(shared: Arc<Shared>, mut packets: mpsc::Receiver<Vec<u8>>) {
+    let mut tick = tokio::time::interval(Duration::from_millis(20));
+    loop {
+        tokio::select! {
+            packet = packets.recv() => match packet {
+                Some(packet) => shared.receive(&packet),
+                None => return,
+            },
+            _ = tick.tick() => shared.resend(Instant::now()),
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/responder.rs
@@ -0,0 +1,158 @@
+use std::{
+    collections::HashSet,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tokio::net::UdpSocket;
+
+use crate::{
+    Daemons, Segment,
+    util::{Guard, MAX_DATAGRAM, bind, lock, send},
+};
+
+/// What a responder saw.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ResponderRecord {
+    /// Packets received.
+    pub packets: u64,
+    /// Packets to an address of another service, or not readable.
+    pub misdelivered: u64,
+    /// Flows accepted.
+    pub accepted: u64,
+    /// Segments of unknown flows, answered with RST.
+    pub unknown: u64,
+    /// Data segments answered.
+    pub echoed: u64,
+    /// Flows open now.
+    pub open: usize,
+}
+
+/// A target without a TCP stack. It answers SYN with SYN-ACK, data with its tag and the data,
+/// FIN with FIN, and anything of an unknown flow with RST.
+#[derive(Debug)]
+pub struct Responder {
+    address: SocketAddr,
+    record: Arc<Mutex<ResponderRecord>>,
+    _task: Guard,
+}
+
+impl Responder {
+    /// Starts a responder for the service addresses `services`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the socket.
+    pub fn start(tag: u32, services: Vec<SocketAddr>, daemons: Daemons) -> io::Result<Self> {
+        let socket = bind((Ipv4Addr::LOCALHOST, 0).into())?;
+        let address = socket.local_addr()?;
+        let record = Arc::default();
+        let engine = Engine {
+            tag,
+            services,
+            daemons,
+            random: Pcg64::seed_from_u64(tag.into()),
+            socket,
+            flows: HashSet::new(),
+            closed: HashSet::new(),
+            record: Arc::clone(&record),
+        };
+        let task = tokio::spawn(engine.run());
+        Ok(Self {
+            address,
+            record,
+            _task: Guard(task.abort_handle()),
+        })
+    }
+
+    /// Returns the address for encapsulated packets.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the responder saw so far.
+    pub fn record(&self) -> ResponderRecord {
+        *lock(&self.record)
+    }
+}
+
+struct Engine {
+    tag: u32,
+    services: Vec<SocketAddr>,
+    daemons: Daemons,
+    random: Pcg64,
+    socket: UdpSocket,
+    /// The open flows.
+    flows: HashSet<(SocketAddr, SocketAddr)>,
+    /// The flows closed by FIN. A FIN that is sent again gets the same answer.
+    closed: HashSet<(SocketAddr, SocketAddr)>,
+    record: Arc<Mutex<ResponderRecord>>,
+}
+
+impl Engine {
+    async fn run(mut self) {
+        let mut buffer = [0; MAX_DATAGRAM];
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let Some(answer) = self.answer(&buffer[..length]) else {
+                continue;
+            };
+            if let Some(daemon) = self.daemons.pick(&mut self.random) {
+                send(&self.socket, &answer.build(), daemon);
+            }
+        }
+    }
+
+    fn answer(&mut self, packet: &[u8]) -> Option<Segment> {
+        let record = &mut lock(&self.record);
+        record.packets += 1;
+        let Some(segment) =
+            Segment::parse(packet).filter(|segment| self.services.contains(&segment.destination))
+        else {
+            record.misdelivered += 1;
+            return None;
+        };
+        let key = (segment.source, segment.destination);
+        if segment.rst {
+            self.flows.remove(&key);
+            return None;
+        }
+        if segment.syn && self.flows.insert(key) {
+            record.accepted += 1;
+        }
+        record.open = self.flows.len();
+        let again = segment.fin && self.closed.contains(&key);
+        if !again && !self.flows.contains(&key) {
+            record.unknown += 1;
+            return Some(segment.reset());
+        }
+        if segment.length() == 0 {
+            return None;
+        }
+        // The acknowledged number stands in for the send state, so a resent segment gets the
+        // same answer.
+        let sequence = if segment.syn {
+            0
+        } else {
+            segment.acknowledgment?
+        };
+        let mut answer = Segment::new(segment.destination, segment.source, sequence);
+        answer.acknowledgment = Some(segment.sequence.wrapping_add(segment.length()));
+        answer.syn = segment.syn;
+        answer.fin = segment.fin;
+        if !segment.payload.is_empty() {
+            record.echoed += 1;
+            answer.payload = [&self.tag.to_be_bytes(), &segment.payload[..]].concat();
+        }
+        if segment.fin {
+            self.flows.remove(&key);
+            self.closed.insert(key);
+        }
+        Some(answer)
+    }
+}
--- /dev/null
+++ b/testkit/src/scenario.rs
@@ -0,0 +1,1 @@
+//! A run that changes everything while flows exchange data.
--- /dev/null
+++ b/testkit/src/stack.rs
@@ -0,0 +1,208 @@
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
+
+use smoltcp::{
+    iface::{Config, Interface, SocketHandle, SocketSet},
+    phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken},
+    socket::tcp::{Socket, SocketBuffer, State},
+    time::Instant as StackInstant,
+    wire::{HardwareAddress, IpAddress, IpCidr, IpEndpoint},
+};
+
+/// The receive buffer. It must hold a whole message: smoltcp takes the window from a late
+/// segment, and a sender that has learned of a closed window that way stops for good.
+const RECEIVE_BUFFER: usize = 8192;
+
+/// The send buffer. Longer messages stream through it.
+const SEND_BUFFER: usize = 2048;
+
+/// The largest IP packet that an endpoint sends.
+const MTU: usize = 1400;
+
+/// A TCP connection with a stack of its own.
+///
+/// smoltcp scans all sockets of an interface for each packet. One interface per connection
+/// keeps the cost of a packet independent of the number of connections.
+pub(crate) struct Connection {
+    interface: Interface,
+    sockets: SocketSet<'static>,
+    handle: SocketHandle,
+    queues: Queues,
+}
+
+impl Connection {
+    /// Starts to connect.
+    pub(crate) fn connect(
+        local: SocketAddr,
+        remote: SocketAddr,
+        timeout: Duration,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        let mut connection = Self::new(local, timeout, seed, now);
+        let context = connection.interface.context();
+        connection
+            .sockets
+            .get_mut::<Socket>(connection.handle)
+            .connect(context, IpEndpoint::from(remote), IpEndpoint::from(local))
+            .expect("a new socket can connect to a specified address");
+        connection
+    }
+
+    /// Waits for the SYN that is pushed next.
+    pub(crate) fn listen(local: SocketAddr, timeout: Duration, seed: u64, now: Instant) -> Self {
+        let mut connection = Self::new(local, timeout, seed, now);
+        connection
+            .socket()
+            .listen(IpEndpoint::from(local))
+            .expect("a new socket can listen on a specified port");
+        connection
+    }
+
+    fn new(local: SocketAddr, timeout: Duration, seed: u64, now: Instant) -> Self {
+        let mut queues = Queues::default();
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = seed;
+        let mut interface = Interface::new(config, &mut queues, stack_time(now));
+        // With an empty prefix, every address is on the link and no route is needed.
+        interface.update_ip_addrs(|addresses| {
+            let _ = addresses.push(IpCidr::new(IpAddress::from(local.ip()), 0));
+        });
+        let mut socket = Socket::new(
+            SocketBuffer::new(vec![0; RECEIVE_BUFFER]),
+            SocketBuffer::new(vec![0; SEND_BUFFER]),
+        );
+        socket.set_timeout(Some(timeout.into()));
+        socket.set_nagle_enabled(false);
+        let mut sockets = SocketSet::new(Vec::with_capacity(1));
+        let handle = sockets.add(socket);
+        Self {
+            interface,
+            sockets,
+            handle,
+            queues,
+        }
+    }
+
+    /// Hands an IP packet to the stack.
+    pub(crate) fn push(&mut self, packet: Vec<u8>) {
+        self.queues.received.push_back(packet);
+    }
+
+    /// Runs the stack and returns the packets to send.
+    pub(crate) fn poll(&mut self, now: Instant) -> VecDeque<Vec<u8>> {
+        self.interface
+            .poll(stack_time(now), &mut self.queues, &mut self.sockets);
+        std::mem::take(&mut self.queues.sent)
+    }
+
+    /// Returns when the stack has to run again.
+    pub(crate) fn next(&mut self, now: Instant) -> Option<Instant> {
+        let delay = self.interface.poll_delay(stack_time(now), &self.sockets)?;
+        // A delay of 0 is returned while the window of the peer is full.
+        Some(now + Duration::from(delay).max(Duration::from_millis(1)))
+    }
+
+    pub(crate) fn state(&self) -> State {
+        self.sockets.get::<Socket>(self.handle).state()
+    }
+
+    /// Appends the received bytes to `buffer`.
+    pub(crate) fn read(&mut self, buffer: &mut Vec<u8>) {
+        let socket = self.socket();
+        while socket.can_recv() {
+            let copied = socket.recv(|data| {
+                buffer.extend_from_slice(data);
+                (data.len(), data.len())
+            });
+            if copied.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Moves bytes from the front of `buffer` to the stack.
+    pub(crate) fn write(&mut self, buffer: &mut VecDeque<u8>) {
+        let socket = self.socket();
+        while socket.can_send() && !buffer.is_empty() {
+            let (front, _) = buffer.as_slices();
+            let Ok(length) = socket.send_slice(front) else {
+                return;
+            };
+            buffer.drain(..length);
+        }
+    }
+
+    /// Sends FIN after the bytes written so far.
+    pub(crate) fn close(&mut self) {
+        self.socket().close();
+    }
+
+    /// Sends RST.
+    pub(crate) fn abort(&mut self) {
+        self.socket().abort();
+    }
+
+    fn socket(&mut self) -> &mut Socket<'static> {
+        self.sockets.get_mut(self.handle)
+    }
+}
+
+/// Converts to the stack's clock, which starts with the first call.
+fn stack_time(now: Instant) -> StackInstant {
+    static START: OnceLock<Instant> = OnceLock::new();
+    let start = *START.get_or_init(|| now);
+    let micros = now.saturating_duration_since(start).as_micros();
+    StackInstant::from_micros(micros as i64)
+}
+
+/// The packets between the stack and the socket of the endpoint.
+#[derive(Debug, Default)]
+struct Queues {
+    received: VecDeque<Vec<u8>>,
+    sent: VecDeque<Vec<u8>>,
+}
+
+impl Device for Queues {
+    type RxToken<'a> = Received;
+    type TxToken<'a> = Sent<'a>;
+
+    fn capabilities(&self) -> DeviceCapabilities {
+        let mut capabilities = DeviceCapabilities::default();
+        capabilities.medium = Medium::Ip;
+        capabilities.max_transmission_unit = MTU;
+        capabilities
+    }
+
+    fn receive(&mut self, _: StackInstant) -> Option<(Received, Sent<'_>)> {
+        let packet = self.received.pop_front()?;
+        Some((Received(packet), Sent(&mut self.sent)))
+    }
+
+    fn transmit(&mut self, _: StackInstant) -> Option<Sent<'_>> {
+        Some(Sent(&mut self.sent))
+    }
+}
+
+struct Received(Vec<u8>);
+
+impl RxToken for Received {
+    fn consume<R, F: FnOnce(&[u8]) -> R>(self, read: F) -> R {
+        read(&self.0)
+    }
+}
+
+struct Sent<'a>(&'a mut VecDeque<Vec<u8>>);
+
+impl TxToken for Sent<'_> {
+    fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, length: usize, write: F) -> R {
+        let mut packet = vec![0; length];
+        let result = write(&mut packet);
+        self.0.push_back(packet);
+        result
+    }
+}
--- /dev/null
+++ b/testkit/src/target.rs
@@ -0,0 +1,682 @@
+use std::{
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use banyanwharf::ticket;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use serde_json::{Value, json};
+use smoltcp::socket::tcp::State;
+use tokio::net::UdpSocket;
+
+use crate::{
+    Daemons, Segment,
+    http::{Reply, Server},
+    message::{Request, Response, body},
+    stack::Connection,
+    util::{Guard, MAX_DATAGRAM, Timers, bind, lock, send, sleep_until},
+};
+
+/// The time without an acknowledgment after which a target resets a connection.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The interval of the samples that the endpoints report.
+const SAMPLE: Duration = Duration::from_millis(50);
+
+/// The packets that are processed before timers are looked at.
+const BATCH: usize = 256;
+
+/// The resolution of the record of received packets.
+const BUCKET: Duration = Duration::from_millis(10);
+
+/// The settings of a target.
+#[derive(Debug, Clone)]
+pub struct TargetConfig {
+    /// The target's name.
+    pub name: String,
+    /// The service's name.
+    pub service: String,
+    /// The service addresses; packets to others count as misdelivered.
+    pub addresses: Vec<SocketAddr>,
+    /// The availability zone.
+    pub zone: String,
+    /// The daemons that receive return packets.
+    pub daemons: Daemons,
+    /// The seed of all random choices.
+    pub seed: u64,
+    /// Requests that run at the same time.
+    pub slots: u16,
+    /// Connections held at the same time; a further SYN is answered with RST.
+    pub connections: u32,
+    /// The time that a request takes.
+    pub service_time: Duration,
+    /// Requests that wait for a slot; further ones are answered with status 503.
+    pub queue: usize,
+    /// Whether the target starts with all slots.
+    pub warm: bool,
+    /// The slots right after a cold start.
+    pub cold_slots: u16,
+    /// Requests that wait while cold; a further one resets its connection.
+    pub cold_queue: usize,
+    /// The time from a cold start to all slots.
+    pub ramp: Duration,
+}
+
+impl TargetConfig {
+    /// Returns settings with 4 slots and 2,000 connections, as of today's deployments.
+    pub fn new(service: &str, name: &str, zone: &str, daemons: &Daemons) -> Self {
+        Self {
+            name: name.into(),
+            service: service.into(),
+            addresses: Vec::new(),
+            zone: zone.into(),
+            daemons: daemons.clone(),
+            seed: 1,
+            slots: 4,
+            connections: 2000,
+            service_time: Duration::from_millis(2),
+            queue: 1000,
+            warm: true,
+            cold_slots: 1,
+            cold_queue: 8,
+            ramp: Duration::from_secs(10),
+        }
+    }
+}
+
+/// False reports of the endpoints. `None` reports the truth.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Lie {
+    /// The status of the health endpoint.
+    pub health: Option<u16>,
+    /// The body of the load endpoint.
+    pub load: Option<Value>,
+}
+
+/// What a target saw.
+#[derive(Debug, Clone)]
+pub struct TargetRecord {
+    start: Instant,
+    /// Accepted connections: time and caller.
+    pub flows: Vec<(Instant, SocketAddr)>,
+    /// The callers of all packets.
+    pub seen: HashSet<SocketAddr>,
+    /// The callers to which the target sent RST.
+    pub reset: HashSet<SocketAddr>,
+    /// The number of times that each request ran.
+    pub executed: HashMap<u64, u32>,
+    /// Packets received.
+    pub packets: u64,
+    /// Packets that could not be read.
+    pub malformed: u64,
+    /// Packets to an address of another service.
+    pub misdelivered: u64,
+    /// RST segments sent.
+    pub resets: u64,
+    /// The most requests that ran at the same time.
+    pub peak_busy: usize,
+    /// The most connections open at the same time.
+    pub peak_connections: usize,
+    /// Requests that found all slots of a cold target taken.
+    pub over_cold: u64,
+    /// Connections reset because a cold target was overloaded.
+    pub fallen: u64,
+    /// Requests answered with status 503.
+    pub shed: u64,
+    /// Connections open now.
+    pub open: usize,
+    timeline: BTreeMap<(u64, SocketAddr), u32>,
+}
+
+impl TargetRecord {
+    /// Returns the number of packets received in a period, by destination address.
+    pub fn packets_between(&self, from: Instant, to: Instant) -> BTreeMap<SocketAddr, u64> {
+        let mut counts = BTreeMap::new();
+        for ((bucket, address), count) in &self.timeline {
+            if (self.bucket(from)..self.bucket(to)).contains(bucket) {
+                *counts.entry(*address).or_default() += u64::from(*count);
+            }
+        }
+        counts
+    }
+
+    /// Returns when the last packet before `to` was received, to 10 ms.
+    pub fn last_packet(&self, to: Instant) -> Option<Instant> {
+        let to = self.bucket(to);
+        let before = self.timeline.keys().map(|(bucket, _)| *bucket);
+        before
+            .filter(|bucket| *bucket < to)
+            .max()
+            .map(|bucket| self.start + BUCKET * bucket as u32)
+    }
+
+    /// Returns the number of connections accepted in a period.
+    pub fn flows_between(&self, from: Instant, to: Instant) -> usize {
+        let period = from..to;
+        self.flows
+            .iter()
+            .filter(|(at, _)| period.contains(at))
+            .count()
+    }
+
+    /// Returns the most connections accepted in a second of the target's clock.
+    pub fn peak_flows_per_second(&self) -> usize {
+        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+        for (at, _) in &self.flows {
+            *counts.entry((*at - self.start).as_secs()).or_default() += 1;
+        }
+        counts.into_values().max().unwrap_or(0)
+    }
+
+    /// Returns the number of requests that ran more than once on this target.
+    pub fn executed_twice(&self) -> usize {
+        self.executed.values().filter(|count| **count > 1).count()
+    }
+
+    fn new(start: Instant) -> Self {
+        Self {
+            start,
+            flows: Vec::new(),
+            seen: HashSet::new(),
+            reset: HashSet::new(),
+            executed: HashMap::new(),
+            packets: 0,
+            malformed: 0,
+            misdelivered: 0,
+            resets: 0,
+            peak_busy: 0,
+            peak_connections: 0,
+            over_cold: 0,
+            fallen: 0,
+            shed: 0,
+            open: 0,
+            timeline: BTreeMap::new(),
+        }
+    }
+
+    fn bucket(&self, at: Instant) -> u64 {
+        (at.saturating_duration_since(self.start).as_millis() / BUCKET.as_millis()) as u64
+    }
+}
+
+#[derive(Debug)]
+struct Controls {
+    service_time: Duration,
+    shed: f64,
+    draining: bool,
+    silent: bool,
+    restart: Option<bool>,
+    lag: Duration,
+    lie: Lie,
+    /// The samples that the endpoints report, oldest first.
+    samples: VecDeque<(Instant, Value)>,
+    record: TargetRecord,
+}
+
+type Shared = Arc<Mutex<Controls>>;
+
+/// A stand-in for a target VM. Dropping it kills the target.
+#[derive(Debug)]
+pub struct Target {
+    config: TargetConfig,
+    address: SocketAddr,
+    shared: Shared,
+    http: Server,
+    _task: Guard,
+}
+
+impl Target {
+    /// Starts a target on free loopback ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding a socket.
+    pub fn start(config: TargetConfig) -> io::Result<Self> {
+        let now = Instant::now();
+        let socket = bind((Ipv4Addr::LOCALHOST, 0).into())?;
+        let address = socket.local_addr()?;
+        let shared = Arc::new(Mutex::new(Controls {
+            service_time: config.service_time,
+            shed: 0.0,
+            draining: false,
+            silent: false,
+            restart: None,
+            lag: Duration::ZERO,
+            lie: Lie::default(),
+            samples: VecDeque::new(),
+            record: TargetRecord::new(now),
+        }));
+        let endpoint = shared.clone();
+        let http = Server::start((Ipv4Addr::LOCALHOST, 0).into(), move |uri| {
+            std::future::ready(respond(&lock(&endpoint), &uri))
+        })?;
+        let engine = Engine::new(config.clone(), socket, shared.clone(), now);
+        let task = tokio::spawn(engine.run());
+        Ok(Self {
+            config,
+            address,
+            shared,
+            http,
+            _task: Guard(task.abort_handle()),
+        })
+    }
+
+    /// Returns the target's settings.
+    pub fn config(&self) -> &TargetConfig {
+        &self.config
+    }
+
+    /// Returns the address for encapsulated packets.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the target as a ticket describes it, with both endpoints.
+    pub fn describe(&self) -> ticket::Target {
+        ticket::Target {
+            name: self.config.name.as_str().into(),
+            zone: self.config.zone.as_str().into(),
+            address: self.address,
+            weight: 100,
+            slots: self.config.slots,
+            connections: self.config.connections,
+            cold_slots: self.config.cold_slots,
+            ramp_seconds: self.config.ramp.as_secs() as u32,
+            state: ticket::TargetState::Active,
+            drain_seconds: None,
+            health: Some(format!("http://{}/health", self.http.address).into()),
+            load: Some(format!("http://{}/load", self.http.address).into()),
+        }
+    }
+
+    /// Returns what the target saw so far.
+    pub fn record(&self) -> TargetRecord {
+        lock(&self.shared).record.clone()
+    }
+
+    /// Reads what the target saw so far, without a copy.
+    pub fn read<T>(&self, read: impl FnOnce(&TargetRecord) -> T) -> T {
+        read(&lock(&self.shared).record)
+    }
+
+    /// Restarts without notice: the target loses its connections and changes its start identity.
+    /// It takes effect within 50 ms.
+    pub fn restart(&self, warm: bool) {
+        lock(&self.shared).restart = Some(warm);
+    }
+
+    /// Makes the target ignore all packets, or listen again.
+    pub fn set_silent(&self, silent: bool) {
+        lock(&self.shared).silent = silent;
+    }
+
+    /// Makes the health endpoint report a draining target with status 503.
+    pub fn set_draining(&self, draining: bool) {
+        lock(&self.shared).draining = draining;
+    }
+
+    /// Answers a share of the requests with status 503.
+    pub fn set_shed(&self, share: f64) {
+        lock(&self.shared).shed = share;
+    }
+
+    /// Sets the time that a request takes.
+    pub fn set_service_time(&self, time: Duration) {
+        lock(&self.shared).service_time = time;
+    }
+
+    /// Sets the age of what the endpoints report.
+    pub fn set_lag(&self, lag: Duration) {
+        lock(&self.shared).lag = lag;
+    }
+
+    /// Sets what the endpoints report against the truth.
+    pub fn set_lie(&self, lie: Lie) {
+        lock(&self.shared).lie = lie;
+    }
+}
+
+fn respond(controls: &Controls, uri: &str) -> Reply {
+    let Some(visible) = Instant::now().checked_sub(controls.lag) else {
+        return Reply::Json(503, Value::Null);
+    };
+    let samples = &controls.samples;
+    let sample = samples
+        .iter()
+        .rfind(|(at, _)| *at <= visible)
+        .or(samples.front());
+    match uri {
+        "/health" => {
+            let truth = if controls.draining { 503 } else { 200 };
+            Reply::Json(controls.lie.health.unwrap_or(truth), Value::Null)
+        }
+        "/load" => match controls.lie.load.as_ref().or(sample.map(|(_, load)| load)) {
+            Some(load) => Reply::Json(200, load.clone()),
+            None => Reply::Json(503, Value::Null),
+        },
+        _ => Reply::Json(404, Value::Null),
+    }
+}
+
+/// A caller's address and the service address that it uses.
+type Key = (SocketAddr, SocketAddr);
+
+struct Flow {
+    connection: Connection,
+    inbox: Vec<u8>,
+    outbox: VecDeque<u8>,
+    /// Requests received and not answered.
+    pending: usize,
+}
+
+struct Engine {
+    config: TargetConfig,
+    socket: UdpSocket,
+    shared: Shared,
+    random: Pcg64,
+    flows: HashMap<Key, Flow>,
+    timers: Timers<Key>,
+    /// Requests that run, by the time they are done.
+    running: BTreeMap<(Instant, u64), Key>,
+    requests: HashMap<u64, Request>,
+    queue: VecDeque<(Key, Request)>,
+    started: Instant,
+    warm: bool,
+    starts: u64,
+}
+
+impl Engine {
+    fn new(config: TargetConfig, socket: UdpSocket, shared: Shared, now: Instant) -> Self {
+        Self {
+            random: Pcg64::seed_from_u64(config.seed),
+            warm: config.warm,
+            config,
+            socket,
+            shared,
+            flows: HashMap::new(),
+            timers: Timers::new(),
+            running: BTreeMap::new(),
+            requests: HashMap::new(),
+            queue: VecDeque::new(),
+            started: now,
+            starts: 1,
+        }
+    }
+
+    async fn run(mut self) {
+        let mut buffer = [0; MAX_DATAGRAM];
+        let mut sample = tokio::time::interval(SAMPLE);
+        loop {
+            let done = self.running.keys().next().map(|(at, _)| *at);
+            let next = [self.timers.next(), done].into_iter().flatten().min();
+            tokio::select! {
+                _ = self.socket.readable() => {}
+                () = sleep_until(next) => {}
+                _ = sample.tick() => self.sample(Instant::now()),
+            }
+            for _ in 0..BATCH {
+                let Ok((length, _)) = self.socket.try_recv_from(&mut buffer) else {
+                    break;
+                };
+                self.receive(&buffer[..length], Instant::now());
+            }
+            self.tick(Instant::now());
+        }
+    }
+
+    fn receive(&mut self, packet: &[u8], now: Instant) {
+        let segment = Segment::parse(packet);
+        if !self.note(segment.as_ref(), now) {
+            return;
+        }
+        let Some(segment) = segment else {
+            return;
+        };
+        let key = (segment.source, segment.destination);
+        if !self.flows.contains_key(&key) {
+            let full = self.flows.len() >= self.config.connections as usize;
+            if full || !segment.syn || segment.acknowledgment.is_some() {
+                return self.reject(&segment);
+            }
+            self.open(key, now);
+        }
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.connection.push(packet.to_vec());
+            self.pump(key, now);
+        }
+    }
+
+    /// Records a packet. Returns whether to process it.
+    fn note(&mut self, segment: Option<&Segment>, now: Instant) -> bool {
+        let mut controls = lock(&self.shared);
+        let silent = controls.silent;
+        let record = &mut controls.record;
+        record.packets += 1;
+        let Some(segment) = segment else {
+            record.malformed += 1;
+            return false;
+        };
+        let bucket = record.bucket(now);
+        *record
+            .timeline
+            .entry((bucket, segment.destination))
+            .or_default() += 1;
+        record.seen.insert(segment.source);
+        if !self.config.addresses.contains(&segment.destination) {
+            record.misdelivered += 1;
+            return false;
+        }
+        !silent
+    }
+
+    fn open(&mut self, key: Key, now: Instant) {
+        let flow = Flow {
+            connection: Connection::listen(key.1, TIMEOUT, self.random.random(), now),
+            inbox: Vec::new(),
+            outbox: VecDeque::new(),
+            pending: 0,
+        };
+        self.flows.insert(key, flow);
+        let record = &mut lock(&self.shared).record;
+        record.flows.push((now, key.0));
+        record.peak_connections = record.peak_connections.max(self.flows.len());
+    }
+
+    fn reject(&mut self, segment: &Segment) {
+        if !segment.rst {
+            self.send(&segment.reset().build());
+        }
+    }
+
+    /// Runs the stack of a flow and exchanges bytes with it.
+    fn pump(&mut self, key: Key, now: Instant) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let mut packets = flow.connection.poll(now);
+        flow.connection.read(&mut flow.inbox);
+        let mut requests = Vec::new();
+        loop {
+            match Request::parse(&flow.inbox) {
+                Ok(Some((request, length))) => {
+                    flow.inbox.drain(..length);
+                    flow.pending += 1;
+                    requests.push(request);
+                }
+                Ok(None) => break,
+                Err(_) => {
+                    flow.connection.abort();
+                    break;
+                }
+            }
+        }
+        for request in requests {
+            self.accept(key, request, now);
+        }
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        flow.connection.write(&mut flow.outbox);
+        let ended = flow.connection.state() == State::CloseWait;
+        if ended && flow.pending == 0 && flow.outbox.is_empty() {
+            flow.connection.close();
+        }
+        packets.append(&mut flow.connection.poll(now));
+        let next = flow.connection.next(now);
+        // A listening connection was reset before it was established.
+        if matches!(flow.connection.state(), State::Closed | State::Listen) {
+            self.flows.remove(&key);
+            self.timers.set(key, None);
+        } else {
+            self.timers.set(key, next);
+        }
+        for packet in packets {
+            self.send(&packet);
+        }
+    }
+
+    /// Runs, queues or sheds a request.
+    fn accept(&mut self, key: Key, request: Request, now: Instant) {
+        let cold = self.is_cold(now);
+        let shed = lock(&self.shared).shed;
+        if shed > 0.0 && self.random.random_bool(shed) {
+            return self.answer(key, request, 503);
+        }
+        if self.running.len() < self.slots(now) {
+            return self.execute(key, request, now);
+        }
+        if cold {
+            lock(&self.shared).record.over_cold += 1;
+        }
+        let limit = if cold {
+            self.config.cold_queue
+        } else {
+            self.config.queue
+        };
+        if self.queue.len() < limit {
+            return self.queue.push_back((key, request));
+        }
+        if !cold {
+            return self.answer(key, request, 503);
+        }
+        lock(&self.shared).record.fallen += 1;
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.connection.abort();
+        }
+    }
+
+    fn execute(&mut self, key: Key, request: Request, now: Instant) {
+        let time = {
+            let mut controls = lock(&self.shared);
+            let record = &mut controls.record;
+            *record.executed.entry(request.id).or_default() += 1;
+            record.peak_busy = record.peak_busy.max(self.running.len() + 1);
+            controls.service_time
+        };
+        self.running.insert((now + time, request.id), key);
+        self.requests.insert(request.id, request);
+    }
+
+    fn answer(&mut self, key: Key, request: Request, status: u16) {
+        if status == 503 {
+            lock(&self.shared).record.shed += 1;
+        }
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let response = Response {
+            status,
+            id: request.id,
+            service: self.config.service.clone(),
+            target: self.config.name.clone(),
+            body: body(request.id, request.size),
+        };
+        flow.pending -= 1;
+        flow.outbox.extend(response.encode());
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let restart = lock(&self.shared).restart.take();
+        if let Some(warm) = restart {
+            self.restart(warm, now);
+        }
+        while let Some(entry) = self.running.first_entry() {
+            let (at, id) = *entry.key();
+            if at > now {
+                break;
+            }
+            let key = entry.remove();
+            if let Some(request) = self.requests.remove(&id) {
+                self.answer(key, request, 200);
+                self.pump(key, now);
+            }
+        }
+        while self.running.len() < self.slots(now) {
+            let Some((key, request)) = self.queue.pop_front() else {
+                break;
+            };
+            self.execute(key, request, now);
+        }
+        while let Some(key) = self.timers.due(now) {
+            self.pump(key, now);
+        }
+    }
+
+    fn restart(&mut self, warm: bool, now: Instant) {
+        self.flows.clear();
+        self.timers = Timers::new();
+        self.running.clear();
+        self.requests.clear();
+        self.queue.clear();
+        self.started = now;
+        self.warm = warm;
+        self.starts += 1;
+    }
+
+    fn is_cold(&self, now: Instant) -> bool {
+        !self.warm && now < self.started + self.config.ramp
+    }
+
+    /// Returns the number of requests that may run now.
+    fn slots(&self, now: Instant) -> usize {
+        let slots = usize::from(self.config.slots);
+        if !self.is_cold(now) {
+            return slots;
+        }
+        let cold = usize::from(self.config.cold_slots).min(slots);
+        let share = (now - self.started).as_secs_f64() / self.config.ramp.as_secs_f64();
+        cold + ((slots - cold) as f64 * share) as usize
+    }
+
+    fn sample(&mut self, now: Instant) {
+        let load = json!({
+            "start": format!("{}-{}", self.config.name, self.starts),
+            "slots": self.slots(now),
+            "busy": self.running.len(),
+            "queued": self.queue.len(),
+            "connections": self.flows.len(),
+        });
+        let mut controls = lock(&self.shared);
+        controls.record.open = self.flows.len();
+        controls.samples.push_back((now, load));
+        let oldest = now.checked_sub(controls.lag + SAMPLE);
+        while controls.samples.len() > 1 && controls.samples.front().map(|(at, _)| *at) < oldest {
+            controls.samples.pop_front();
+        }
+    }
+
+    fn send(&mut self, packet: &[u8]) {
+        if let Some(segment) = Segment::parse(packet).filter(|segment| segment.rst) {
+            let record = &mut lock(&self.shared).record;
+            record.resets += 1;
+            record.reset.insert(segment.destination);
+        }
+        if let Some(daemon) = self.config.daemons.pick(&mut self.random) {
+            send(&self.socket, packet, daemon);
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/util.rs
@@ -0,0 +1,142 @@
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    hash::Hash,
+    io,
+    net::{Ipv4Addr, SocketAddr, UdpSocket as StdUdpSocket},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use tokio::{net::UdpSocket, task::AbortHandle};
+
+/// The socket buffer. It must hold the burst of packets that arrives while a task is not
+/// scheduled.
+const SOCKET_BUFFER: usize = 4 << 20;
+
+/// The largest datagram that the test doubles receive.
+pub(crate) const MAX_DATAGRAM: usize = 2048;
+
+/// Locks `mutex`. A panic of another holder leaves the records usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Binds a UDP socket with large buffers.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::DGRAM,
+        Some(Protocol::UDP),
+    )?;
+    // The kernel may grant less; that only makes losses likelier.
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    UdpSocket::from_std(StdUdpSocket::from(socket))
+}
+
+/// Returns a loopback address whose port is free for UDP and TCP at the time of the call.
+///
+/// # Errors
+///
+/// Returns the error of the socket calls.
+pub fn free_address() -> io::Result<SocketAddr> {
+    loop {
+        let tcp = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = tcp.local_addr()?;
+        if StdUdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+}
+
+/// Returns a repeatable hash of `value`.
+pub(crate) fn mix(mut value: u64) -> u64 {
+    // The finalizer of SplitMix64.
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Ends a task when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Guard(pub(crate) AbortHandle);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// One pending wake-up per key.
+#[derive(Debug)]
+pub(crate) struct Timers<K> {
+    heap: BinaryHeap<Reverse<(Instant, K)>>,
+    scheduled: HashMap<K, Instant>,
+}
+
+impl<K: Copy + Eq + Hash + Ord> Timers<K> {
+    pub(crate) fn new() -> Self {
+        Self {
+            heap: BinaryHeap::new(),
+            scheduled: HashMap::new(),
+        }
+    }
+
+    /// Replaces the wake-up of `key`.
+    pub(crate) fn set(&mut self, key: K, at: Option<Instant>) {
+        match at {
+            Some(at) => {
+                if self.scheduled.insert(key, at) != Some(at) {
+                    self.heap.push(Reverse((at, key)));
+                }
+            }
+            None => {
+                self.scheduled.remove(&key);
+            }
+        }
+    }
+
+    /// Removes and returns a key whose wake-up is due.
+    pub(crate) fn due(&mut self, now: Instant) -> Option<K> {
+        self.skip_replaced();
+        let Reverse((at, key)) = *self.heap.peek()?;
+        if at > now {
+            return None;
+        }
+        self.heap.pop();
+        self.scheduled.remove(&key);
+        Some(key)
+    }
+
+    /// Returns the time of the next wake-up.
+    pub(crate) fn next(&mut self) -> Option<Instant> {
+        self.skip_replaced();
+        self.heap.peek().map(|Reverse((at, _))| *at)
+    }
+
+    fn skip_replaced(&mut self) {
+        while let Some(Reverse((at, key))) = self.heap.peek() {
+            if self.scheduled.get(key) == Some(at) {
+                return;
+            }
+            self.heap.pop();
+        }
+    }
+}
+
+/// Waits until `at`, or forever if there is no such time.
+pub(crate) async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Sends a datagram without waiting. Returns whether the socket took it.
+pub(crate) fn send(socket: &UdpSocket, packet: &[u8], to: SocketAddr) -> bool {
+    SockRef::from(socket).send_to(packet, &to.into()).is_ok()
+}
