Add the quickstart scenario with its report

The scenario drains a target, stops and kills daemons, adds a cold target and takes a zone out and back while flows exchange data.

--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -168,29 +168,27 @@
     }
 
     /// Opens flows evenly over a period. They are closed at the end of their life, or by
-    /// [`finish`](Self::finish) if they have none.
+    /// [`begin_finish`](Self::begin_finish) if they have none.
     pub fn open(&self, count: usize, period: Duration, life: Option<Duration>) {
         // The task lives as long as `self`.
         let _ = self.commands.send(Command::Open(count, period, life));
     }
 
-    /// Announces that targets are taken out of service. From now on their flows count as given
-    /// up when they break.
+    /// Announces which targets are out of service from now on. Flows that they have or accept until
+    /// the next announcement count as given up when they break, then or later.
     pub fn take_out(&self, targets: impl IntoIterator<Item = String>) {
         let _ = self
             .commands
             .send(Command::Out(targets.into_iter().collect()));
     }
 
-    /// Announces that all targets are back in service, for flows established from now on.
-    pub fn bring_back(&self) {
-        let _ = self.commands.send(Command::Out(HashSet::new()));
-    }
-
     /// Sends a last request on each flow within `period` and closes the flow after the response.
-    /// Returns when no flow is left.
-    pub async fn finish(&self, period: Duration) {
+    pub fn begin_finish(&self, period: Duration) {
         let _ = self.commands.send(Command::Finish(period));
+    }
+
+    /// Waits until no flow is left.
+    pub async fn closed(&self) {
         loop {
             tokio::time::sleep(Duration::from_millis(50)).await;
             let record = lock(&self.record);
--- a/testkit/src/scenario.rs
+++ b/testkit/src/scenario.rs
@@ -1,1 +1,624 @@
 //! A run that changes everything while flows exchange data.
+//!
+//! [`World`] holds the test doubles around a cluster of daemons and has a method for each
+//! change. [`run`] makes all the changes one after another and returns a [`Report`], which only
+//! the records of the test doubles contribute to.
+
+use std::{
+    collections::{HashMap, HashSet},
+    error::Error,
+    future::Future,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use banyanwharf::{
+    flow::Protocol,
+    ticket::{Address, Service, ServiceState, TargetState, Ticket, Zone, ZoneState},
+};
+use serde::Serialize;
+
+use crate::{
+    Caller, CallerConfig, CallerRecord, Daemons, Fabric, Platform, Target, TargetConfig, Vm,
+    free_address,
+};
+
+/// The availability zones of deployment A.
+pub const ZONES: [&str; 4] = ["mvd-cerro", "mvd-prado", "mvd-ciudadela", "mvd-buceo"];
+
+/// The services of deployment A with their numbers of targets.
+pub const SERVICES: [(&str, usize); 2] = [("turnos", 14), ("fichas", 4)];
+
+/// The region of all daemons.
+const REGION: &str = "uy";
+
+/// The number of callers, each of which is one task.
+const CALLERS: u8 = 3;
+
+/// The result of the functions of this module.
+pub type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
+
+/// The settings of a daemon that depend on the scenario.
+#[derive(Debug, Clone)]
+pub struct DaemonConfig {
+    /// The name, unique for each start.
+    pub name: String,
+    /// The region.
+    pub region: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The address for encapsulated packets.
+    pub data: SocketAddr,
+    /// The address for frames of other daemons.
+    pub peer: SocketAddr,
+    /// The address of the admin API.
+    pub admin: SocketAddr,
+    /// Where to send packets for callers.
+    pub fabric: SocketAddr,
+    /// The base URL of the platform.
+    pub platform: String,
+}
+
+/// The product under test.
+pub trait Cluster {
+    /// A running daemon.
+    type Daemon: Send + 'static;
+
+    /// Starts a daemon and returns when it receives packets.
+    fn start(&self, config: DaemonConfig) -> impl Future<Output = Result<Self::Daemon>>;
+
+    /// Stops a daemon gracefully and returns when it has ended.
+    fn stop(&self, daemon: Self::Daemon) -> impl Future<Output = ()>;
+
+    /// Ends a daemon without any last message.
+    fn kill(&self, daemon: Self::Daemon) -> impl Future<Output = ()>;
+
+    /// Returns the bytes of control messages that the daemon sent since its start.
+    fn control_bytes(&self, daemon: &Self::Daemon) -> u64;
+}
+
+/// The sizes and times of a run.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The seed of all random choices.
+    pub seed: u64,
+    /// Flows that stay open until the end.
+    pub flows: usize,
+    /// Short flows opened each second.
+    pub churn: usize,
+    /// The life of a short flow.
+    pub life: Duration,
+    /// The pause after each change. The whole run takes about 12 pauses.
+    pub pause: Duration,
+    /// How long a change by ticket may take to be in force.
+    pub grace: Duration,
+    /// The time after which the fabric notices that a daemon no longer serves.
+    pub notice: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            flows: 2100,
+            churn: 60,
+            life: Duration::from_secs(2),
+            pause: Duration::from_millis(3500),
+            grace: Duration::from_secs(5),
+            notice: Duration::from_secs(1),
+        }
+    }
+}
+
+/// The figures of a run, all measured by the test doubles.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// Flows established.
+    pub flows: u64,
+    /// Flows broken, but for those of targets in a zone taken out of service.
+    pub broken: usize,
+    /// Packets at a target of another service.
+    pub misdelivered: u64,
+    /// Responses to another request.
+    pub crossed: u64,
+    /// Responses cut off or changed.
+    pub truncated: u64,
+    /// Requests that ran more than once.
+    pub executed_twice: usize,
+    /// Flows refused before they were established.
+    pub refused: usize,
+    /// Refusals by daemons of flows of which a target had seen a packet.
+    pub false_refusals: usize,
+    /// SYNs that got no answer.
+    pub unreachable: usize,
+    /// Flows that broke because the zone of their target was taken out of service.
+    pub given_up_with_zone: u64,
+    /// Packets at targets of the zone, from the end of the grace period to the zone's return.
+    pub zone_packets_after_grace: u64,
+    /// Flows on the drained target after the grace period.
+    pub drained_target_new_flows_after_grace: usize,
+    /// Open flows of the busiest target over the mean of its service, before the first change.
+    pub imbalance_max_over_mean: f64,
+    /// The longest time from a ticket to the last new flow, or packet, that contradicts it.
+    pub ticket_in_force_ms: u64,
+    /// Control bytes sent per daemon and second.
+    pub control_bytes_per_daemon_per_s: f64,
+    /// Requests sent.
+    pub requests: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// Requests answered with status 503.
+    pub shed: u64,
+    /// Flows that the cold target accepted.
+    pub cold_target_flows: usize,
+    /// Requests that found all slots of the cold target taken.
+    pub cold_target_over_slots: u64,
+    /// The most platform calls in one second.
+    pub platform_calls_per_s: u64,
+}
+
+impl Report {
+    /// Returns the invariants that the run violates.
+    pub fn violations(&self) -> Vec<&'static str> {
+        let checks = [
+            ("flows broke", self.broken > 0),
+            ("packets were misdelivered", self.misdelivered > 0),
+            ("responses crossed", self.crossed > 0),
+            ("responses were truncated", self.truncated > 0),
+            ("requests ran twice", self.executed_twice > 0),
+            ("refusals were false", self.false_refusals > 0),
+            (
+                "a zone out of service received packets",
+                self.zone_packets_after_grace > 0,
+            ),
+            (
+                "a draining target received new flows",
+                self.drained_target_new_flows_after_grace > 0,
+            ),
+        ];
+        checks
+            .into_iter()
+            .filter_map(|(text, violated)| violated.then_some(text))
+            .collect()
+    }
+}
+
+struct Member<D> {
+    config: DaemonConfig,
+    daemon: D,
+    started: Instant,
+    leaving: bool,
+}
+
+/// The test doubles around a cluster of daemons.
+pub struct World<C: Cluster> {
+    /// The product under test.
+    pub cluster: C,
+    /// The platform.
+    pub platform: Platform,
+    /// The fabric.
+    pub fabric: Fabric,
+    /// The targets.
+    pub targets: Vec<Target>,
+    /// The callers.
+    pub callers: Vec<Caller>,
+    plan: Plan,
+    daemons: Daemons,
+    members: Vec<Member<C::Daemon>>,
+    draining: HashSet<String>,
+    out: Option<String>,
+    number: u64,
+    names: usize,
+}
+
+impl<C: Cluster> World<C> {
+    /// Starts platform, fabric, warm targets and callers, and publishes the services.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding a socket.
+    pub fn start(cluster: C, plan: Plan) -> Result<Self> {
+        let daemons = Daemons::default();
+        let fabric = Fabric::start(plan.seed, daemons.clone())?;
+        let mut world = Self {
+            cluster,
+            platform: Platform::start()?,
+            targets: Vec::new(),
+            callers: Vec::new(),
+            daemons,
+            members: Vec::new(),
+            draining: HashSet::new(),
+            out: None,
+            number: 0,
+            names: 0,
+            fabric,
+            plan,
+        };
+        for (service, count) in SERVICES {
+            for index in 0..count {
+                world.add_target(service, ZONES[index % ZONES.len()], true)?;
+            }
+            world.publish_service(service);
+        }
+        for index in 0..CALLERS {
+            let address = IpAddr::from(Ipv4Addr::new(10, 1, index, 1));
+            let services = SERVICES.map(|(name, _)| (name.into(), service_address(name)));
+            let seed = world.plan.seed as u32 * 100 + u32::from(index);
+            let config = CallerConfig::new(seed, address, services.into());
+            world.callers.push(Caller::start(config, &world.fabric));
+        }
+        Ok(world)
+    }
+
+    /// Starts a target, which no ticket names yet. Returns its index.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding a socket.
+    pub fn add_target(&mut self, service: &str, zone: &str, warm: bool) -> Result<usize> {
+        let index = self.targets.len();
+        let name = format!("{service}-{index:02}");
+        let mut config = TargetConfig::new(service, &name, zone, &self.daemons);
+        config.addresses = vec![service_address(service)];
+        config.seed = self.plan.seed ^ index as u64;
+        config.warm = warm;
+        self.targets.push(Target::start(config)?);
+        Ok(index)
+    }
+
+    /// Publishes a service with all its targets.
+    pub fn publish_service(&mut self, service: &str) {
+        let targets = self
+            .targets
+            .iter()
+            .filter(|target| target.config().service == service);
+        let targets = targets.map(|target| {
+            let mut target = target.describe();
+            if self.draining.contains(&*target.name) {
+                target.state = TargetState::Draining;
+            }
+            target
+        });
+        let service = Service {
+            name: service.into(),
+            state: ServiceState::Active,
+            addresses: vec![Address {
+                protocol: Protocol::Tcp,
+                address: service_address(service),
+            }],
+            targets: targets.collect(),
+            policy: None,
+        };
+        self.publish(vec![service], Vec::new());
+    }
+
+    /// Drains a target by ticket.
+    pub fn drain(&mut self, target: usize) {
+        let config = self.targets[target].config().clone();
+        self.draining.insert(config.name);
+        self.publish_service(&config.service);
+    }
+
+    /// Takes an availability zone out of service or brings it back. The fabric follows after its
+    /// time to notice.
+    pub async fn set_zone(&mut self, zone: &str, state: ZoneState) {
+        let out = state == ZoneState::Out;
+        for caller in &self.callers {
+            let targets = self.targets.iter().map(Target::config);
+            let targets = targets.filter(|target| out && target.zone == zone);
+            caller.take_out(targets.map(|target| target.name.clone()));
+        }
+        let name = zone.into();
+        self.publish(Vec::new(), vec![Zone { name, state }]);
+        tokio::time::sleep(self.plan.notice).await;
+        self.out = out.then(|| zone.into());
+        self.update_fabric();
+    }
+
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the daemon.
+    pub async fn add_daemon(&mut self, zone: &str) -> Result<()> {
+        self.names += 1;
+        let config = DaemonConfig {
+            name: format!("entry-{}", self.names),
+            region: REGION.into(),
+            zone: zone.into(),
+            data: free_address()?,
+            peer: free_address()?,
+            admin: free_address()?,
+            fabric: self.fabric.address()?,
+            platform: self.platform.url(),
+        };
+        let daemon = self.cluster.start(config.clone()).await?;
+        self.members.push(Member {
+            config,
+            daemon,
+            started: Instant::now(),
+            leaving: false,
+        });
+        self.update_platform();
+        self.update_fabric();
+        Ok(())
+    }
+
+    /// Stops the oldest daemon gracefully and returns its zone. The fabric stops sending to it
+    /// while it drains.
+    pub async fn stop_daemon(&mut self) -> String {
+        self.members[0].leaving = true;
+        self.update_platform();
+        let leaver = self.members.remove(0);
+        let stop = self.cluster.stop(leaver.daemon);
+        tokio::join!(stop, async {
+            tokio::time::sleep(self.plan.notice).await;
+            self.update_fabric();
+        });
+        self.update_platform();
+        leaver.config.zone
+    }
+
+    /// Kills the oldest daemon and returns its zone. The fabric sends to it until it notices.
+    pub async fn kill_daemon(&mut self) -> String {
+        let victim = self.members.remove(0);
+        self.cluster.kill(victim.daemon).await;
+        tokio::time::sleep(self.plan.notice).await;
+        self.update_fabric();
+        self.update_platform();
+        victim.config.zone
+    }
+
+    /// Opens flows from all callers, evenly over `period`.
+    pub fn open(&self, count: usize, period: Duration, life: Option<Duration>) {
+        let callers = self.callers.len();
+        for (index, caller) in self.callers.iter().enumerate() {
+            caller.open(
+                count / callers + usize::from(index < count % callers),
+                period,
+                life,
+            );
+        }
+    }
+
+    /// Sends a last request on each flow and closes the flows. Gives up after a while.
+    pub async fn finish(&self, period: Duration) {
+        let deadline = tokio::time::Instant::now() + period + Duration::from_secs(12);
+        for caller in &self.callers {
+            caller.begin_finish(period);
+        }
+        for caller in &self.callers {
+            // Flows that are left count as broken.
+            let _ = tokio::time::timeout_at(deadline, caller.closed()).await;
+        }
+    }
+
+    /// Returns the open flows of the busiest target over the mean of its service.
+    pub fn imbalance(&self) -> f64 {
+        let of = |service: &str| {
+            let targets = self
+                .targets
+                .iter()
+                .filter(|t| t.config().service == service);
+            let open: Vec<usize> = targets.map(|t| t.read(|record| record.open)).collect();
+            let mean = open.iter().sum::<usize>() as f64 / open.len() as f64;
+            open.into_iter().max().unwrap_or(0) as f64 / mean.max(1.0)
+        };
+        SERVICES
+            .iter()
+            .map(|(service, _)| of(service))
+            .fold(0.0, f64::max)
+    }
+
+    /// Returns the control bytes per daemon and second of the daemons that run.
+    pub fn control_rate(&self) -> f64 {
+        let rate = |member: &Member<C::Daemon>| {
+            self.cluster.control_bytes(&member.daemon) as f64
+                / member.started.elapsed().as_secs_f64()
+        };
+        self.members.iter().map(rate).sum::<f64>() / self.members.len().max(1) as f64
+    }
+
+    /// Stops all daemons.
+    pub async fn stop(mut self) {
+        for member in std::mem::take(&mut self.members) {
+            self.cluster.kill(member.daemon).await;
+        }
+    }
+
+    /// Returns the figures that need no knowledge of the changes made. `zone` is the zone that was
+    /// taken out of service.
+    pub fn report(&self, zone: Option<&str>) -> Report {
+        let mut report = Report {
+            seed: self.plan.seed,
+            control_bytes_per_daemon_per_s: self.control_rate(),
+            platform_calls_per_s: self.platform.peak_calls_per_second(),
+            ..Report::default()
+        };
+        let mut executed: HashMap<u64, u32> = HashMap::new();
+        for target in &self.targets {
+            let record = target.record();
+            report.misdelivered += record.misdelivered + record.malformed;
+            for (id, count) in record.executed {
+                *executed.entry(id).or_default() += count;
+            }
+        }
+        report.executed_twice = executed.values().filter(|count| **count > 1).count();
+        for caller in &self.callers {
+            self.add_caller(&mut report, &caller.record(), zone);
+        }
+        report
+    }
+
+    fn add_caller(&self, report: &mut Report, record: &CallerRecord, zone: Option<&str>) {
+        report.flows += record.opened;
+        report.crossed += record.crossed;
+        report.truncated += record.truncated;
+        report.given_up_with_zone += record.given_up;
+        report.requests += record.requests;
+        report.answered += record.answered;
+        report.shed += record.shed;
+        report.unreachable += record.unreachable.len();
+        report.broken += record.open as usize;
+        // A flow that never got a response does not know its target, but the target knows it.
+        let in_zone = |caller: &SocketAddr| {
+            let targets = self.targets.iter();
+            targets
+                .filter(|target| Some(&*target.config().zone) == zone)
+                .any(|target| target.read(|record| record.seen.contains(caller)))
+        };
+        for flow in &record.broken {
+            match flow.target.is_none() && in_zone(&flow.caller) {
+                true => report.given_up_with_zone += 1,
+                false => report.broken += 1,
+            }
+        }
+        for (_, caller) in &record.refused {
+            let read = |read: fn(&crate::TargetRecord) -> &HashSet<SocketAddr>| {
+                let mut targets = self.targets.iter();
+                targets.any(|target| target.read(|record| read(record).contains(caller)))
+            };
+            let seen = read(|record| &record.seen);
+            if seen && in_zone(caller) {
+                report.given_up_with_zone += 1;
+                continue;
+            }
+            report.refused += 1;
+            // A target that is full refuses by itself.
+            let by_target = read(|record| &record.reset);
+            report.false_refusals += usize::from(seen && !by_target);
+        }
+    }
+
+    fn publish(&mut self, services: Vec<Service>, zones: Vec<Zone>) {
+        self.number += 1;
+        self.platform.publish(&Ticket {
+            number: self.number,
+            note: None,
+            services,
+            zones,
+            policies: Vec::new(),
+        });
+    }
+
+    fn update_platform(&self) {
+        let vm = |member: &Member<C::Daemon>| Vm {
+            name: member.config.name.clone(),
+            region: member.config.region.clone(),
+            zone: member.config.zone.clone(),
+            peer: member.config.peer,
+            admin: member.config.admin,
+            state: if member.leaving { "leaving" } else { "live" }.into(),
+        };
+        self.platform.set_vms(self.members.iter().map(vm).collect());
+    }
+
+    fn update_fabric(&self) {
+        let members = self.members.iter().map(|member| &member.config);
+        let members = members.filter(|config| Some(&config.zone) != self.out.as_ref());
+        self.fabric.set_daemons(members.map(|config| config.data));
+    }
+}
+
+/// Returns the address of a service.
+pub fn service_address(service: &str) -> SocketAddr {
+    let index = SERVICES.iter().position(|(name, _)| *name == service);
+    let index = index.map_or(0, |index| index as u8 + 1);
+    SocketAddr::new(Ipv4Addr::new(10, 77, 0, index).into(), 80)
+}
+
+/// Makes every planned and unplanned change of a daemon, a target and a zone while flows
+/// exchange data.
+///
+/// # Errors
+///
+/// Returns the first error of a daemon's start or of a socket. Violated invariants are no errors;
+/// see [`Report::violations`].
+pub async fn run<C: Cluster>(
+    cluster: C,
+    plan: Plan,
+    mut progress: impl FnMut(&str),
+) -> Result<Report> {
+    let pause = plan.pause;
+    let grace = plan.grace;
+    let mut world = World::start(cluster, plan.clone())?;
+    for zone in ZONES {
+        world.add_daemon(zone).await?;
+    }
+    progress("platform, 18 targets in 4 zones and 4 daemons run");
+    tokio::time::sleep(pause / 2).await;
+
+    world.open(plan.flows, pause, None);
+    // The short flows go on until the callers finish.
+    let churn = pause * 14;
+    let count = plan.churn as f64 * churn.as_secs_f64();
+    world.open(count as usize, churn, Some(plan.life));
+    tokio::time::sleep(pause * 3 / 2).await;
+    let imbalance = world.imbalance();
+    progress("long flows are open, short ones come and go");
+
+    let drained = 0;
+    world.drain(drained);
+    let drained_at = Instant::now();
+    progress("ticket: a target drains");
+    tokio::time::sleep(pause / 2).await;
+
+    let zone = world.stop_daemon().await;
+    world.add_daemon(&zone).await?;
+    progress("a daemon stopped gracefully, a new one runs");
+    tokio::time::sleep(pause).await;
+
+    let zone = world.kill_daemon().await;
+    progress("a daemon was killed");
+    tokio::time::sleep(pause).await;
+    world.add_daemon(&zone).await?;
+    progress("a new daemon runs");
+    tokio::time::sleep(pause / 2).await;
+
+    let cold = world.add_target(SERVICES[0].0, ZONES[3], false)?;
+    world.publish_service(SERVICES[0].0);
+    progress("ticket: a cold target joins");
+    tokio::time::sleep(pause).await;
+
+    let zone = ZONES[2];
+    let out_at = Instant::now();
+    world.set_zone(zone, ZoneState::Out).await;
+    progress("ticket: a zone leaves");
+    tokio::time::sleep(grace + pause / 2).await;
+    let back_at = Instant::now();
+    world.set_zone(zone, ZoneState::In).await;
+    progress("ticket: the zone returns");
+    tokio::time::sleep(pause).await;
+
+    world.finish(pause / 2).await;
+    progress("every flow had its last response");
+    let mut report = world.report(Some(zone));
+    report.imbalance_max_over_mean = imbalance;
+    let end = Instant::now();
+    let mut in_force = Duration::ZERO;
+    world.targets[drained].read(|record| {
+        report.drained_target_new_flows_after_grace = record.flows_between(drained_at + grace, end);
+        let last = record.flows.last().map(|(at, _)| *at);
+        in_force = in_force.max(last.map_or(Duration::ZERO, |at| at - drained_at));
+    });
+    for target in world
+        .targets
+        .iter()
+        .filter(|target| target.config().zone == zone)
+    {
+        target.read(|record| {
+            let late = record.packets_between(out_at + grace, back_at);
+            report.zone_packets_after_grace += late.values().sum::<u64>();
+            let last = record.last_packet(back_at);
+            in_force = in_force.max(last.map_or(Duration::ZERO, |at| at - out_at));
+        });
+    }
+    report.ticket_in_force_ms = in_force.as_millis() as u64;
+    let record = world.targets[cold].record();
+    report.cold_target_flows = record.flows.len();
+    report.cold_target_over_slots = record.over_cold;
+    world.stop().await;
+    Ok(report)
+}
--- a/testkit/tests/endpoints.rs
+++ b/testkit/tests/endpoints.rs
@@ -73,7 +73,8 @@
     });
     tokio::time::sleep(Duration::from_secs(1)).await;
     fabric.set_impairment(Impairment::default());
-    caller.finish(Duration::from_millis(500)).await;
+    caller.begin_finish(Duration::from_millis(500));
+    caller.closed().await;
     let seen = caller.record();
     assert_eq!(
         (seen.opened, seen.closed, seen.open),
@@ -120,7 +121,8 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     caller.take_out(["turnos-1".into()]);
     drop(target);
-    caller.finish(Duration::from_millis(100)).await;
+    caller.begin_finish(Duration::from_millis(100));
+    caller.closed().await;
     let record = caller.record();
     assert_eq!(
         record.broken.len() + record.given_up as usize,
--- /dev/null
+++ b/testkit/tests/scenario.rs
@@ -0,0 +1,210 @@
+//! The scenario against daemons with one flow table in common, which no product can have.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use banyanwharf::ticket::{Service, Target, TargetState, Ticket, ZoneState};
+use banyanwharf_testkit::{
+    Segment,
+    scenario::{Cluster, DaemonConfig, Plan, Result, run},
+};
+use serde::Deserialize;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpStream, UdpSocket},
+    task::JoinHandle,
+};
+
+#[derive(Deserialize)]
+struct Page {
+    tickets: Vec<Ticket>,
+}
+
+#[derive(Default)]
+struct Table {
+    services: HashMap<SocketAddr, Service>,
+    out: Option<Arc<str>>,
+    flows: HashMap<(SocketAddr, SocketAddr), Target>,
+    turn: usize,
+}
+
+impl Table {
+    fn learn(&mut self, tickets: Vec<Ticket>) {
+        for ticket in tickets {
+            for service in ticket.services {
+                self.services.insert(service.addresses[0].address, service);
+            }
+            for zone in ticket.zones {
+                self.out = (zone.state == ZoneState::Out).then_some(zone.name);
+            }
+        }
+    }
+
+    /// Returns the target of a request packet.
+    fn target(&mut self, segment: &Segment) -> Option<SocketAddr> {
+        let key = (segment.source, segment.destination);
+        if segment.syn && !self.flows.contains_key(&key) {
+            let service = self.services.get(&segment.destination)?;
+            let active = |target: &&Target| {
+                target.state == TargetState::Active && Some(&target.zone) != self.out.as_ref()
+            };
+            let targets: Vec<&Target> = service.targets.iter().filter(active).collect();
+            self.turn += 1;
+            self.flows
+                .insert(key, targets[self.turn % targets.len()].clone());
+        }
+        if let Some(out) = &self.out {
+            self.flows.retain(|_, target| target.zone != *out);
+        }
+        self.flows.get(&key).map(|target| target.address)
+    }
+}
+
+/// A cluster whose faults can be chosen.
+#[derive(Default)]
+struct Ideal {
+    table: Arc<Mutex<Table>>,
+    /// Forgets the tickets from this number on.
+    last_ticket: Option<u64>,
+    /// Sends every n-th request packet to a target of another service.
+    misdeliver: Option<usize>,
+}
+
+async fn daemon(config: DaemonConfig, table: Arc<Mutex<Table>>, misdeliver: Option<usize>) {
+    let socket = UdpSocket::bind(config.data).await.unwrap();
+    let mut buffer = [0; 2048];
+    for count in 1.. {
+        let (length, from) = socket.recv_from(&mut buffer).await.unwrap();
+        let packet = &buffer[..length];
+        if from != config.fabric {
+            socket.send_to(packet, config.fabric).await.unwrap();
+            continue;
+        }
+        let mut segment = Segment::parse(packet).unwrap();
+        if misdeliver.is_some_and(|every| count % every == 0) {
+            let table = table.lock().unwrap();
+            let other = table
+                .services
+                .keys()
+                .find(|key| **key != segment.destination);
+            segment.syn = true;
+            segment.destination = *other.unwrap();
+        }
+        let to = table.lock().unwrap().target(&segment);
+        match to {
+            Some(to) => socket.send_to(packet, to).await.unwrap(),
+            None if segment.rst => 0,
+            None => {
+                let reset = segment.reset().build();
+                socket.send_to(&reset, config.fabric).await.unwrap()
+            }
+        };
+    }
+}
+
+/// Reads all tickets again and again.
+async fn watch(config: DaemonConfig, table: Arc<Mutex<Table>>, last: Option<u64>) {
+    loop {
+        let address = config.platform.strip_prefix("http://").unwrap();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let request = "GET /v1/tickets?index=0 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        let body = text.split_once("\r\n\r\n").unwrap().1;
+        let mut tickets = serde_json::from_str::<Page>(body).unwrap().tickets;
+        tickets.retain(|ticket| last.is_none_or(|last| ticket.number <= last));
+        table.lock().unwrap().learn(tickets);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+impl Cluster for Ideal {
+    type Daemon = [JoinHandle<()>; 2];
+
+    async fn start(&self, config: DaemonConfig) -> Result<Self::Daemon> {
+        let reader = watch(config.clone(), self.table.clone(), self.last_ticket);
+        let packets = daemon(config, self.table.clone(), self.misdeliver);
+        let tasks = [tokio::spawn(reader), tokio::spawn(packets)];
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        Ok(tasks)
+    }
+
+    async fn stop(&self, daemon: Self::Daemon) {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        self.kill(daemon).await;
+    }
+
+    async fn kill(&self, daemon: Self::Daemon) {
+        daemon.iter().for_each(JoinHandle::abort);
+    }
+
+    fn control_bytes(&self, _: &Self::Daemon) -> u64 {
+        1000
+    }
+}
+
+fn plan() -> Plan {
+    Plan {
+        flows: 300,
+        churn: 50,
+        life: Duration::from_millis(300),
+        pause: Duration::from_millis(400),
+        grace: Duration::from_millis(500),
+        notice: Duration::from_millis(300),
+        ..Plan::default()
+    }
+}
+
+/// Guards against a scenario that reports faults by itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_ideal_cluster_violates_nothing() {
+    let start = Instant::now();
+    let progress = |text: &str| println!("{:>6.1} s: {text}", start.elapsed().as_secs_f64());
+    let report = run(Ideal::default(), plan(), progress).await.unwrap();
+    println!("{}", serde_json::to_string(&report).unwrap());
+    assert!(
+        report.violations().is_empty(),
+        "{:?}: {report:?}",
+        report.violations()
+    );
+    assert!(
+        report.requests <= report.answered + report.given_up_with_zone,
+        "{report:?}"
+    );
+    assert!(
+        report.flows > 500 && report.given_up_with_zone > 0,
+        "{report:?}"
+    );
+    assert!(
+        report.cold_target_flows > 0 && report.refused == 0,
+        "{report:?}"
+    );
+    assert!(report.imbalance_max_over_mean < 1.5, "{report:?}");
+}
+
+/// Proves that each violation can be reported.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_faulty_cluster_is_reported() {
+    let cluster = Ideal {
+        last_ticket: Some(2),
+        misdeliver: Some(500),
+        ..Ideal::default()
+    };
+    let report = run(cluster, plan(), |_| {}).await.unwrap();
+    let violations = report.violations();
+    println!("{violations:?} {report:?}");
+    for expected in [
+        "packets were misdelivered",
+        "a zone out of service received packets",
+        "a draining target received new flows",
+    ] {
+        assert!(violations.contains(&expected), "{expected}: {violations:?}");
+    }
+}
