--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,406 @@
+//! Several forwarders in memory with callers, targets, a fabric and views that arrive late.
+//!
+//! Everything happens in the order of a queue of timed events, and every choice comes from
+//! the seed, so a run can be repeated.
+#![allow(dead_code, unreachable_pub)]
+
+mod caller;
+mod daemon;
+mod packets;
+mod target;
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use banyanwharf::{
+    flow::{Key, Protocol},
+    forward::{Action, Config, Counters},
+    member::{self, Status},
+    route,
+    ticket::{self, Policy, TargetId, TargetState},
+    wire::{Body, Frame},
+};
+use caller::Flow;
+pub use daemon::Daemon;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+pub use target::Target;
+
+pub const ZONES: [&str; 4] = ["cerro", "prado", "ciudadela", "buceo"];
+const TICK: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Clone)]
+pub enum Event {
+    Datagram(member::Id, SocketAddr, Vec<u8>),
+    Frame(member::Id, member::Id, Body, Vec<u8>),
+    Target(TargetId, Vec<u8>),
+    Caller(Vec<u8>),
+    /// A flow's next step, void if the flow has made progress since.
+    Step(usize, u32),
+    Tick,
+    View(member::Id, member::Id, Status),
+    Routes(member::Id, Arc<route::Table>),
+    Fabric(member::Id, bool),
+    Pause(member::Id, Duration),
+    Resume(member::Id),
+    Synchronised(member::Id),
+    Stopped(member::Id),
+}
+
+/// What a run has shown.
+#[derive(Debug, Clone, Default)]
+pub struct Findings {
+    /// Established flows that were reset, timed out or reached another target.
+    pub broken: u64,
+    /// Payload packets that reached a target that is not the flow's target.
+    pub misdelivered: u64,
+    /// New flows that did not open.
+    pub unopened: u64,
+    /// Established flows that were reset because their target is gone, as designed.
+    pub terminated: u64,
+    pub finished: u64,
+    pub details: Vec<String>,
+}
+
+pub struct Service {
+    pub name: &'static str,
+    pub address: SocketAddr,
+    pub targets: Vec<route::Target>,
+    pub generations: Vec<route::Generation>,
+}
+
+pub struct Fleet {
+    pub now: Instant,
+    pub start: Instant,
+    pub rng: Pcg64,
+    pub config: Config,
+    pub daemons: BTreeMap<member::Id, Daemon>,
+    /// The daemons that the fabric sends to.
+    pub sprayed: Vec<member::Id>,
+    pub targets: BTreeMap<TargetId, Target>,
+    pub services: Vec<Service>,
+    pub flows: Vec<Flow>,
+    pub index: HashMap<Key, usize>,
+    pub queue: BTreeMap<(Instant, u64), Event>,
+    pub table: Arc<route::Table>,
+    /// The probability that a frame between daemons is lost.
+    pub loss: f64,
+    /// The zones that are cut off from the others.
+    pub cut: HashSet<Arc<str>>,
+    pub zones_out: HashSet<Arc<str>>,
+    pub findings: Findings,
+    /// The counters of daemons that have stopped.
+    pub former: Vec<Counters>,
+    /// The longest silence between two requests of a flow.
+    pub silence: Duration,
+    order: u64,
+    names: u32,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, daemons: usize, config: Config) -> Fleet {
+        let now = Instant::now();
+        let mut fleet = Fleet {
+            now,
+            start: now,
+            rng: Pcg64::seed_from_u64(seed),
+            config,
+            daemons: BTreeMap::new(),
+            sprayed: Vec::new(),
+            targets: BTreeMap::new(),
+            services: Vec::new(),
+            flows: Vec::new(),
+            index: HashMap::new(),
+            queue: BTreeMap::new(),
+            table: Arc::default(),
+            loss: 0.0,
+            cut: HashSet::new(),
+            zones_out: HashSet::new(),
+            findings: Findings::default(),
+            former: Vec::new(),
+            silence: Duration::from_secs(60),
+            order: 0,
+            names: 0,
+        };
+        for (name, address, count) in [
+            ("turnos", "198.51.100.1:80", 14),
+            ("fichas", "[2001:db8::1]:53", 4),
+        ] {
+            fleet.services.push(Service {
+                name,
+                address: address.parse().expect("the address is valid"),
+                targets: Vec::new(),
+                generations: Vec::new(),
+            });
+            fleet.add_targets(fleet.services.len() - 1, count);
+        }
+        fleet.publish(Duration::ZERO);
+        for at in 0..daemons {
+            fleet.join(ZONES[at % ZONES.len()]);
+        }
+        fleet.schedule(TICK, Event::Tick);
+        // Everything settles before the first flow.
+        fleet.run(Duration::from_secs(15));
+        fleet
+    }
+
+    pub fn schedule(&mut self, delay: Duration, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now + delay, self.order), event);
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    pub fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(range))
+    }
+
+    /// Returns a latency of 1 to 2 ms, so that packets overtake each other.
+    pub fn latency(&mut self) -> Duration {
+        Duration::from_micros(self.rng.random_range(1000..2000))
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Datagram(id, from, bytes) => self.with(id, &bytes, |daemon, out| {
+                daemon.forwarder.on_datagram(now, from, &bytes, None, out);
+            }),
+            Event::Frame(from, to, body, packet) => {
+                let frame = Frame {
+                    sender: from,
+                    body,
+                    packet: &packet,
+                };
+                self.with(to, &packet, |daemon, out| {
+                    daemon.forwarder.on_frame(now, &frame, out)
+                });
+            }
+            Event::Target(id, bytes) => self.at_target(id, &bytes),
+            Event::Caller(bytes) => self.at_caller(&bytes),
+            Event::Step(flow, progress) => self.step(flow, progress),
+            Event::Tick => {
+                for id in self.daemons.keys().copied().collect::<Vec<_>>() {
+                    if self.daemons[&id].paused.is_none() {
+                        self.with(id, &[], |daemon, out| daemon.forwarder.on_tick(now, out));
+                    }
+                }
+                self.finish_leaving();
+                self.schedule(TICK, Event::Tick);
+            }
+            Event::View(at, of, status) => self.set_view(at, of, status),
+            Event::Routes(id, table) => self.with(id, &[], |daemon, out| {
+                daemon.forwarder.set_routes(now, table, out);
+            }),
+            Event::Fabric(id, sends) => {
+                self.sprayed.retain(|other| *other != id);
+                if sends && self.daemons.contains_key(&id) {
+                    self.sprayed.push(id);
+                }
+            }
+            Event::Pause(id, length) => self.pause(id, length),
+            Event::Resume(id) => self.resume(id),
+            Event::Synchronised(id) => {
+                self.with(id, &[], |daemon, out| daemon.forwarder.resume(now, out))
+            }
+            Event::Stopped(id) => self.stopped(id),
+        }
+    }
+
+    /// Runs one input of a daemon and carries out its actions. A paused daemon gets it later.
+    fn with(
+        &mut self,
+        id: member::Id,
+        input: &[u8],
+        call: impl FnOnce(&mut Daemon, &mut Vec<Action>),
+    ) {
+        let Some(daemon) = self.daemons.get_mut(&id) else {
+            return;
+        };
+        if daemon.paused.is_some() {
+            return;
+        }
+        let mut actions = Vec::new();
+        call(daemon, &mut actions);
+        for action in actions {
+            self.act(id, input, action);
+        }
+    }
+
+    fn act(&mut self, id: member::Id, input: &[u8], action: Action) {
+        let delay = self.latency();
+        match action {
+            Action::Deliver { target, packet, .. } => {
+                if self.reaches(id, &self.targets[&target].zone.clone()) {
+                    let bytes = packet.unwrap_or_else(|| input.to_vec());
+                    self.schedule(delay, Event::Target(target, bytes));
+                }
+            }
+            Action::Return { packet } => {
+                let bytes = packet.unwrap_or_else(|| input.to_vec());
+                self.schedule(delay, Event::Caller(bytes));
+            }
+            Action::Peer {
+                member,
+                body,
+                packet,
+            } => {
+                let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
+                let zone = self.daemons.get(&member).map(|daemon| daemon.zone.clone());
+                if !lost && zone.is_some_and(|zone| self.reaches(id, &zone)) {
+                    let hop = matches!(body, Body::Hop(_));
+                    let bytes =
+                        packet.unwrap_or_else(|| if hop { input.to_vec() } else { Vec::new() });
+                    self.schedule(delay, Event::Frame(id, member, body, bytes));
+                }
+            }
+            Action::Drop(_) => {}
+        }
+    }
+
+    fn reaches(&self, id: member::Id, zone: &Arc<str>) -> bool {
+        self.daemons
+            .get(&id)
+            .is_some_and(|daemon| self.cut.contains(&daemon.zone) == self.cut.contains(zone))
+    }
+
+    /// Hands a packet to a daemon that the fabric chooses.
+    pub fn spray(&mut self, from: SocketAddr, bytes: Vec<u8>) {
+        if self.sprayed.is_empty() {
+            return;
+        }
+        let at = self.rng.random_range(0..self.sprayed.len());
+        let delay = self.latency();
+        self.schedule(delay, Event::Datagram(self.sprayed[at], from, bytes));
+    }
+
+    pub fn add_targets(&mut self, service: usize, count: usize) {
+        for _ in 0..count {
+            self.names += 1;
+            let number = self.names;
+            let zone: Arc<str> = ZONES[number as usize % ZONES.len()].into();
+            let spec: ticket::Target = serde_json::from_value(serde_json::json!({
+                "name": format!("target-{number}"), "zone": zone,
+                "address": format!("10.1.{}.{}:6080", number >> 8, number & 255),
+            }))
+            .expect("the target is valid");
+            let id = ticket::target_id(self.services[service].name, &spec);
+            self.targets
+                .insert(id, Target::new(number, service, zone.clone(), spec.address));
+            self.services[service].targets.push(route::Target {
+                id,
+                name: spec.name.clone(),
+                service: 0,
+                address: spec.address,
+                zone,
+                zone_out: false,
+                state: spec.state,
+                weight: spec.weight,
+                slots: spec.slots,
+                connections: spec.connections,
+                cold_slots: spec.cold_slots,
+                ramp: spec.ramp(),
+                drain: None,
+                quarantined: false,
+            });
+        }
+    }
+
+    /// Publishes a ticket that drains some targets of the first service and adds as many.
+    pub fn change_targets(&mut self, count: usize) {
+        let mut left = count;
+        for target in &mut self.services[0].targets {
+            if left > 0 && target.state == TargetState::Active {
+                target.state = TargetState::Draining;
+                left -= 1;
+            }
+        }
+        self.add_targets(0, count);
+        self.publish(Duration::from_secs(5));
+    }
+
+    /// Removes the targets that are draining.
+    pub fn remove_drained(&mut self) {
+        let gone = |target: &route::Target| target.state == TargetState::Draining;
+        for target in self.services[0]
+            .targets
+            .extract_if(.., |target| gone(target))
+        {
+            self.targets
+                .get_mut(&target.id)
+                .expect("the target exists")
+                .removed = true;
+        }
+        self.publish(Duration::from_secs(5));
+    }
+
+    /// Builds the routes and sends them to all daemons, each after a delay of its own.
+    pub fn publish(&mut self, spread: Duration) {
+        let mut table = route::Table::new();
+        for service in &mut self.services {
+            for target in &mut service.targets {
+                target.zone_out = self.zones_out.contains(&target.zone);
+            }
+            let placeable = service
+                .targets
+                .iter()
+                .filter(|target| target.is_placeable());
+            let targets = placeable.map(|target| (target.id, target.weight)).collect();
+            let number = service
+                .generations
+                .first()
+                .map_or(1, |generation| generation.number + 1);
+            service
+                .generations
+                .insert(0, route::Generation { number, targets });
+            service.generations.truncate(4);
+            let policy = Policy {
+                name: "default".into(),
+                priority: Default::default(),
+                bound: None,
+            };
+            table.insert(
+                route::Service {
+                    name: service.name.into(),
+                    policy,
+                    targets: service.targets.iter().map(|target| target.id).collect(),
+                    generations: service.generations.clone(),
+                },
+                &[
+                    (Protocol::Tcp, service.address),
+                    (Protocol::Udp, service.address),
+                ],
+                service.targets.clone(),
+            );
+        }
+        self.table = Arc::new(table);
+        for id in self.daemons.keys().copied().collect::<Vec<_>>() {
+            let delay = self.millis(0..spread.as_millis() as u64 + 1);
+            self.schedule(delay, Event::Routes(id, self.table.clone()));
+        }
+    }
+
+    /// Returns the sum of a counter over all daemons, also the stopped ones.
+    pub fn total(&self, count: impl Fn(&Counters) -> u64) -> u64 {
+        let present = self
+            .daemons
+            .values()
+            .map(|daemon| daemon.forwarder.counters());
+        present.chain(&self.former).map(count).sum()
+    }
+}
