--- a/src/forward/unknown.rs
+++ b/src/forward/unknown.rs
@@ -11,7 +11,7 @@
         inquiry::{Held, Inquiry, Kind},
         packet::Packet,
     },
-    member,
+    member::{self, Owners},
     ticket::TargetId,
     wire::{Body, Record},
 };
@@ -70,6 +70,13 @@
                     since.is_some_and(|since| formed.is_none_or(|formed| *since <= formed))
                 })
         };
+        // A pair from before this daemon's start may have followed another pair a moment
+        // before, so one member alone may lack the other's records.
+        let all_said = |owners: &Owners| {
+            members(owners)
+                .filter(|id| *id != self.id)
+                .all(|id| said(id, None) || !self.ranking.is_present(id))
+        };
         let present = self.ranking.owners(slot);
         let present = present.map(|owners| (owners, self.history.formed(slot)));
         let former = self.history.former(slot).iter();
@@ -77,7 +84,8 @@
         present.into_iter().chain(pairs).all(|(owners, formed)| {
             let alone = owners.primary == self.id && owners.secondary.is_none();
             let own = owners.contains(self.id) && formed.is_some();
-            alone || own || members(&owners).any(|id| id != self.id && said(id, formed))
+            let one = members(&owners).any(|id| id != self.id && said(id, formed));
+            alone || own || (one && (formed.is_some() || all_said(&owners)))
         })
     }
 
@@ -188,9 +196,8 @@
             .asked
             .iter()
             .all(|id| inquiry.unknown.contains_key(id));
-        let patient = matches!(inquiry.kind, Kind::Stream | Kind::Return);
         let certain = self.is_certain(fingerprint.slot(), Some(&inquiry.unknown));
-        if certain && (complete || !patient || due) {
+        if certain && (complete || due) {
             self.conclude(now, fingerprint, Verdict::Unknown, out);
         } else if due {
             self.counters.inconclusive += 1;
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -32,6 +32,7 @@
     former: Vec<Arc<[Option<Owners>]>>,
     leaving: Vec<Id>,
     left: HashSet<Id>,
+    failed: HashSet<Id>,
 }
 
 impl Ranking {
@@ -67,6 +68,7 @@
             former: Vec::new(),
             leaving: with(Status::Leaving).collect(),
             left: with(Status::Left).collect(),
+            failed: with(Status::Failed).collect(),
         }
     }
 
@@ -112,6 +114,11 @@
         self.left.contains(&id)
     }
 
+    /// Returns whether a member is not known to have failed or left.
+    pub fn is_present(&self, id: Id) -> bool {
+        !self.failed.contains(&id) && !self.left.contains(&id)
+    }
+
     /// Makes the owners of `previous` the newest former owners of this ranking.
     pub fn after(mut self, previous: &Ranking, _now: Instant) -> Ranking {
         self.former = previous.former.clone();
