--- a/src/forward/deciding.rs
+++ b/src/forward/deciding.rs
@@ -12,6 +12,9 @@
 /// The number of idle intervals in each of which an active flow refreshes the second copy.
 const REFRESHES: u32 = 4;
 
+/// The number of packets without answer that take a record to the secondary owner.
+const COPY_PACKETS: u8 = 2;
+
 /// Request packets: the way from the ingress daemon to the target.
 impl Forwarder {
     /// Handles a request packet from outside the fleet.
@@ -139,9 +142,14 @@
         let target = entry.target;
         let secondary = self.other_owner(entry.fingerprint).filter(|_| store);
         // A SYN may be lost on the way to the secondary owner; the SYN-ACK, which travels
-        // through it too, proves that it was not.
-        if secondary.is_some() && entry.state != State::Opening {
-            entry.set(Mark::Copied, true);
+        // through it too, proves that it was not. Other packets prove nothing, so two of them
+        // take the way.
+        if secondary.is_some() && entry.state != State::Opening && !entry.has(Mark::Copied) {
+            entry.unanswered += 1;
+            if entry.unanswered >= COPY_PACKETS {
+                entry.unanswered = 0;
+                entry.set(Mark::Copied, true);
+            }
         }
         self.store(now, &entry);
         match secondary {
--- a/src/forward/placing.rs
+++ b/src/forward/placing.rs
@@ -173,12 +173,9 @@
             false => State::Opening,
         };
         let mut entry = Entry::new(packet.fingerprint, target, state).with(Mark::Placed);
-        entry.unanswered = 1;
+        entry.unanswered = u8::from(!packet.is_datagram());
         entry.set(Mark::Datagram, packet.is_datagram());
         entry.set(Mark::Relayed, packet.is_datagram());
-        if packet.is_datagram() {
-            self.inform(packet, target, out);
-        }
         self.pass(now, packet, entry, true, None, out);
     }
 
