--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -359,18 +359,18 @@
             self.pruned = now;
             self.history.prune(now, self.config.history);
         }
-        let (placer, ranking, history, id) =
-            (&mut self.placer, &self.ranking, &self.history, self.id);
+        let (placer, ranking, id) = (&mut self.placer, &self.ranking, self.id);
         let owners_mode = self.config.mode == Mode::Owners;
-        // A member that is no owner does not hear of the end of a flow.
+        let history = self.config.history;
+        // A member that is no owner does not hear of the end of a flow. Records of a flow that
+        // a new owner got before its view changed are not idle yet.
         let stale = |entry: &Entry| {
             let slot = entry.fingerprint.slot();
-            let former = || history.former(slot).iter().any(|f| f.owners.contains(id));
             owners_mode
+                && Table::TICK * u32::from(entry.idle) > history
                 && ranking
                     .owners(slot)
                     .is_some_and(|owners| !owners.contains(id))
-                && !former()
         };
         self.table.expire(now, SWEEP_BUCKETS, stale, |entry| {
             if entry.has(Mark::Placed) && entry.state != State::Closed {
