--- a/tests/member.rs
+++ b/tests/member.rs
@@ -1,13 +1,13 @@
 //! The failure detector must converge after every kind of failure, and the ranking must be the
 //! same function of the view in every daemon.
 
-mod fleet;
+mod detectors;
 
 use std::{collections::BTreeMap, time::Duration};
 
 use banyanwharf::member::{Id, Status};
 use bolero::TypeGenerator;
-use fleet::Fleet;
+use detectors::Fleet;
 
 #[derive(Debug, Clone, TypeGenerator)]
 enum Op {
