Update the ranking of owners incrementally

Only the hash slots that the join or loss of a member affects are ranked again; former owners keep their time and are dropped after 10 minutes, at most six a hash slot. The property test compares each step with a full rebuild.

--- a/src/member/detector/sync.rs
+++ b/src/member/detector/sync.rs
@@ -32,6 +32,9 @@
 /// How many members a daemon asks after a pause.
 const CONFIRMERS: usize = 3;
 
+/// How long a daemon waits for answers before it asks as many others.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long a daemon waits for their answers.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -39,6 +42,8 @@
 #[derive(Debug)]
 pub(super) struct Confirmation {
     deadline: Instant,
+    /// When to ask further members, because those asked may have stopped during the pause.
+    next: Instant,
     requests: Vec<Request>,
 }
 
@@ -62,10 +67,12 @@
     /// Begins to compare the view with three members after a pause.
     ///
     /// The next tick sends the requests. [`Output::Confirmed`] follows when one member has
-    /// answered and the differences are fetched, or after 2 s.
+    /// answered and the differences are fetched, or after 2 s. A daemon that knows no other
+    /// member gets it at once.
     pub fn confirm(&mut self, now: Instant) {
         self.confirmation = Some(Confirmation {
             deadline: now + CONFIRM_TIMEOUT,
+            next: now,
             requests: Vec::new(),
         });
     }
@@ -80,23 +87,26 @@
             out.push(Output::Confirmed { complete });
             return;
         }
-        if confirmation.requests.is_empty() {
-            let mut requests = Vec::new();
-            for peer in self.random_peers(CONFIRMERS, self.own) {
-                let sequence = self.send_digest(peer, true, out);
-                requests.push(Request {
-                    sequence,
-                    peer: peer.id,
-                    received: 0,
-                    parts: None,
-                    missing: BTreeSet::new(),
-                });
-            }
-            if requests.is_empty() {
+        if now < confirmation.next {
+            return;
+        }
+        let mut requests = Vec::new();
+        for peer in self.random_peers(CONFIRMERS, self.own) {
+            let sequence = self.send_digest(peer, true, out);
+            requests.push(Request {
+                sequence,
+                peer: peer.id,
+                received: 0,
+                parts: None,
+                missing: BTreeSet::new(),
+            });
+        }
+        if let Some(confirmation) = &mut self.confirmation {
+            confirmation.next = now + CONFIRM_INTERVAL;
+            confirmation.requests.extend(requests);
+            if confirmation.requests.is_empty() {
                 self.confirmation = None;
                 out.push(Output::Confirmed { complete: false });
-            } else if let Some(confirmation) = &mut self.confirmation {
-                confirmation.requests = requests;
             }
         }
     }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -11,6 +11,7 @@
 mod info;
 mod message;
 mod output;
+mod owners;
 mod ranking;
 mod rumors;
 mod snapshot;
@@ -22,7 +23,8 @@
 pub use info::{Info, Status};
 pub use message::{Entry, Message, Update};
 pub use output::Output;
-pub use ranking::{Owners, Ranking};
+pub use owners::Owners;
+pub use ranking::Ranking;
 pub use snapshot::{Snapshot, SnapshotMember};
 pub use view::{Member, View};
 
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -1,35 +1,83 @@
-use std::{collections::HashSet, sync::Arc, time::Instant};
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use crate::{
     flow::{SLOTS, Slot},
-    member::{Id, Status, View},
+    member::{Id, Owners, Status, View},
     util,
 };
 
-/// The two owners of a slot.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Owners {
-    /// The member that decides for the slot's flows.
-    pub primary: Id,
-    /// The member that holds the second copy, in another zone if there is one.
-    pub secondary: Option<Id>,
+/// How long former owners are kept.
+const FORMER_RETENTION: Duration = Duration::from_secs(600);
+
+/// How many former owners of a hash slot are kept. Each costs a query for an unknown flow.
+const MAX_FORMER: usize = 6;
+
+/// The index of a zone in [`Ranking::zones`].
+type ZoneIndex = u16;
+
+/// The members that can be owners.
+type Candidates = BTreeMap<Id, ZoneIndex>;
+
+/// A member that was an owner of a hash slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Former {
+    id: Id,
+    until: Instant,
 }
 
-impl Owners {
-    /// Returns whether `id` is one of the two owners.
-    pub fn contains(&self, id: Id) -> bool {
-        self.primary == id || self.secondary == Some(id)
-    }
+/// The owners of a hash slot with their zones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Ranked {
+    owners: Owners,
+    primary_zone: ZoneIndex,
+    secondary_zone: ZoneIndex,
 }
 
-/// The owners of every slot under one view.
+/// The owners of every hash slot under one view.
+///
+/// The owners under the views of the last 10 minutes are kept as *former* owners, which may
+/// still hold flows that the present owners have not heard of.
+///
+/// [`Ranking::update`] computes only the hash slots that the join or loss of a member affects.
+/// Of n members, each owns 2/n of the hash slots, so the cost of one change does not grow
+/// with n.
 ///
-/// The owners of the views before it are kept as *former* owners, which may still hold flows
-/// that the present owners have not heard of.
+/// ```
+/// use std::{collections::HashSet, time::Instant};
+/// use banyanwharf::member::{Info, Member, Ranking, Status, View};
+///
+/// let now = Instant::now();
+/// let mut view = View::new();
+/// for (name, zone, port) in [("entry-1", "cerro", 7000), ("entry-2", "prado", 7001)] {
+///     let info = Info {
+///         name: name.into(),
+///         region: "mvd".into(),
+///         zone: zone.into(),
+///         peer: ([127, 0, 0, 1], port).into(),
+///         admin: ([127, 0, 0, 1], port + 100).into(),
+///     };
+///     view.insert(Member { info, incarnation: 1, status: Status::Alive, since: now });
+/// }
+/// let mut ranking = Ranking::new(&view, "mvd", &HashSet::new());
+/// let owners = ranking.owners(7).expect("two members are alive");
+/// view.remove(owners.primary);
+/// assert!(ranking.update(now, &view, "mvd", &HashSet::new()));
+/// assert_eq!(ranking.owners(7).map(|new| new.primary), owners.secondary);
+/// assert_eq!(ranking.former(7).next(), Some(owners.primary));
+/// assert_eq!(ranking.changed_at(7), Some(now));
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct Ranking {
-    owners: Vec<Option<Owners>>,
-    former: Vec<Arc<[Option<Owners>]>>,
+    zones: Vec<Arc<str>>,
+    candidates: Candidates,
+    slots: Vec<Option<Ranked>>,
+    changed_at: Vec<Option<Instant>>,
+    /// The former owners by hash slot, newest first.
+    former: Vec<Option<Arc<[Former]>>>,
 }
 
 impl Ranking {
@@ -38,72 +86,319 @@
     /// Members that are alive come first; leaving members and members of zones taken out are
     /// only ranked if there is no other.
     pub fn new(view: &View, region: &str, zones_out: &HashSet<Arc<str>>) -> Ranking {
-        let mut candidates = Vec::new();
-        let mut reserve = Vec::new();
+        let mut ranking = Ranking::empty();
+        ranking.candidates = ranking.select(view, None, region, zones_out);
+        ranking.slots = ranking.rank_all();
+        ranking
+    }
+
+    /// Ranks the members in a daemon that has just joined as `own`.
+    ///
+    /// The members that owned the joiner's hash slots before are its former owners, and these
+    /// hash slots have changed at `now`. [`Ranking::new`] would show them as settled.
+    pub fn joined(
+        now: Instant,
+        view: &View,
+        own: Id,
+        region: &str,
+        zones_out: &HashSet<Arc<str>>,
+    ) -> Ranking {
+        let mut ranking = Ranking::empty();
+        ranking.candidates = ranking.select(view, Some(own), region, zones_out);
+        ranking.slots = ranking.rank_all();
+        ranking.update(now, view, region, zones_out);
+        ranking
+    }
+
+    fn empty() -> Ranking {
+        Ranking {
+            zones: Vec::new(),
+            candidates: Candidates::new(),
+            slots: vec![None; usize::from(SLOTS)],
+            changed_at: vec![None; usize::from(SLOTS)],
+            former: vec![None; usize::from(SLOTS)],
+        }
+    }
+
+    /// Follows a change of the view or of the zones taken out, and forgets old former owners.
+    ///
+    /// Returns whether anything has changed.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        view: &View,
+        region: &str,
+        zones_out: &HashSet<Arc<str>>,
+    ) -> bool {
+        let expired = self.expire(now);
+        let candidates = self.select(view, None, region, zones_out);
+        let old = std::mem::replace(&mut self.candidates, candidates);
+        let lost: Vec<Id> = old
+            .iter()
+            .filter(|(id, zone)| self.candidates.get(id) != Some(zone))
+            .map(|(id, _)| *id)
+            .collect();
+        let gained: Vec<(Id, ZoneIndex)> = self
+            .candidates
+            .iter()
+            .filter(|(id, zone)| old.get(id) != Some(zone))
+            .map(|(id, zone)| (*id, *zone))
+            .collect();
+        if lost.is_empty() && gained.is_empty() {
+            return expired;
+        }
+        let slots = if 2 * (lost.len() + gained.len()) > self.candidates.len() {
+            self.rank_all()
+        } else {
+            self.rank_changes(&lost, &gained)
+        };
+        for (slot, new) in slots.into_iter().enumerate() {
+            self.set(now, slot, new);
+        }
+        true
+    }
+
+    /// Returns the owners of `slot`, or `None` if no member can be an owner.
+    pub fn owners(&self, slot: Slot) -> Option<Owners> {
+        let ranked = self.slots.get(usize::from(slot)).copied().flatten()?;
+        Some(ranked.owners)
+    }
+
+    /// Returns the former owners of `slot`, newest first, without the present ones.
+    ///
+    /// There are at most six. It does not allocate.
+    pub fn former(&self, slot: Slot) -> impl Iterator<Item = Id> {
+        let present = self.owners(slot);
+        let former = self.former.get(usize::from(slot)).and_then(Option::as_ref);
+        former
+            .into_iter()
+            .flat_map(|former| former.iter())
+            .map(|former| former.id)
+            .filter(move |id| !present.is_some_and(|present| present.contains(*id)))
+    }
+
+    /// Returns when the owners of `slot` changed last, or `None` if they have not changed.
+    pub fn changed_at(&self, slot: Slot) -> Option<Instant> {
+        self.changed_at.get(usize::from(slot)).copied().flatten()
+    }
+
+    /// Makes the owners of `previous` the newest former owners of this ranking.
+    pub fn after(mut self, previous: &Ranking, now: Instant) -> Ranking {
+        let slots = std::mem::replace(&mut self.slots, previous.slots.clone());
+        self.slots.resize(usize::from(SLOTS), None);
+        self.changed_at.clone_from(&previous.changed_at);
+        self.changed_at.resize(usize::from(SLOTS), None);
+        self.former.clone_from(&previous.former);
+        self.former.resize(usize::from(SLOTS), None);
+        self.expire(now);
+        for (slot, new) in slots.into_iter().enumerate() {
+            self.set(now, slot, new);
+        }
+        self
+    }
+
+    /// Returns the members that can be owners, without `except`.
+    fn select(
+        &mut self,
+        view: &View,
+        except: Option<Id>,
+        region: &str,
+        zones_out: &HashSet<Arc<str>>,
+    ) -> Candidates {
+        let mut candidates = Candidates::new();
+        let mut reserve = Candidates::new();
         for (id, member) in view.iter() {
-            if &*member.info.region != region {
+            if Some(id) == except || &*member.info.region != region {
                 continue;
             }
-            let entry = (id, &member.info.zone);
+            let zone = &member.info.zone;
             match member.status {
-                Status::Alive if !zones_out.contains(&member.info.zone) => candidates.push(entry),
-                Status::Alive | Status::Leaving => reserve.push(entry),
+                Status::Alive if !zones_out.contains(zone) => {
+                    candidates.insert(id, self.zone_index(zone));
+                }
+                Status::Alive | Status::Leaving => {
+                    reserve.insert(id, self.zone_index(zone));
+                }
                 Status::Suspect | Status::Failed | Status::Left => {}
             }
         }
         if candidates.is_empty() {
-            candidates = reserve;
-        }
-        let owners = (0..SLOTS).map(|slot| rank(slot, &candidates)).collect();
-        Ranking {
-            owners,
-            former: Vec::new(),
+            reserve
+        } else {
+            candidates
         }
     }
 
-    /// Returns the owners of `slot`, or `None` if no member can be an owner.
-    pub fn owners(&self, slot: Slot) -> Option<Owners> {
-        self.owners.get(usize::from(slot)).copied().flatten()
+    fn zone_index(&mut self, zone: &Arc<str>) -> ZoneIndex {
+        let known = self.zones.iter().position(|known| known == zone);
+        let index = known.unwrap_or_else(|| {
+            self.zones.push(zone.clone());
+            self.zones.len() - 1
+        });
+        index as ZoneIndex
     }
 
-    /// Returns the former owners of `slot`, newest first, without the present ones.
-    pub fn former(&self, slot: Slot) -> Vec<Id> {
-        let mut ids: Vec<Id> = Vec::new();
-        let present = self.owners(slot);
-        for owners in &self.former {
-            let Some(owners) = owners[usize::from(slot)] else {
-                continue;
-            };
-            for id in [Some(owners.primary), owners.secondary]
-                .into_iter()
-                .flatten()
-            {
-                if !present.is_some_and(|present| present.contains(id)) && !ids.contains(&id) {
-                    ids.push(id);
+    fn rank_all(&self) -> Vec<Option<Ranked>> {
+        let candidates: Vec<_> = self.candidates.iter().map(|(id, z)| (*id, *z)).collect();
+        (0..SLOTS).map(|slot| rank(slot, &candidates)).collect()
+    }
+
+    /// Ranks again the hash slots that `lost` owned, then those that `gained` take.
+    fn rank_changes(&self, lost: &[Id], gained: &[(Id, ZoneIndex)]) -> Vec<Option<Ranked>> {
+        let mut slots = self.slots.clone();
+        if !lost.is_empty() {
+            let kept: Vec<_> = self
+                .candidates
+                .iter()
+                .map(|(id, zone)| (*id, *zone))
+                .filter(|candidate| !gained.contains(candidate))
+                .collect();
+            for (slot, ranked) in (0..SLOTS).zip(&mut slots) {
+                let affected = ranked.is_some_and(|r| r.owners.iter().any(|id| lost.contains(&id)));
+                if affected {
+                    *ranked = rank(slot, &kept);
                 }
             }
         }
-        ids
+        for (slot, ranked) in (0..SLOTS).zip(&mut slots) {
+            for (id, zone) in gained {
+                *ranked = Some(add(slot, *ranked, *id, *zone));
+            }
+        }
+        slots
     }
 
-    /// Makes the owners of `previous` the newest former owners of this ranking.
-    pub fn after(mut self, previous: &Ranking, _now: Instant) -> Ranking {
-        self.former = previous.former.clone();
-        self.former.insert(0, previous.owners.clone().into());
-        self
+    /// Sets the owners of a hash slot and keeps those that no longer are.
+    fn set(&mut self, now: Instant, slot: usize, new: Option<Ranked>) {
+        let old = std::mem::replace(&mut self.slots[slot], new);
+        let (old, new) = (old.map(|old| old.owners), new.map(|new| new.owners));
+        if old == new {
+            return;
+        }
+        self.changed_at[slot] = Some(now);
+        let Some(old) = old else { return };
+        let gone: Vec<Former> = old
+            .iter()
+            .filter(|id| !new.is_some_and(|new| new.contains(*id)))
+            .map(|id| Former { id, until: now })
+            .collect();
+        if gone.is_empty() {
+            return;
+        }
+        let kept = self.former[slot].iter().flat_map(|former| former.iter());
+        let kept = kept.filter(|former| !old.contains(former.id));
+        let former = gone.iter().chain(kept).take(MAX_FORMER).copied().collect();
+        self.former[slot] = Some(former);
     }
+
+    /// Forgets old former owners. Returns whether there were any.
+    fn expire(&mut self, now: Instant) -> bool {
+        let mut expired = false;
+        for slot in &mut self.former {
+            let Some(former) = slot else { continue };
+            let fresh =
+                |former: &&Former| now.saturating_duration_since(former.until) < FORMER_RETENTION;
+            let count = former.iter().filter(fresh).count();
+            if count < former.len() {
+                expired = true;
+                *slot = (count > 0).then(|| former.iter().filter(fresh).copied().collect());
+            }
+        }
+        expired
+    }
+}
+
+/// Returns a member's rank for a hash slot; the highest is the primary owner.
+fn weight(slot: Slot, id: Id) -> (u64, Id) {
+    (util::score(u64::from(slot), id), id)
+}
+
+/// Ranks all candidates for a hash slot.
+fn rank(slot: Slot, candidates: &[(Id, ZoneIndex)]) -> Option<Ranked> {
+    let mut best: Option<((u64, Id), ZoneIndex)> = None;
+    // The best in a zone other than that of `best`, and the second in any zone.
+    let mut other: Option<((u64, Id), ZoneIndex)> = None;
+    let mut second: Option<((u64, Id), ZoneIndex)> = None;
+    for (id, zone) in candidates {
+        let new = (weight(slot, *id), *zone);
+        match best {
+            Some(old) if old.0 > new.0 => {
+                if second.is_none_or(|second| second.0 < new.0) {
+                    second = Some(new);
+                }
+                if old.1 != new.1 && other.is_none_or(|other| other.0 < new.0) {
+                    other = Some(new);
+                }
+            }
+            _ => {
+                // The former best is above all others, so it is the best of its zone.
+                if best.is_some_and(|old| old.1 != new.1) {
+                    other = best;
+                }
+                second = best;
+                best = Some(new);
+            }
+        }
+    }
+    let (primary, primary_zone) = best?;
+    let secondary = other.or(second);
+    Some(Ranked {
+        owners: Owners {
+            primary: primary.1,
+            secondary: secondary.map(|(weight, _)| weight.1),
+        },
+        primary_zone,
+        secondary_zone: secondary.map_or(primary_zone, |(_, zone)| zone),
+    })
 }
 
-fn rank(slot: Slot, candidates: &[(Id, &Arc<str>)]) -> Option<Owners> {
-    let score = |id: Id| util::score(u64::from(slot), id);
-    let (primary, zone) = candidates
-        .iter()
-        .copied()
-        .max_by_key(|(id, _)| (score(*id), *id))?;
-    let secondary = candidates
-        .iter()
-        .filter(|(id, _)| *id != primary)
-        .max_by_key(|(id, other)| (*other != zone, score(*id), *id))
-        .map(|(id, _)| *id);
-    Some(Owners { primary, secondary })
+/// Adds a candidate to the owners of a hash slot.
+fn add(slot: Slot, ranked: Option<Ranked>, id: Id, zone: ZoneIndex) -> Ranked {
+    let Some(ranked) = ranked else {
+        return Ranked {
+            owners: Owners {
+                primary: id,
+                secondary: None,
+            },
+            primary_zone: zone,
+            secondary_zone: zone,
+        };
+    };
+    let Owners { primary, secondary } = ranked.owners;
+    let new = weight(slot, id);
+    if new > weight(slot, primary) {
+        // The old primary owner is the best of all others, but it may be in the same zone.
+        let keeps = zone == ranked.primary_zone && ranked.secondary_zone != zone;
+        let (secondary, secondary_zone) = match secondary {
+            Some(old) if keeps => (old, ranked.secondary_zone),
+            _ => (primary, ranked.primary_zone),
+        };
+        return Ranked {
+            owners: Owners {
+                primary: id,
+                secondary: Some(secondary),
+            },
+            primary_zone: zone,
+            secondary_zone,
+        };
+    }
+    let takes = secondary.is_none_or(|old| {
+        let new = (zone != ranked.primary_zone, new);
+        let old = (
+            ranked.secondary_zone != ranked.primary_zone,
+            weight(slot, old),
+        );
+        new > old
+    });
+    if !takes {
+        return ranked;
+    }
+    Ranked {
+        owners: Owners {
+            primary,
+            secondary: Some(id),
+        },
+        secondary_zone: zone,
+        ..ranked
+    }
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -24,6 +24,7 @@
     pub(crate) info: Info,
     pub(crate) detector: Option<Detector>,
     pub(crate) paused_until: Option<Instant>,
+    pub(crate) tick: Duration,
     /// Messages that arrived during a pause.
     inbox: Vec<(Id, SocketAddr, Message)>,
     /// Daemons in different sides of a partition do not hear each other.
@@ -38,6 +39,13 @@
     pub(crate) largest: usize,
 }
 
+impl Daemon {
+    /// Loses the messages that arrived during a pause.
+    pub(crate) fn drop_inbox(&mut self) {
+        self.inbox.clear();
+    }
+}
+
 #[derive(PartialEq, Eq)]
 enum What {
     Tick(usize, u64),
@@ -115,6 +123,7 @@
                 info: info(index, index % zones),
                 detector: None,
                 paused_until: None,
+                tick: TICK,
                 inbox: Vec::new(),
                 side: 0,
                 starts: 0,
@@ -146,14 +155,16 @@
             .collect()
     }
 
-    /// Starts a daemon that knows the platform's list of all daemons.
+    /// Starts a daemon at a new port. It knows the platform's list of all daemons.
     pub(crate) fn start(&mut self, index: usize) {
         let incarnation = 1_790_000_000_000 + (self.now - self.begun).as_millis() as u64;
         let seed = self.rng.random();
         let config = self.config.clone();
-        let infos: Vec<Info> = self.daemons.iter().map(|d| d.info.clone()).collect();
         let daemon = &mut self.daemons[index];
         daemon.starts += 1;
+        daemon.info.peer.set_port(7000 + daemon.starts as u16);
+        let infos: Vec<Info> = self.daemons.iter().map(|d| d.info.clone()).collect();
+        let daemon = &mut self.daemons[index];
         daemon.paused_until = None;
         daemon.inbox.clear();
         let mut detector = Detector::new(config, daemon.info.clone(), incarnation, seed, self.now);
@@ -231,7 +242,10 @@
             self.daemons[index].detector = None;
             return;
         }
-        self.push(self.now + TICK, What::Tick(index, starts));
+        self.push(
+            self.now + self.daemons[index].tick,
+            What::Tick(index, starts),
+        );
     }
 
     fn deliver(&mut self, index: usize, from: Id, address: SocketAddr, message: Message) {
@@ -286,7 +300,10 @@
         let Body::Member(message) = frame.body else {
             return;
         };
-        let SocketAddr::V4(v4) = address else { return };
+        let destination = address;
+        let SocketAddr::V4(v4) = destination else {
+            return;
+        };
         let octets = v4.ip().octets();
         let target = usize::from(octets[2]) << 8 | usize::from(octets[3]);
         assert_eq!(self.id(target), to);
@@ -295,7 +312,8 @@
         source.sent_messages += 1;
         source.largest = source.largest.max(length);
         let (address, side) = (source.info.peer, source.side);
-        if self.daemons[target].side != side {
+        let receiver = &self.daemons[target];
+        if receiver.side != side || receiver.info.peer != destination {
             return;
         }
         let copies = 1 + usize::from(self.rng.random_bool(self.duplication));
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -3,11 +3,21 @@
 
 mod fleet;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use banyanwharf::member::{Id, Status};
+use banyanwharf::{
+    flow::SLOTS,
+    member::{
+        Config, Detector, Entry, Id, Info, Member, Message, Output, Owners, Ranking, Status,
+        Update, View,
+    },
+};
 use bolero::TypeGenerator;
-use fleet::Fleet;
+use fleet::{Fleet, info};
 
 #[derive(Debug, Clone, TypeGenerator)]
 enum Op {
@@ -33,7 +43,7 @@
 struct Departure {
     daemon: usize,
     incarnation: u64,
-    at: std::time::Instant,
+    at: Instant,
     hidden: bool,
 }
 
@@ -41,7 +51,7 @@
     fleet: Fleet,
     departures: Vec<Departure>,
     /// When the last partition or pause ended or will end.
-    disturbed: Option<std::time::Instant>,
+    disturbed: Option<Instant>,
 }
 
 impl Run {
@@ -155,6 +165,10 @@
                     "{} holds {} as {status:?}, reachable: {reachable}",
                     own.info.name, daemon.info.name
                 );
+                if alive {
+                    let known = view.get(self.fleet.id(other)).map(|member| &member.info);
+                    assert_eq!(known, Some(&daemon.info), "an old description is kept");
+                }
             }
             let statuses: Vec<(Id, Status)> = view
                 .iter()
@@ -202,3 +216,354 @@
             run.check();
         });
 }
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Starts `size` daemons that know each other.
+fn started(size: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(size, 3, seed);
+    (0..size).for_each(|index| fleet.start(index));
+    fleet.run(seconds(20));
+    fleet
+}
+
+/// Guards against a daemon that takes others for failed because it is slow itself.
+#[test]
+fn late_daemon_suspects_nobody() {
+    bolero::check!()
+        .with_type::<u64>()
+        .with_iterations(10)
+        .for_each(|&seed| {
+            let mut fleet = started(6, seed);
+            fleet.daemons[0].tick = Duration::from_millis(900);
+            fleet.crash(5);
+            // Without the others it can only learn of the crash from itself.
+            fleet.daemons[0].side = 1;
+            fleet.run(seconds(60));
+            let view = fleet.detector(0).view();
+            assert!(
+                view.iter()
+                    .all(|(_, member)| member.status == Status::Alive)
+            );
+            assert!(fleet.detector(0).counters().late_ticks > 50);
+            fleet.daemons[0].side = 0;
+            fleet.run(seconds(30));
+            assert_eq!(fleet.holders(fleet.id(5), &[Status::Failed]), 5);
+            assert_eq!(fleet.holders(fleet.id(0), &[Status::Alive]), 5);
+        });
+}
+
+/// Guards against a daemon that serves with an old view after a pause.
+#[test]
+fn paused_daemon_confirms_its_view() {
+    bolero::check!()
+        .with_type::<u64>()
+        .with_iterations(10)
+        .for_each(|&seed| {
+            let mut fleet = started(40, seed);
+            fleet.pause(0, seconds(120));
+            for index in 10..20 {
+                fleet.crash(index);
+            }
+            fleet.run(seconds(60));
+            for index in 10..15 {
+                fleet.start(index);
+            }
+            fleet.run(seconds(59));
+            fleet.daemons[0].drop_inbox();
+            fleet.run(Duration::from_millis(3100));
+            assert_eq!(fleet.daemons[0].confirmed, [true]);
+            let view = fleet.detector(0).view();
+            for index in 1..40 {
+                let member = view.get(fleet.id(index)).expect("all were known");
+                let alive = !(15..20).contains(&index);
+                assert_eq!(member.status == Status::Alive, alive, "{index}");
+                assert_eq!(member.info, fleet.daemons[index].info);
+            }
+        });
+}
+
+/// Guards against a joiner that needs longer for the member list than a call to one peer.
+#[test]
+fn joiner_takes_a_snapshot() {
+    let mut fleet = Fleet::new(12, 3, 7);
+    (0..11).for_each(|index| fleet.start(index));
+    fleet.run(seconds(20));
+    fleet.crash(10);
+    fleet.run(seconds(30));
+    fleet.join(11, 0);
+    assert_eq!(fleet.detector(11).view().len(), 12);
+    let failed = fleet.detector(11).view().get(fleet.id(10));
+    assert_eq!(failed.map(|member| member.status), Some(Status::Failed));
+    fleet.run(seconds(5));
+    assert_eq!(fleet.holders(fleet.id(11), &[Status::Alive]), 11);
+    assert_eq!(fleet.detector(11).digest(), fleet.detector(0).digest());
+}
+
+/// Guards against views that grow for ever, and against old members that come back.
+#[test]
+fn old_members_are_forgotten() {
+    let mut fleet = Fleet::new(6, 3, 3);
+    fleet.config.failed_retention = seconds(3600);
+    (0..6).for_each(|index| fleet.start(index));
+    fleet.run(seconds(20));
+    fleet.crash(4);
+    let now = fleet.now;
+    fleet.with(5, |detector| detector.left(now));
+    fleet.run(seconds(500));
+    assert_eq!(fleet.holders(fleet.id(5), &[Status::Left]), 4);
+    fleet.run(seconds(200));
+    assert_eq!(fleet.detector(0).view().len(), 5);
+    fleet.run(seconds(2800));
+    assert_eq!(fleet.holders(fleet.id(4), &[Status::Failed]), 4);
+    fleet.run(seconds(300));
+    for index in fleet.running() {
+        assert_eq!(fleet.detector(index).view().len(), 4);
+    }
+}
+
+/// Guards against an id that changes hands between two names.
+#[test]
+fn colliding_names_are_refused() {
+    let now = Instant::now();
+    let mut detector = Detector::new(Config::default(), info(0, 0), 5, 1, now);
+    let update = |id: Id, info: &Info| Update {
+        id,
+        incarnation: 9,
+        status: Status::Alive,
+        info: Some(Arc::new(info.clone())),
+    };
+    let updates = vec![
+        update(info(1, 0).id(), &info(1, 0)),
+        update(info(1, 0).id(), &info(2, 0)),
+        update(info(0, 0).id(), &info(2, 0)),
+    ];
+    let (from, sequence) = (info(1, 0), 1);
+    let message = Message::Ping { sequence, updates };
+    detector.on_message(now, from.id(), from.peer, message, &mut Vec::new());
+    assert_eq!(detector.counters().collisions, 2);
+    assert_eq!(detector.view().get(from.id()).map(|m| &m.info), Some(&from));
+    assert_eq!(detector.view().len(), 2);
+}
+
+/// A message with few distinct values, so that they meet.
+#[derive(Debug, Clone, TypeGenerator)]
+struct Noise {
+    kind: u8,
+    from: u8,
+    sequence: u8,
+    late: u16,
+    updates: Vec<(u8, u64, u8, bool)>,
+    ids: Vec<u64>,
+    range: (u64, u64),
+}
+
+fn message(noise: &Noise) -> Message {
+    let status = |status: u8| match status % 5 {
+        0 => Status::Alive,
+        1 => Status::Leaving,
+        2 => Status::Suspect,
+        3 => Status::Failed,
+        _ => Status::Left,
+    };
+    let updates: Vec<Update> = noise
+        .updates
+        .iter()
+        .map(|&(index, incarnation, state, with_info)| Update {
+            id: info(usize::from(index % 4), 0).id(),
+            incarnation,
+            status: status(state),
+            info: with_info.then(|| Arc::new(info(usize::from(index % 4), 0))),
+        })
+        .collect();
+    let entries = updates.iter().map(|update| Entry {
+        id: update.id,
+        incarnation: update.incarnation,
+        status: update.status,
+    });
+    let sequence = u32::from(noise.sequence);
+    match noise.kind % 6 {
+        0 => Message::Ping { sequence, updates },
+        1 => Message::Ack { sequence, updates },
+        2 => Message::PingRequest {
+            sequence,
+            target: info(usize::from(noise.sequence % 4), 0).id(),
+            updates,
+        },
+        3 => Message::Digest {
+            sequence,
+            urgent: noise.sequence.is_multiple_of(2),
+            buckets: noise
+                .ids
+                .iter()
+                .map(|id| (*id as u32).to_le_bytes())
+                .collect(),
+        },
+        4 => Message::Summary {
+            sequence,
+            parts: noise.kind,
+            from: noise.range.0,
+            to: noise.range.1,
+            entries: entries.collect(),
+        },
+        _ => Message::Updates {
+            updates,
+            wanted: noise.ids.clone(),
+        },
+    }
+}
+
+/// Guards against panics, own records that others overwrite, and long answers.
+#[test]
+fn arbitrary_messages_are_survived() {
+    bolero::check!()
+        .with_type::<Vec<Noise>>()
+        .with_iterations(2000)
+        .for_each(|messages| {
+            let mut now = Instant::now();
+            let mut detector = Detector::new(Config::default(), info(0, 0), 5, 1, now);
+            for noise in messages {
+                let mut out = Vec::new();
+                now += Duration::from_millis(noise.late.into());
+                detector.confirm(now);
+                detector.on_tick(now, &mut out);
+                let from = info(usize::from(noise.from % 4), 0);
+                detector.on_message(now, from.id(), from.peer, message(noise), &mut out);
+                let own = detector.view().get(detector.id()).expect("it knows itself");
+                assert_eq!(own.status, Status::Alive);
+                assert!(own.incarnation >= 5);
+                assert!(out.len() < 200);
+                for output in &out {
+                    let Output::Send { message, .. } = output else {
+                        continue;
+                    };
+                    if let Message::Ping { updates, .. } | Message::Ack { updates, .. } = message {
+                        assert!(updates.len() <= 8);
+                    }
+                }
+            }
+        });
+}
+
+#[derive(Debug, Clone, TypeGenerator)]
+enum Change {
+    /// Sets a member's status and zone.
+    Set(u8, u8, u8),
+    Remove(u8),
+    ZoneOut(u8),
+    Wait(u16),
+}
+
+fn owners(ranking: &Ranking) -> Vec<Option<Owners>> {
+    (0..SLOTS).map(|slot| ranking.owners(slot)).collect()
+}
+
+/// Guards against an incremental ranking that differs from a full one, owners in one zone where
+/// there are two, changes of hash slots that a member did not own, and lost former owners.
+#[test]
+fn ranking_follows_the_view() {
+    bolero::check!()
+        .with_type::<(u8, Vec<Change>)>()
+        .with_iterations(60)
+        .for_each(|(size, changes)| {
+            let mut now = Instant::now();
+            let mut view = View::new();
+            let mut zones_out: HashSet<Arc<str>> = HashSet::new();
+            let member = |index: u8, zone: u8, status, since| Member {
+                info: info(index.into(), zone.into()),
+                incarnation: 1,
+                status,
+                since,
+            };
+            let size = 1 + size % 40;
+            for index in 0..size {
+                view.insert(member(index, index % 3, Status::Alive, now));
+            }
+            let mut ranking = Ranking::new(&view, "montevideo", &zones_out);
+            let mut history: BTreeMap<u16, Vec<(Instant, Id)>> = BTreeMap::new();
+            // Whether members that are alive were ranked, rather than the reserve.
+            let mut is_ranked = true;
+            for change in changes.iter().take(30) {
+                let before = ranking.clone();
+                let mut touched = None;
+                match *change {
+                    Change::Set(index, zone, status) => {
+                        let status = match status % 4 {
+                            0 | 1 => Status::Alive,
+                            2 => Status::Leaving,
+                            _ => Status::Suspect,
+                        };
+                        let new = member(index % size, zone % 4, status, now);
+                        touched = Some(new.info.id());
+                        view.insert(new);
+                    }
+                    Change::Remove(index) => {
+                        let id = info((index % size).into(), 0).id();
+                        touched = Some(id);
+                        view.remove(id);
+                    }
+                    Change::ZoneOut(zone) => {
+                        let zone = info(0, (zone % 4).into()).zone;
+                        if !zones_out.remove(&zone) {
+                            zones_out.insert(zone);
+                        }
+                    }
+                    Change::Wait(time) => now += Duration::from_millis(10 * u64::from(time)),
+                }
+                ranking.update(now, &view, "montevideo", &zones_out);
+                let full = Ranking::new(&view, "montevideo", &zones_out);
+                assert_eq!(owners(&ranking), owners(&full));
+                assert_eq!(owners(&full.after(&before, now)), owners(&ranking));
+                let ranked = |id: Id| {
+                    let zone = &view.get(id).expect("owners are members").info.zone;
+                    (zone.clone(), zones_out.contains(zone))
+                };
+                let alive: BTreeSet<Arc<str>> = view
+                    .iter()
+                    .filter(|(_, m)| m.status == Status::Alive)
+                    .map(|(_, m)| m.info.zone.clone())
+                    .filter(|zone| !zones_out.contains(zone))
+                    .collect();
+                let only_present = alive.len() >= 2;
+                let was_ranked = std::mem::replace(&mut is_ranked, !alive.is_empty());
+                for slot in 0..SLOTS {
+                    let (old, new) = (before.owners(slot), ranking.owners(slot));
+                    if let Some(owners) = new
+                        && only_present
+                    {
+                        let secondary = owners.secondary.expect("there are two zones");
+                        assert_ne!(ranked(owners.primary).0, ranked(secondary).0);
+                        assert!(!ranked(owners.primary).1 && !ranked(secondary).1);
+                    }
+                    let former: Vec<Id> = ranking.former(slot).collect();
+                    assert!(former.len() <= 6);
+                    if old == new {
+                        assert_eq!(ranking.changed_at(slot), before.changed_at(slot));
+                        continue;
+                    }
+                    assert_eq!(ranking.changed_at(slot), Some(now));
+                    if let (Some(id), Some(old), Some(new)) = (touched, old, new)
+                        && only_present
+                        && was_ranked
+                    {
+                        assert!(
+                            old.contains(id) || new.contains(id),
+                            "a foreign slot changed"
+                        );
+                    }
+                    for id in old.iter().flat_map(Owners::iter) {
+                        history.entry(slot).or_default().push((now, id));
+                        assert!(new.is_some_and(|new| new.contains(id)) || former.contains(&id));
+                    }
+                }
+                for (slot, past) in &history {
+                    let fresh = |at: Instant| now - at < Duration::from_secs(600);
+                    for id in ranking.former(*slot) {
+                        assert!(past.iter().any(|(at, old)| *old == id && fresh(*at)));
+                    }
+                }
+            }
+        });
+}
