--- a/src/forward/history.rs
+++ b/src/forward/history.rs
@@ -39,14 +39,13 @@
         for slot in 0..SLOTS {
             let at = usize::from(slot);
             self.changed[at] = Some(now);
-            self.former[at] = ranking
-                .former_owners(slot)
-                .map(|owners| Former {
-                    owners,
-                    formed: None,
-                    replaced: now,
-                })
-                .collect();
+            let former = ranking.former_owners(slot).map(|owners| Former {
+                owners,
+                formed: None,
+                replaced: now,
+            });
+            self.former[at] = former.collect();
+            self.former[at].reverse();
         }
     }
 
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -51,6 +51,7 @@
         }
         info!("joined after {} ms", start.elapsed().as_millis());
         // Requests of one sender arrive in order, so the state is merged before forwarding starts.
+        let _ = self.members.cast(members::Request::Joined);
         let _ = self.coordinator.cast(coordinator::Request::Joined);
     }
 
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -36,6 +36,8 @@
     Contacts(Vec<Info>),
     /// Another member's view has arrived.
     Merge(Snapshot),
+    /// The first state is complete, so the daemon becomes an owner.
+    Joined,
     /// The process was paused, so the view must be confirmed.
     Confirm,
     /// The daemon is about to stop.
@@ -70,7 +72,8 @@
 /// The state of the actor.
 pub(super) struct State {
     arguments: Arguments,
-    ranking: Arc<Ranking>,
+    /// The ranking; none until the daemon has joined.
+    ranking: Option<Ranking>,
     zones_out: Arc<HashSet<Arc<str>>>,
     outputs: Vec<Output>,
 }
@@ -87,11 +90,9 @@
     ) -> Result<State, ActorProcessingErr> {
         own.send_interval(TICK, || Request::Tick);
         let zones_out = arguments.shared.zones_out.load_full();
-        let view = arguments.detector.view();
-        let ranking = Arc::new(Ranking::new(view, &arguments.region, &zones_out));
         let mut state = State {
             arguments,
-            ranking,
+            ranking: None,
             zones_out,
             outputs: Vec::new(),
         };
@@ -134,6 +135,10 @@
                 detector.merge_snapshot(now, snapshot);
                 self.outputs.push(Output::ViewChanged);
             }
+            Request::Joined => {
+                self.join(now);
+                self.outputs.push(Output::ViewChanged);
+            }
             Request::Confirm => detector.confirm(now),
             Request::Leave => {
                 detector.leave(now);
@@ -178,19 +183,33 @@
         }
     }
 
+    /// Ranks the owners for the first time. The owners without this daemon are the former ones, so
+    /// that the daemon asks them for the flows it now owns.
+    fn join(&mut self, now: Instant) {
+        let Arguments {
+            detector, region, ..
+        } = &self.arguments;
+        let (view, own) = (detector.view(), detector.id());
+        self.ranking = Some(Ranking::joined(now, view, own, region, &self.zones_out));
+    }
+
     /// Publishes the view and hands the ranking to the packet loop.
     async fn publish(&mut self, now: Instant) {
         let view = Arc::new(self.arguments.detector.view().clone());
         let former = self.arguments.shared.view.swap(view.clone());
         log_changes(&former, &view);
-        let region = &self.arguments.region;
-        let ranking = Ranking::new(&view, region, &self.zones_out).after(&self.ranking, now);
-        self.ranking = Arc::new(ranking);
-        let command = Command::SetMembers {
-            view,
-            ranking: self.ranking.clone(),
+        let Some(ranking) = &mut self.ranking else {
+            return;
         };
-        if self.arguments.commands.send(command).await.is_err() {
+        ranking.update(now, &view, &self.arguments.region, &self.zones_out);
+        let ranking = Arc::new(ranking.clone());
+        if self
+            .arguments
+            .commands
+            .send(Command::SetMembers { view, ranking })
+            .await
+            .is_err()
+        {
             warn!("packet loop has ended; the member view is not passed on");
         }
     }
