Measure the dissemination and decide on clashes by number

A ticket is checked against the other services as they were under the highest lower number, not against the newest ones. A reader that starts again with state of its peers would otherwise accept a ticket that was refused before.

--- a/src/ticket/state.rs
+++ b/src/ticket/state.rs
@@ -102,6 +102,7 @@
 pub struct State {
     zones: Option<Arc<[Arc<str>]>>,
     objects: BTreeMap<ObjectId, Vec<Version>>,
+    /// The services that claim a resource, once for each kept version that does.
     claims: HashMap<Claim, Vec<ObjectId>>,
     buckets: [u64; BUCKETS],
     history: History,
@@ -356,22 +357,19 @@
 
     /// Checks that no other service has an address that the items claim.
     ///
-    /// Only services with a lower number count: one with a higher number was set by operators
-    /// who knew of this ticket, and a reader that starts again reads old tickets after the
-    /// newer state came from its peers.
+    /// The other services count as they were under the highest number below the ticket's. A
+    /// reader that starts again reads old tickets after newer state came from its peers, and
+    /// must decide as the first reader did.
     fn check_claims(&self, number: Number, items: &[Item]) -> Result<(), Refusal> {
         let replaced: Vec<ObjectId> = items.iter().map(|item| item.object().id()).collect();
-        for (item, id) in items.iter().zip(&replaced) {
-            if self.get(*id).is_some_and(|newest| newest.number > number) {
-                continue;
-            }
+        for item in items {
             for claim in claims(item) {
                 let owners = self.claims.get(&claim).map_or(&[][..], Vec::as_slice);
                 let owner = owners
                     .iter()
                     .filter(|owner| !replaced.contains(owner))
-                    .filter_map(|owner| self.get(*owner))
-                    .find(|owner| owner.number < number);
+                    .filter_map(|owner| self.versions(*owner).find(|v| v.number < number))
+                    .find(|owner| claims(owner).contains(&claim));
                 if let Some(owner) = owner {
                     return Err(clash(claim, item, owner));
                 }
@@ -399,9 +397,9 @@
                 if versions[index].hash > version.hash {
                     return;
                 }
+                unclaim(&mut self.claims, id, &versions[index].item);
+                claim(&mut self.claims, id, &version.item);
                 if index == 0 {
-                    unclaim(&mut self.claims, id, &versions[0].item);
-                    claim(&mut self.claims, id, &version.item);
                     merged.changed.push(object);
                 }
                 versions[index] = version;
@@ -412,14 +410,13 @@
                     return;
                 }
                 if index == 0 {
-                    if let Some(newest) = versions.first() {
-                        unclaim(&mut self.claims, id, &newest.item);
-                    }
-                    claim(&mut self.claims, id, &version.item);
                     merged.changed.push(object);
                 }
+                claim(&mut self.claims, id, &version.item);
                 versions.insert(index, version);
-                versions.truncate(limit);
+                for forgotten in versions.drain(limit.min(versions.len())..) {
+                    unclaim(&mut self.claims, id, &forgotten.item);
+                }
             }
         }
         merged.new = true;
@@ -458,7 +455,9 @@
 fn unclaim(all: &mut HashMap<Claim, Vec<ObjectId>>, id: ObjectId, item: &Item) {
     for claim in claims(item) {
         if let Some(owners) = all.get_mut(&claim) {
-            owners.retain(|owner| *owner != id);
+            if let Some(index) = owners.iter().position(|owner| *owner == id) {
+                owners.swap_remove(index);
+            }
             if owners.is_empty() {
                 all.remove(&claim);
             }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -46,6 +46,7 @@
     /// The wall-clock time spent in the spreader.
     pub(crate) busy: Duration,
     info: Info,
+    is_reader: bool,
     index: usize,
     next_read: Instant,
     numbers: HashMap<ObjectId, Number>,
@@ -117,6 +118,7 @@
                 in_force: BTreeMap::new(),
                 busy: Duration::ZERO,
                 info,
+                is_reader: false,
                 index: 0,
                 next_read: now,
                 numbers: HashMap::new(),
@@ -136,6 +138,9 @@
         }
         let sides = self.nodes.iter().map(|node| node.side).max().unwrap_or(0);
         self.views = (0..=sides).map(|side| self.view(side)).collect();
+        for node in &mut self.nodes {
+            node.is_reader = node.spreader.is_reader(&self.views[node.side]);
+        }
     }
 
     /// Starts a daemon again without its memory.
@@ -229,7 +234,7 @@
             spreader.on_tick(now, view, state, out);
         });
         let node = &mut self.nodes[index];
-        if !self.platform_up || !node.spreader.is_reader(&self.views[node.side]) {
+        if !self.platform_up || !node.is_reader {
             return;
         }
         let stale = self.stale.filter(|_| &*node.zone == "zone-0");
--- a/tests/ticket.rs
+++ b/tests/ticket.rs
@@ -335,6 +335,21 @@
             .collect(),
     );
     assert!(new(replay.apply(now, service(1, "a", 1, 1))));
+    // A reader that has ticket 8 from its peers decides on ticket 6 as the first reader did.
+    let mut replay = State::default();
+    let old = state
+        .items()
+        .filter(|item| item.number == 1 || item.number == 8);
+    replay.merge(now, old.cloned().collect());
+    let refused = replay.apply(now, service(6, "c", 1, 3));
+    assert!(matches!(
+        refused,
+        Err(Refusal::Address {
+            number: 6,
+            since: 1,
+            ..
+        })
+    ));
     // Two services may exchange addresses within one ticket.
     let (mut swap, other) = (service(20, "a", 1, 3), service(20, "c", 5, 5));
     swap.services.extend(other.services);
