--- a/examples/slopes_spread.rs
+++ b/examples/slopes_spread.rs
@@ -6,6 +6,7 @@
 use std::{
     fmt::Write as _,
     fs,
+    ops::Range,
     path::PathBuf,
     time::{Duration, Instant},
 };
@@ -73,7 +74,11 @@
 fn ticket(number: Number, service: usize) -> Ticket {
     let first = service * TARGETS / SERVICES;
     let last = (service + 1) * TARGETS / SERVICES;
-    let targets: Vec<_> = (first..last)
+    ticket_with(number, service, first..last)
+}
+
+fn ticket_with(number: Number, service: usize, targets: Range<usize>) -> Ticket {
+    let targets: Vec<_> = targets
         .map(|index| {
             let [_, high, middle, low] = (index as u32).to_be_bytes();
             let address = format!("10.{high}.{middle}.{low}");
@@ -157,6 +162,27 @@
     row
 }
 
+/// Returns the time until a change of one service with many targets is in force at all daemons.
+fn measure_large(seed: u64, loss: f64, daemons: usize, targets: usize) -> f64 {
+    let network = Network {
+        loss,
+        duplicates: 0.0,
+        delay: Duration::from_millis(40),
+    };
+    let mut fleet = Fleet::new(seed, daemons, ZONES, network);
+    fleet.run(Duration::from_secs(10), |_| false);
+    let published = fleet.now;
+    fleet.platform.push(ticket_with(1, 0, 0..targets));
+    let everywhere = |fleet: &Fleet| {
+        let mut nodes = fleet.nodes.iter();
+        nodes.all(|node| node.state.history().is_applied(1))
+    };
+    if !fleet.run(Duration::from_secs(600), everywhere) {
+        return f64::INFINITY;
+    }
+    fleet.now.duration_since(published).as_secs_f64()
+}
+
 /// Returns the resident memory of this process in bytes.
 fn resident() -> f64 {
     let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
@@ -275,6 +301,15 @@
     }
     println!("{table}");
     let mut table = Table::new();
+    table.set_header(["targets of the service", "in force at 256 daemons, s"]);
+    csv += "\ntargets,in_force_256_daemons_s\n";
+    for targets in [14, 64, 256, 1_000] {
+        let seconds = measure_large(arguments.seed, arguments.loss, 256, targets);
+        table.add_row([targets.to_string(), format!("{seconds:.2}")]);
+        writeln!(csv, "{targets},{seconds:.2}").expect("writing to a string succeeds");
+    }
+    println!("{table}");
+    let mut table = Table::new();
     table.set_header(["3,300 services, 9,400 targets", "value"]);
     csv += "\nfigure,value\n";
     for (name, value) in figures {
