--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -8,6 +8,7 @@
 
 use banyanwharf::{
     member::Status,
+    route::{Compiler, QUARANTINE},
     spread::{Action, Config, Message, Spreader},
     ticket::{self, Number, Object, State, Ticket},
 };
@@ -76,6 +77,50 @@
     }
 }
 
+/// Publishes the tickets of `make` in random order while faults happen, then heals everything
+/// and waits until all daemons have the same state.
+fn run_with_faults(seed: u64, make: impl Fn(Number, &mut Pcg64Mcg) -> Ticket) -> Fleet {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let network = Network {
+        loss: rng.random_range(0.0..0.3),
+        duplicates: rng.random_range(0.0..0.2),
+        delay: Duration::from_millis(rng.random_range(1..400)),
+    };
+    let daemons = rng.random_range(3..10);
+    let mut fleet = Fleet::new(seed, daemons, 3, network);
+    let count = rng.random_range(1..14);
+    let mut tickets: Vec<Ticket> = (1..=count).map(|n| make(n * 3, &mut rng)).collect();
+    tickets.shuffle(&mut rng);
+    for ticket in &tickets {
+        fleet.platform.push(ticket.clone());
+        match rng.random_range(0..8) {
+            0 => fleet.restart(rng.random_range(0..daemons)),
+            1 => {
+                let sides = rng.random_range(1..4);
+                fleet.divide(|index| index % sides);
+            }
+            2 => fleet.divide(|_| 0),
+            3 => fleet.platform_up = !fleet.platform_up,
+            4 => fleet.stale = Some(rng.random_range(0..fleet.platform.len())),
+            _ => {}
+        }
+        fleet.run(Duration::from_millis(rng.random_range(0..8_000)), |_| false);
+    }
+    fleet.divide(|_| 0);
+    (fleet.platform_up, fleet.stale) = (true, None);
+    let same = |fleet: &Fleet| {
+        let first = &fleet.nodes[0].state;
+        let known = tickets.iter().all(|t| first.history().is_known(t.number));
+        let mut nodes = fleet.nodes.iter();
+        known && nodes.all(|node| node.state.summary() == first.summary())
+    };
+    assert!(
+        fleet.run(Duration::from_secs(300), same),
+        "seed {seed}: no agreement"
+    );
+    fleet
+}
+
 /// Guards against a lost ticket, a reverted object or daemons that never agree, under loss,
 /// duplication, reordering, partitions, restarts without memory, a stale platform and crossing
 /// tickets of two operators.
@@ -85,45 +130,52 @@
         .with_type::<u64>()
         .with_iterations(24)
         .for_each(|&seed| {
-            let mut rng = Pcg64Mcg::seed_from_u64(seed);
-            let network = Network {
-                loss: rng.random_range(0.0..0.3),
-                duplicates: rng.random_range(0.0..0.2),
-                delay: Duration::from_millis(rng.random_range(1..400)),
-            };
-            let daemons = rng.random_range(3..10);
-            let mut fleet = Fleet::new(seed, daemons, 3, network);
-            let count = rng.random_range(1..14);
-            let mut tickets: Vec<Ticket> = (1..=count)
-                .map(|number| ticket(number * 3, rng.random_range(1..4), rng.random_range(0..20)))
+            let fleet = run_with_faults(seed, |number, rng| {
+                ticket(number, rng.random_range(1..4), rng.random_range(0..20))
+            });
+            assert!(has_all(&fleet, &fleet.platform));
+            assert_converged(&fleet, &fleet.platform, seed);
+        });
+}
+
+/// Guards against daemons that route an address to different services for good, when tickets
+/// claim the same addresses and readers decide differently because their states differ.
+#[test]
+fn clashes_end_the_same_everywhere() {
+    bolero::check!()
+        .with_type::<u64>()
+        .with_iterations(24)
+        .for_each(|&seed| {
+            let mut fleet = run_with_faults(seed, |number, rng| {
+                let mut ticket = ticket(number, rng.random_range(1..4), 2);
+                ticket.services[0].addresses[0]
+                    .address
+                    .set_port(rng.random_range(1..3));
+                let host = rng.random_range(1..3);
+                let ip = std::net::IpAddr::from([10, 0, 0, host]);
+                ticket.services[0].targets[0].address.set_ip(ip);
+                ticket.services[0].addresses[0].address.set_ip(ip);
+                ticket
+            });
+            fleet.run(Duration::from_secs(60), |_| false);
+            let later = fleet.now + QUARANTINE;
+            let routes: Vec<_> = fleet
+                .nodes
+                .iter()
+                .map(|node| {
+                    let compilation = Compiler::new().compile(later, &node.state);
+                    let targets: Vec<_> = compilation.table.targets().cloned().collect();
+                    (compilation.issues, targets)
+                })
                 .collect();
-            tickets.shuffle(&mut rng);
-            for ticket in &tickets {
-                fleet.platform.push(ticket.clone());
-                match rng.random_range(0..8) {
-                    0 => fleet.restart(rng.random_range(0..daemons)),
-                    1 => {
-                        let sides = rng.random_range(1..4);
-                        fleet.divide(|index| index % sides);
-                    }
-                    2 => fleet.divide(|_| 0),
-                    3 => fleet.platform_up = !fleet.platform_up,
-                    4 => fleet.stale = Some(rng.random_range(0..fleet.platform.len())),
-                    _ => {}
-                }
-                fleet.run(Duration::from_millis(rng.random_range(0..8_000)), |_| false);
-            }
-            fleet.divide(|_| 0);
-            (fleet.platform_up, fleet.stale) = (true, None);
-            let all = |fleet: &Fleet| {
-                let summary = fleet.nodes[0].state.summary();
-                has_all(fleet, &tickets) && fleet.nodes.iter().all(|n| n.state.summary() == summary)
-            };
             assert!(
-                fleet.run(Duration::from_secs(300), all),
-                "seed {seed}: no agreement"
+                routes.windows(2).all(|pair| pair[0] == pair[1]),
+                "seed {seed}"
             );
-            assert_converged(&fleet, &tickets, seed);
+            let reachable = routes[0].1.iter().filter(|target| target.is_reachable());
+            let addresses: Vec<_> = reachable.map(|target| target.address).collect();
+            let distinct: HashSet<_> = addresses.iter().collect();
+            assert_eq!(distinct.len(), addresses.len(), "seed {seed}");
         });
 }
 
