Add the command-line tool and tests of the admin API

The tool is run as a binary against fake daemons: output for people and as JSON, exit codes, waiting for a ticket with late, lagging, refusing, suspected and dead members, file checks and trace trees.

Instruments now state their number of attribute sets: the SDK sums what exceeds 2,000 into one, and reserves memory for the limit, so one limit for all would either hide targets of the design size or waste memory.

The message of a syntax error beyond line 9 contained a drawing of the source line; it now holds only what was expected.

--- a/src/admin/api.rs
+++ b/src/admin/api.rs
@@ -13,7 +13,7 @@
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<Status>;
 
-    /// Returns all members that the daemon knows.
+    /// Returns all members that the daemon knows, including itself.
     #[method(name = "members")]
     async fn members(&self) -> RpcResult<Vec<Member>>;
 
--- a/src/bin/banyanwharf.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The `banyanwharf` program.
-
-fn main() {}
--- /dev/null
+++ b/src/bin/banyanwharf/ask.rs
@@ -0,0 +1,33 @@
+use std::{net::SocketAddr, time::Duration};
+
+use banyanwharf::admin::{self, Client};
+use jsonrpsee::core::client;
+
+use crate::error::{Attempt, Cause, Error, Result};
+
+/// The longest time for one answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Asks one daemon.
+pub(crate) async fn one<T>(
+    address: SocketAddr,
+    call: impl AsyncFnOnce(Client) -> Result<T, client::Error>,
+) -> Result<T, Cause> {
+    let client = admin::connect(address, TIMEOUT)?;
+    Ok(call(client).await?)
+}
+
+/// Asks the daemons in turn and returns the first answer.
+pub(crate) async fn first<T>(
+    addresses: &[SocketAddr],
+    call: impl AsyncFn(Client) -> Result<T, client::Error>,
+) -> Result<T> {
+    let mut attempts = Vec::new();
+    for &address in addresses {
+        match one(address, &call).await {
+            Ok(answer) => return Ok(answer),
+            Err(cause) => attempts.push(Attempt { address, cause }),
+        }
+    }
+    Err(Error::Unanswered { attempts })
+}
--- /dev/null
+++ b/src/bin/banyanwharf/error.rs
@@ -0,0 +1,116 @@
+use std::{io, net::SocketAddr, path::PathBuf};
+
+use banyanwharf::{admin, settings, telemetry};
+use jsonrpsee::core::client;
+
+/// Why a command has no answer.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub(crate) enum Error {
+    /// No daemon answered.
+    #[error("no daemon answered")]
+    #[diagnostic(help(
+        "check that banyanwharfd runs and that --admin names the admin address of its settings"
+    ))]
+    Unanswered {
+        /// What was tried.
+        #[related]
+        attempts: Vec<Attempt>,
+    },
+    /// A file cannot be read.
+    #[error("{} could not be read: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A trace file is not one.
+    #[error("{} is not a trace file: {source}", path.display())]
+    #[diagnostic(help("name a file that the setting trace.output wrote"))]
+    Trace {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: telemetry::Error,
+    },
+    /// An answer cannot be written as JSON.
+    #[error("answer could not be written as JSON")]
+    Json {
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// The runtime cannot be started.
+    #[error("runtime could not be started")]
+    Runtime {
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// A daemon that did not answer.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+#[error("{address}: {cause}")]
+pub(crate) struct Attempt {
+    /// The admin address.
+    pub(crate) address: SocketAddr,
+    /// Why there is no answer.
+    pub(crate) cause: Cause,
+}
+
+/// Why a daemon did not answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Cause {
+    /// The client could not be made.
+    #[error(transparent)]
+    Client(#[from] admin::Error),
+    /// The daemon answered with an error.
+    #[error("{}", .0.message())]
+    Refused(jsonrpsee::types::ErrorObjectOwned),
+    /// No answer arrived in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The call failed.
+    #[error("{}", chain(.0))]
+    Call(client::Error),
+}
+
+impl From<client::Error> for Cause {
+    fn from(error: client::Error) -> Cause {
+        match error {
+            client::Error::Call(object) => Cause::Refused(object),
+            client::Error::RequestTimeout => Cause::Timeout,
+            error => Cause::Call(error),
+        }
+    }
+}
+
+/// Returns the innermost cause, which names the network error.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut innermost = error;
+    while let Some(source) = innermost.source() {
+        innermost = source;
+    }
+    innermost.to_string()
+}
+
+/// Why a file is wrong.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub(crate) enum Wrong {
+    /// The settings are wrong.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] settings::Error),
+    /// The ticket is wrong.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Ticket(Box<crate::check::TicketError>),
+}
+
+/// A result with this program's [`Error`].
+pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl From<Box<crate::check::TicketError>> for Wrong {
+    fn from(error: Box<crate::check::TicketError>) -> Wrong {
+        Wrong::Ticket(error)
+    }
+}
--- /dev/null
+++ b/src/bin/banyanwharf/output.rs
@@ -0,0 +1,74 @@
+use comfy_table::{Table, presets};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::error::{Error, Result};
+
+/// The exit code of a positive answer.
+pub(crate) const POSITIVE: u8 = 0;
+/// The exit code of a negative answer.
+pub(crate) const NEGATIVE: u8 = 1;
+/// The exit code of a usage or connection error.
+pub(crate) const ERROR: u8 = 2;
+
+/// What a command prints and how it ends.
+#[derive(Debug)]
+pub(crate) struct Output {
+    /// The text for the standard output.
+    pub(crate) text: String,
+    /// The text for the standard error stream.
+    pub(crate) notes: String,
+    /// The exit code.
+    pub(crate) code: u8,
+}
+
+impl Output {
+    /// Makes the output of `value`: JSON, or the text of `people`.
+    pub(crate) fn new<T: Serialize + ?Sized>(
+        json: bool,
+        value: &T,
+        people: impl FnOnce() -> String,
+    ) -> Result<Output> {
+        let mut text = if json {
+            serde_json::to_string_pretty(value).map_err(|source| Error::Json { source })?
+        } else {
+            people()
+        };
+        if !text.ends_with('\n') {
+            text.push('\n');
+        }
+        Ok(Output {
+            text,
+            notes: String::new(),
+            code: POSITIVE,
+        })
+    }
+
+    /// Sets the exit code.
+    pub(crate) fn with_code(self, code: u8) -> Output {
+        Output { code, ..self }
+    }
+}
+
+/// Returns a table with columns that are separated by spaces, for people and for `awk`.
+pub(crate) fn table<const N: usize>(
+    header: [&str; N],
+    rows: impl IntoIterator<Item = [String; N]>,
+) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING).force_no_tty();
+    table.set_header(header);
+    table.add_rows(rows);
+    let lines = table.lines().map(|line| line.trim_end().to_owned() + "\n");
+    lines.collect()
+}
+
+/// Returns a value's name as in JSON; `-` for none.
+pub(crate) fn word<T: Serialize>(value: T) -> String {
+    match serde_json::to_value(value) {
+        Ok(Value::Null) | Err(_) => "-".to_owned(),
+        Ok(Value::String(text)) => text,
+        Ok(Value::Bool(flag)) => if flag { "yes" } else { "no" }.to_owned(),
+        Ok(value) => value.to_string(),
+    }
+}
--- /dev/null
+++ b/src/bin/banyanwharf/spans.rs
@@ -0,0 +1,109 @@
+use std::{
+    collections::{BTreeMap, HashSet},
+    fs,
+    path::Path,
+};
+
+use banyanwharf::telemetry::{self, Record};
+
+use crate::{
+    error::{Error, Result},
+    output::{NEGATIVE, Output},
+};
+
+/// Prints the spans of a trace file as one tree for each trace. The answer is negative if there is
+/// none.
+///
+/// The spans of one trace may be in the files of several daemons; joined files give whole trees.
+pub(crate) fn run(path: &Path, id: Option<&str>, json: bool) -> Result<Output> {
+    let text = fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let mut records = telemetry::read(&text).map_err(|source| Error::Trace {
+        path: path.to_owned(),
+        source,
+    })?;
+    records.retain(|record| record.trace.starts_with(id.unwrap_or_default()));
+    records.sort_by(|a, b| a.start_us.cmp(&b.start_us).then(a.span.cmp(&b.span)));
+    let output = Output::new(json, &records, || trees(&records))?;
+    Ok(if records.is_empty() {
+        output.with_code(NEGATIVE)
+    } else {
+        output
+    })
+}
+
+fn trees(records: &[Record]) -> String {
+    let mut traces: BTreeMap<&str, Vec<&Record>> = BTreeMap::new();
+    for record in records {
+        traces.entry(&record.trace).or_default().push(record);
+    }
+    let tree = |(id, spans): (&str, Vec<&Record>)| Tree::new(&spans).text(id);
+    let trees: Vec<_> = traces.into_iter().map(tree).collect();
+    match trees.as_slice() {
+        [] => "no spans\n".to_owned(),
+        trees => trees.join("\n"),
+    }
+}
+
+struct Tree<'a> {
+    spans: &'a [&'a Record],
+    children: BTreeMap<&'a str, Vec<&'a Record>>,
+    start_us: u64,
+}
+
+impl<'a> Tree<'a> {
+    fn new(spans: &'a [&'a Record]) -> Tree<'a> {
+        let mut children: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for span in spans {
+            if let Some(parent) = &span.parent {
+                children.entry(&**parent).or_default().push(*span);
+            }
+        }
+        Tree {
+            spans,
+            children,
+            start_us: spans.iter().map(|span| span.start_us).min().unwrap_or(0),
+        }
+    }
+
+    fn text(&self, id: &str) -> String {
+        let ids: HashSet<&str> = self.spans.iter().map(|span| &*span.span).collect();
+        let is_root = |span: &&&Record| {
+            let parent = span.parent.as_deref();
+            parent.is_none_or(|parent| !ids.contains(parent))
+        };
+        let mut text = format!("trace {id}, {} spans\n", self.spans.len());
+        // A wrong file may hold a cycle or one id twice; each span is printed once.
+        let mut printed = HashSet::new();
+        for root in self.spans.iter().filter(is_root).chain(self.spans) {
+            let mut open = vec![(*root, 1)];
+            while let Some((span, depth)) = open.pop() {
+                if !printed.insert(&span.span) {
+                    continue;
+                }
+                text += &self.line(span, depth);
+                let children = self.children.get(&*span.span).into_iter().flatten();
+                open.extend(children.rev().map(|child| (*child, depth + 1)));
+            }
+        }
+        text
+    }
+
+    fn line(&self, span: &Record, depth: usize) -> String {
+        let mut line = format!(
+            "{:indent$}{} {} +{} us {} us",
+            "",
+            span.name,
+            span.daemon,
+            span.start_us - self.start_us,
+            span.duration_us,
+            indent = 2 * depth,
+        );
+        for (name, text) in &span.attributes {
+            line += &format!(" {name}={text}");
+        }
+        line + "\n"
+    }
+}
--- /dev/null
+++ b/src/bin/banyanwharf/wait.rs
@@ -0,0 +1,179 @@
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use banyanwharf::{
+    admin::{ApiClient as _, Member, TicketState},
+    member::Status,
+    ticket::Number,
+};
+use serde::Serialize;
+use tokio::{sync::Semaphore, task::JoinSet, time::Instant};
+
+use crate::{
+    arguments::Daemons,
+    ask,
+    error::Result,
+    output::{NEGATIVE, Output, table, word},
+};
+
+/// The time between two rounds.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// The largest number of calls at the same time.
+const PARALLEL: usize = 32;
+
+/// What is known about one member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Progress {
+    InForce,
+    Lagging,
+    Refused(Arc<str>),
+    /// The member is alive to the other members but does not answer.
+    Unanswered(String),
+    /// The member is suspected and does not answer; it does not hold up the ticket.
+    Unreachable,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct Row {
+    name: Arc<str>,
+    zone: Arc<str>,
+    admin: SocketAddr,
+    progress: Progress,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct Verdict {
+    number: Number,
+    is_in_force: bool,
+    members: Vec<Row>,
+}
+
+/// Waits until a ticket is in force at every reachable member.
+///
+/// Members that join meanwhile count too, since the member list is read again in each round.
+pub(crate) async fn run(daemons: &Daemons, number: Number, timeout: u64) -> Result<Output> {
+    let deadline = Instant::now() + Duration::from_secs(timeout.min(86_400));
+    let mut rows = BTreeMap::new();
+    loop {
+        round(daemons, number, &mut rows).await?;
+        let is_held_up = rows.values().any(holds_up);
+        let is_refused = rows
+            .values()
+            .any(|row| matches!(row.progress, Progress::Refused(_)));
+        let now = Instant::now();
+        if !is_held_up || is_refused || now >= deadline {
+            let verdict = Verdict {
+                number,
+                is_in_force: !is_held_up,
+                members: rows.into_values().collect(),
+            };
+            return verdict.output(daemons.json);
+        }
+        tokio::time::sleep_until(deadline.min(now + INTERVAL)).await;
+    }
+}
+
+fn holds_up(row: &Row) -> bool {
+    !matches!(row.progress, Progress::InForce | Progress::Unreachable)
+}
+
+/// Reads the member list and asks the members that do not have the ticket yet.
+async fn round(
+    daemons: &Daemons,
+    number: Number,
+    rows: &mut BTreeMap<Arc<str>, Row>,
+) -> Result<()> {
+    let members = ask::first(&daemons.admin, async |client| client.members().await).await?;
+    let mut done = std::mem::take(rows);
+    let permits = Arc::new(Semaphore::new(PARALLEL));
+    let mut calls = JoinSet::new();
+    for member in members {
+        if matches!(member.state, Status::Failed | Status::Left) {
+            continue;
+        }
+        match done.remove(&member.name) {
+            Some(row) if row.progress == Progress::InForce && row.admin == member.admin => {
+                rows.insert(Arc::clone(&row.name), row);
+            }
+            _ => {
+                let permits = Arc::clone(&permits);
+                calls.spawn(async move {
+                    let _permit = permits.acquire().await;
+                    ask_member(member, number).await
+                });
+            }
+        }
+    }
+    while let Some(result) = calls.join_next().await {
+        if let Ok(row) = result {
+            rows.insert(Arc::clone(&row.name), row);
+        }
+    }
+    Ok(())
+}
+
+async fn ask_member(member: Member, number: Number) -> Row {
+    let answer = ask::one(member.admin, async |client| {
+        client.ticket_in_force(number).await
+    });
+    let progress = match answer.await.map(|answer| answer.state) {
+        Ok(TicketState::InForce) => Progress::InForce,
+        Ok(TicketState::Unknown) => Progress::Lagging,
+        Ok(TicketState::Refused(reason)) => Progress::Refused(reason),
+        Err(_) if member.state == Status::Suspect => Progress::Unreachable,
+        Err(cause) => Progress::Unanswered(cause.to_string()),
+    };
+    Row {
+        name: member.name,
+        zone: member.zone,
+        admin: member.admin,
+        progress,
+    }
+}
+
+impl Verdict {
+    fn output(self, json: bool) -> Result<Output> {
+        let output = Output::new(json, &self, || self.text())?;
+        Ok(if self.is_in_force {
+            output
+        } else {
+            output.with_code(NEGATIVE)
+        })
+    }
+
+    fn text(&self) -> String {
+        let behind = self
+            .members
+            .iter()
+            .filter(|row| row.progress != Progress::InForce);
+        let in_force = self.members.len() - behind.clone().count();
+        let mut text = format!(
+            "ticket {} is in force at {in_force} of {} members\n",
+            self.number,
+            self.members.len()
+        );
+        if in_force < self.members.len() {
+            let rows = behind.map(|row| {
+                let (state, detail) = match &row.progress {
+                    Progress::InForce => ("in force", String::new()),
+                    Progress::Lagging => ("lagging", String::new()),
+                    Progress::Refused(reason) => ("refused", reason.to_string()),
+                    Progress::Unanswered(cause) => ("no answer", cause.clone()),
+                    Progress::Unreachable => ("unreachable", "suspected".to_owned()),
+                };
+                [
+                    word(&row.name),
+                    word(&row.zone),
+                    word(row.admin),
+                    state.to_owned(),
+                    detail,
+                ]
+            });
+            text += "\n";
+            text += &table(["NAME", "ZONE", "ADMIN", "STATE", "DETAIL"], rows);
+        }
+        text
+    }
+}
--- a/src/settings/locate.rs
+++ b/src/settings/locate.rs
@@ -11,8 +11,9 @@
 pub(super) fn syntax_error(source_name: &str, text: &str, error: &serde_json5::Error) -> Error {
     let serde_json5::Error::Message { msg, location } = error;
     // A syntax error carries a drawing of the place, which the report shows already.
-    let message = match msg.rsplit_once("\n  = ") {
-        Some((_, expected)) => format!("syntax error: {expected}"),
+    let last = msg.lines().last().map(str::trim_start);
+    let message = match last.and_then(|line| line.strip_prefix("= ")) {
+        Some(expected) => format!("syntax error: {expected}"),
         None => msg.clone(),
     };
     let help = help_for(&message);
@@ -40,7 +41,7 @@
     } else if message.starts_with("key ") {
         "make a key from a random source, one hex digit for four bits"
     } else if message.starts_with("syntax error") {
-        "settings are JSON with comments; check quotes, commas and brackets"
+        "the format is JSON with comments; check quotes, commas and brackets"
     } else {
         "docs/settings.md and samples/ show the type of each setting"
     }
--- a/src/telemetry/instrument.rs
+++ b/src/telemetry/instrument.rs
@@ -22,8 +22,13 @@
     pub kind: Kind,
     /// What is measured, with the unit.
     pub description: &'static str,
+    /// The largest number of attribute sets; what exceeds it is summed into one.
+    pub series: usize,
 }
 
+/// The number of attribute sets unless an instrument needs more. Memory is reserved for all.
+const SERIES: usize = 100;
+
 impl Instrument {
     /// Describes a counter.
     pub const fn counter(name: &'static str, description: &'static str) -> Instrument {
@@ -31,6 +36,7 @@
             name,
             kind: Kind::Counter,
             description,
+            series: SERIES,
         }
     }
 
@@ -40,6 +46,12 @@
             name,
             kind: Kind::Gauge,
             description,
+            series: SERIES,
         }
     }
+
+    /// Allows `series` attribute sets instead of 100.
+    pub const fn with_series(self, series: usize) -> Instrument {
+        Instrument { series, ..self }
+    }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -11,7 +11,7 @@
     KeyValue,
     metrics::{AsyncInstrument, Meter, MeterProvider as _},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::metrics::{self, SdkMeterProvider, Stream};
 use prometheus::{Registry, TextEncoder};
 
 use crate::telemetry::{Instrument, Kind, Label, Result, Server, Snapshot};
@@ -43,7 +43,7 @@
     // Keeps the reader alive; the meter does not.
     _provider: SdkMeterProvider,
     snapshots: Arc<Snapshots>,
-    registered: Mutex<BTreeSet<Instrument>>,
+    registered: Arc<Mutex<BTreeMap<&'static str, Instrument>>>,
     is_ready: AtomicBool,
 }
 
@@ -62,7 +62,18 @@
             .scope_info_enabled(false)
             .without_target_info()
             .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let registered: Arc<Mutex<BTreeMap<&'static str, Instrument>>> = Arc::default();
+        let instruments = Arc::clone(&registered);
+        let provider = SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .with_view(move |instrument: &metrics::Instrument| {
+                let series = lock(&instruments).get(instrument.name())?.series;
+                Stream::builder()
+                    .with_cardinality_limit(series)
+                    .build()
+                    .ok()
+            })
+            .build();
         let meter = provider.meter("banyanwharf");
         Ok(Metrics {
             inner: Arc::new(Inner {
@@ -70,7 +81,7 @@
                 meter,
                 _provider: provider,
                 snapshots: Arc::default(),
-                registered: Mutex::default(),
+                registered,
                 is_ready: AtomicBool::new(false),
             }),
         })
@@ -79,12 +90,20 @@
     /// Replaces the values of one part of the daemon.
     ///
     /// If two parts publish a value with the same name and attributes, the sum is shown.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two instruments have the same name.
     pub fn publish(&self, part: &'static str, snapshot: Snapshot) {
         let snapshot = Arc::new(snapshot);
         lock(&self.inner.snapshots).insert(part, Arc::clone(&snapshot));
         for instrument in snapshot.instruments() {
-            if lock(&self.inner.registered).insert(instrument) {
-                self.register(instrument);
+            let earlier = lock(&self.inner.registered).insert(instrument.name, instrument);
+            match earlier {
+                None => self.register(instrument),
+                Some(earlier) => {
+                    assert_eq!(earlier, instrument, "two instruments have the same name");
+                }
             }
         }
     }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -99,6 +99,7 @@
         ("\"ratio\": 0.0001", "\"ratio\": -0.5", "-0.5", "trace.ratio", "0 to 1"),
         ("\"info\"", "\"loud\"", "\"loud\"", "unknown variant `loud`", "docs/settings.md"),
         ("\"name\":", "\"name\"", "\"name\" \"entry", "syntax error: expected", "JSON with comments"),
+        ("\"log\":", "\"log\"", "\"log\" {", "syntax error: expected", "JSON with comments"),
         ("\"data\":", "\"name\": \"x\", \"data\":", "{", "duplicate field `name`", "one of"),
     ];
     let text = sample("deployment-a.jsonc").1;
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -12,6 +12,7 @@
 };
 
 const DROPPED: Instrument = Instrument::counter("dropped_packets", "Dropped packets by cause.");
+const TARGETS: Instrument = Instrument::gauge("targets", "By target.").with_series(9_400);
 const FLOWS: Instrument = Instrument::gauge("flows", "Held flows.");
 
 async fn request(address: std::net::SocketAddr, request: &str) -> String {
@@ -29,7 +30,8 @@
     response
 }
 
-/// Guards against a scrape that shows old values, loses attributes or counts a part twice.
+/// Guards against a scrape that shows old values, loses attributes or targets, or counts a part
+/// twice.
 #[tokio::test]
 async fn metrics_are_scraped() {
     let metrics = Metrics::new().expect("metrics");
@@ -49,6 +51,9 @@
     }
     let mut snapshot = Snapshot::new();
     snapshot.set(DROPPED, [("a", "b"), ("cause", "fragment")], 2);
+    for index in 0..9_400 {
+        snapshot.set(TARGETS, [("target", format!("t-{index}"))], 1);
+    }
     metrics.publish("other", snapshot);
 
     let text = request(address, "GET /metrics").await;
@@ -64,6 +69,7 @@
     ] {
         assert!(text.contains(line), "{line} is not in {text}");
     }
+    assert_eq!(text.matches("\nbanyanwharf_targets{target=").count(), 9_400);
     assert!(request(address, "GET /healthz").await.contains("503"));
     metrics.set_ready(true);
     assert!(
