--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -46,9 +46,9 @@
 ) -> Result<Response<Either<Full<Bytes>, Stalled>>, Infallible> {
     let path = request.uri().path_and_query().map_or("", |p| p.as_str());
     let (status, text) = match path {
-        "/v1/tickets?index=5&wait_ms=200" => {
-            // A long poll: longer than the read timeout, shorter than the wait and the timeout.
-            tokio::time::sleep(Duration::from_millis(250)).await;
+        "/v1/tickets?index=5&wait_ms=9000" => {
+            // A long poll that takes longer than both timeouts, but not than the wait.
+            tokio::time::sleep(Duration::from_millis(300)).await;
             (200, TICKETS.to_owned())
         }
         "/p/v1/vms?index=0&wait_ms=0" => (200, VMS.to_owned()),
@@ -86,28 +86,32 @@
     format!("http://{address}")
 }
 
-fn timeouts() -> Timeouts {
+/// Returns timeouts for calls that must run into them.
+fn short() -> Timeouts {
     Timeouts {
         connect: Duration::from_millis(100),
         read: Duration::from_millis(100),
     }
 }
 
-fn client(url: &str) -> Client {
-    Client::new(url.parse().expect("the URL is valid"), timeouts())
+fn client(url: &str, timeouts: Timeouts) -> Client {
+    Client::new(url.parse().expect("the URL is valid"), timeouts)
 }
 
 /// Guards against a read timeout that cuts a long poll, and against changing a ticket's text.
 #[tokio::test]
 async fn lists_are_read() {
     let url = server().await;
-    let wait = Duration::from_millis(200);
-    let tickets = client(&url).tickets(5, wait).await.expect("a list");
+    let wait = Duration::from_secs(9);
+    let tickets = client(&url, short()).tickets(5, wait).await;
+    let tickets = tickets.expect("a list");
     assert_eq!((tickets.index, tickets.more), (12, true));
     assert_eq!(&*tickets.tickets[0], r#"{"number": 7, "x": [1 , 2]}"#);
     assert_eq!(&*tickets.tickets[1], "9");
     for base in ["/p", "/p/"] {
-        let vms = client(&format!("{url}{base}")).vms(0, Duration::ZERO).await;
+        let vms = client(&format!("{url}{base}"), Timeouts::default())
+            .vms(0, Duration::ZERO)
+            .await;
         let vms = vms.expect("a list");
         assert_eq!(vms.vms[0].state, VmState::Leaving);
         assert_eq!(vms.vms[0].admin.port(), 7002);
@@ -118,8 +122,10 @@
 #[tokio::test]
 async fn failures_have_types() {
     let url = server().await;
-    let client = client(&url);
+    let patient = client(&url, Timeouts::default());
+    let hasty = client(&url, short());
     let error = async |index| {
+        let client = if index < 12 { &patient } else { &hasty };
         let result = client.vms(index, Duration::ZERO).await;
         result.expect_err("the server misbehaves")
     };
@@ -134,7 +140,7 @@
     let closed = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
     let address = closed.local_addr().expect("the socket is bound");
     drop(closed);
-    let client = self::client(&format!("http://{address}"));
+    let client = client(&format!("http://{address}"), Timeouts::default());
     let error = client.vms(0, Duration::ZERO).await.expect_err("no server");
     assert!(matches!(error, Error::Connect { .. }), "{error}");
     assert!(error.to_string().contains(&address.to_string()));
@@ -144,7 +150,7 @@
 #[tokio::test]
 async fn endpoints_are_read() {
     let url = server().await;
-    let endpoint = Endpoint::new(timeouts());
+    let endpoint = Endpoint::new(Timeouts::default());
     let health = async |path| endpoint.health(&format!("{url}{path}")).await;
     assert_eq!(health("/healthy").await.expect("a health"), Health::Healthy);
     assert_eq!(health("/sick").await.expect("a health"), Health::Unhealthy);
