--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -19,7 +19,7 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// A response body that never ends.
 struct Stalled;
@@ -137,9 +137,11 @@
     assert!(matches!(error(11).await, Error::Long { .. }));
     assert!(matches!(error(12).await, Error::Timeout { .. }));
     assert!(matches!(error(13).await, Error::Timeout { .. }));
-    let closed = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    // Bound, so that no other socket takes the port, but not listening.
+    let closed = TcpSocket::new_v4().expect("a socket");
+    let local = "127.0.0.1:0".parse().expect("an address");
+    closed.bind(local).expect("a free port");
     let address = closed.local_addr().expect("the socket is bound");
-    drop(closed);
     let client = client(&format!("http://{address}"), Timeouts::default());
     let error = client.vms(0, Duration::ZERO).await.expect_err("no server");
     assert!(matches!(error, Error::Connect { .. }), "{error}");
