--- /dev/null
+++ b/tests/admin.rs
@@ -0,0 +1,107 @@
+//! The admin API must answer what the node says, and bound what a client can cost.
+//!
+//! These tests start no process: until it runs its program, a new process holds a copy of every
+//! socket, so that the port of a stopped server stays in use.
+
+use std::{net::SocketAddr, time::Duration};
+
+use banyanwharf::admin::{ApiClient as _, Error, Flows, Request, Server, channel, connect};
+use serde_json::json;
+
+fn local() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn flows() -> Flows {
+    Flows {
+        owned: 12,
+        ..Flows::default()
+    }
+}
+
+/// Starts a server whose node answers some requests and drops the others.
+async fn start() -> Server {
+    let (sender, mut receiver) = channel();
+    tokio::spawn(async move {
+        while let Some(request) = receiver.recv().await {
+            match request {
+                Request::Flows(reply) => drop(reply.send(flows())),
+                Request::MemberSnapshot(reply) => drop(reply.send(json!([1, 2]))),
+                _ => {}
+            }
+        }
+    });
+    Server::start(local(), sender).await.expect("a free port")
+}
+
+/// Guards against an API that loses answers, hangs on a silent node or keeps its port.
+#[tokio::test]
+async fn api_answers() {
+    let server = start().await;
+    let timeout = Duration::from_secs(20);
+    let client = connect(server.address(), timeout).expect("a client");
+    assert_eq!(client.flows().await.expect("an answer"), flows());
+    assert_eq!(
+        client.member_snapshot().await.expect("an answer"),
+        json!([1, 2])
+    );
+    let error = client
+        .state_snapshot()
+        .await
+        .expect_err("the node drops it");
+    assert!(error.to_string().contains("does not answer"), "{error}");
+
+    let (sender, receiver) = channel();
+    let busy = Server::start(local(), sender.clone())
+        .await
+        .expect("a free port");
+    let other = Server::start(busy.address(), sender).await;
+    assert!(matches!(other, Err(Error::Bind { .. })));
+    let client = connect(busy.address(), timeout).expect("a client");
+    drop(receiver);
+    let error = client.status().await.expect_err("there is no node");
+    assert!(error.to_string().contains("busy or stopping"), "{error}");
+    let address = busy.address();
+    busy.stop().await;
+    Server::start(address, channel().0)
+        .await
+        .expect("the port is free again");
+}
+
+/// Guards against oversized requests, batches and unknown methods that cost the daemon work.
+#[tokio::test]
+async fn api_limits_requests() {
+    use http_body_util::{BodyExt as _, Full};
+    use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+    let server = start().await;
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<hyper::body::Bytes>>();
+    let call = |method: &str, padding: usize| {
+        let padding = " ".repeat(padding);
+        format!(r#"{{"jsonrpc":"2.0","id":1,"method":"{method}"{padding}}}"#)
+    };
+    for (body, status, part) in [
+        (call("flows", 0), 200, "\"owned\":12"),
+        (call("stop", 0), 200, "Method not found"),
+        (format!("[{}]", call("flows", 0)), 200, "not supported"),
+        (call("flows", 20_000), 413, ""),
+        ("{".to_owned(), 200, "error"),
+    ] {
+        let request = hyper::Request::post(format!("http://{}/", server.address()))
+            .header("content-type", "application/json")
+            .body(Full::from(body.clone()))
+            .expect("a request");
+        let response = client.request(request).await.expect("a response");
+        let found = response.status().as_u16();
+        let bytes = response
+            .into_body()
+            .collect()
+            .await
+            .expect("a body")
+            .to_bytes();
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(
+            found == status && text.contains(part),
+            "{body:.40}: {found} {text}"
+        );
+    }
+}
