Register VMs before their daemons start and test the target's endpoints

The scenario starts the first four daemons at the same time and lists each VM before its daemon runs, as a joiner needs contacts. The target's setters became one set of controls. New tests cover lag, false reports, shed load, the connection limit, the start identity, IPv6 and spraying by flow. Tests wait for conditions where a fixed pause could fail on a busy machine.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -30,5 +30,5 @@
 pub use probe::{Probe, ProbeConfig, ProbeRecord};
 pub use responder::{Responder, ResponderRecord};
 pub use segment::Segment;
-pub use target::{Lie, Target, TargetConfig, TargetRecord};
+pub use target::{Controls, Target, TargetConfig, TargetRecord};
 pub use util::free_address;
--- a/testkit/src/scenario.rs
+++ b/testkit/src/scenario.rs
@@ -189,7 +189,6 @@
     config: DaemonConfig,
     daemon: D,
     started: Instant,
-    leaving: bool,
 }
 
 /// The test doubles around a cluster of daemons.
@@ -207,6 +206,7 @@
     plan: Plan,
     daemons: Daemons,
     members: Vec<Member<C::Daemon>>,
+    vms: Vec<Vm>,
     draining: HashSet<String>,
     out: Option<String>,
     number: u64,
@@ -229,6 +229,7 @@
             callers: Vec::new(),
             daemons,
             members: Vec::new(),
+            vms: Vec::new(),
             draining: HashSet::new(),
             out: None,
             number: 0,
@@ -317,47 +318,50 @@
         self.update_fabric();
     }
 
+    /// Starts a daemon in each zone, all at the same time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the first daemon that did not start.
+    pub async fn add_daemons(&mut self) -> Result<()> {
+        let mut configs = Vec::new();
+        for zone in ZONES {
+            configs.push(self.register(zone)?);
+        }
+        let start = |index: usize| self.cluster.start(configs[index].clone());
+        let (a, b, c, d) = tokio::join!(start(0), start(1), start(2), start(3));
+        for (config, daemon) in configs.into_iter().zip([a, b, c, d]) {
+            self.admit(config, daemon?);
+        }
+        Ok(())
+    }
+
     /// Starts a daemon.
     ///
     /// # Errors
     ///
     /// Returns the error of the daemon.
     pub async fn add_daemon(&mut self, zone: &str) -> Result<()> {
-        self.names += 1;
-        let config = DaemonConfig {
-            name: format!("entry-{}", self.names),
-            region: REGION.into(),
-            zone: zone.into(),
-            data: free_address()?,
-            peer: free_address()?,
-            admin: free_address()?,
-            fabric: self.fabric.address()?,
-            platform: self.platform.url(),
-        };
+        let config = self.register(zone)?;
         let daemon = self.cluster.start(config.clone()).await?;
-        self.members.push(Member {
-            config,
-            daemon,
-            started: Instant::now(),
-            leaving: false,
-        });
-        self.update_platform();
-        self.update_fabric();
+        self.admit(config, daemon);
         Ok(())
     }
 
     /// Stops the oldest daemon gracefully and returns its zone. The fabric stops sending to it
     /// while it drains.
     pub async fn stop_daemon(&mut self) -> String {
-        self.members[0].leaving = true;
-        self.update_platform();
         let leaver = self.members.remove(0);
-        let stop = self.cluster.stop(leaver.daemon);
-        tokio::join!(stop, async {
+        let name = leaver.config.name;
+        for vm in self.vms.iter_mut().filter(|vm| vm.name == name) {
+            vm.state = "leaving".into();
+        }
+        self.platform.set_vms(self.vms.clone());
+        tokio::join!(self.cluster.stop(leaver.daemon), async {
             tokio::time::sleep(self.plan.notice).await;
             self.update_fabric();
         });
-        self.update_platform();
+        self.unregister(&name);
         leaver.config.zone
     }
 
@@ -367,7 +371,7 @@
         self.cluster.kill(victim.daemon).await;
         tokio::time::sleep(self.plan.notice).await;
         self.update_fabric();
-        self.update_platform();
+        self.unregister(&victim.config.name);
         victim.config.zone
     }
 
@@ -503,16 +507,44 @@
         });
     }
 
-    fn update_platform(&self) {
-        let vm = |member: &Member<C::Daemon>| Vm {
-            name: member.config.name.clone(),
-            region: member.config.region.clone(),
-            zone: member.config.zone.clone(),
-            peer: member.config.peer,
-            admin: member.config.admin,
-            state: if member.leaving { "leaving" } else { "live" }.into(),
+    /// Adds a VM to the platform's list and returns the settings of its daemon.
+    fn register(&mut self, zone: &str) -> Result<DaemonConfig> {
+        self.names += 1;
+        let config = DaemonConfig {
+            name: format!("entry-{}", self.names),
+            region: REGION.into(),
+            zone: zone.into(),
+            data: free_address()?,
+            peer: free_address()?,
+            admin: free_address()?,
+            fabric: self.fabric.address()?,
+            platform: self.platform.url(),
         };
-        self.platform.set_vms(self.members.iter().map(vm).collect());
+        self.vms.push(Vm {
+            name: config.name.clone(),
+            region: config.region.clone(),
+            zone: config.zone.clone(),
+            peer: config.peer,
+            admin: config.admin,
+            state: "live".into(),
+        });
+        self.platform.set_vms(self.vms.clone());
+        Ok(config)
+    }
+
+    fn unregister(&mut self, name: &str) {
+        self.vms.retain(|vm| vm.name != name);
+        self.platform.set_vms(self.vms.clone());
+    }
+
+    fn admit(&mut self, config: DaemonConfig, daemon: C::Daemon) {
+        let started = Instant::now();
+        self.members.push(Member {
+            config,
+            daemon,
+            started,
+        });
+        self.update_fabric();
     }
 
     fn update_fabric(&self) {
@@ -544,9 +576,7 @@
     let pause = plan.pause;
     let grace = plan.grace;
     let mut world = World::start(cluster, plan.clone())?;
-    for zone in ZONES {
-        world.add_daemon(zone).await?;
-    }
+    world.add_daemons().await?;
     progress("platform, 18 targets in 4 zones and 4 daemons run");
     tokio::time::sleep(pause / 2).await;
 
--- a/testkit/src/target.rs
+++ b/testkit/src/target.rs
@@ -88,19 +88,10 @@
     }
 }
 
-/// False reports of the endpoints. `None` reports the truth.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct Lie {
-    /// The status of the health endpoint.
-    pub health: Option<u16>,
-    /// The body of the load endpoint.
-    pub load: Option<Value>,
-}
-
 /// What a target saw.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct TargetRecord {
-    start: Instant,
+    start: Option<Instant>,
     /// Accepted connections: time and caller.
     pub flows: Vec<(Instant, SocketAddr)>,
     /// The callers of all packets.
@@ -151,7 +142,7 @@
         before
             .filter(|bucket| *bucket < to)
             .max()
-            .map(|bucket| self.start + BUCKET * bucket as u32)
+            .and_then(|bucket| Some(self.start? + BUCKET * bucket as u32))
     }
 
     /// Returns the number of connections accepted in a period.
@@ -167,7 +158,7 @@
     pub fn peak_flows_per_second(&self) -> usize {
         let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
         for (at, _) in &self.flows {
-            *counts.entry((*at - self.start).as_secs()).or_default() += 1;
+            *counts.entry(self.since_start(*at).as_secs()).or_default() += 1;
         }
         counts.into_values().max().unwrap_or(0)
     }
@@ -177,54 +168,51 @@
         self.executed.values().filter(|count| **count > 1).count()
     }
 
-    fn new(start: Instant) -> Self {
-        Self {
-            start,
-            flows: Vec::new(),
-            seen: HashSet::new(),
-            reset: HashSet::new(),
-            executed: HashMap::new(),
-            packets: 0,
-            malformed: 0,
-            misdelivered: 0,
-            resets: 0,
-            peak_busy: 0,
-            peak_connections: 0,
-            over_cold: 0,
-            fallen: 0,
-            shed: 0,
-            open: 0,
-            timeline: BTreeMap::new(),
-        }
+    fn since_start(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.start.unwrap_or(at))
     }
 
     fn bucket(&self, at: Instant) -> u64 {
-        (at.saturating_duration_since(self.start).as_millis() / BUCKET.as_millis()) as u64
+        (self.since_start(at).as_millis() / BUCKET.as_millis()) as u64
     }
 }
 
-#[derive(Debug)]
-struct Controls {
-    service_time: Duration,
-    shed: f64,
-    draining: bool,
-    silent: bool,
-    restart: Option<bool>,
-    lag: Duration,
-    lie: Lie,
-    /// The samples that the endpoints report, oldest first.
+/// What can be changed while a target runs.
+#[derive(Debug, Clone, Default)]
+pub struct Controls {
+    /// The time that a request takes.
+    pub service_time: Duration,
+    /// The share of requests answered with status 503.
+    pub shed: f64,
+    /// Whether the health endpoint reports status 503.
+    pub draining: bool,
+    /// Whether the target ignores all packets.
+    pub silent: bool,
+    /// Restarts without notice within 50 ms, warm if true: the target loses its connections and
+    /// changes its start identity.
+    pub restart: Option<bool>,
+    /// The age of the report of the load endpoint.
+    pub lag: Duration,
+    /// The status that the health endpoint reports against the truth.
+    pub false_health: Option<u16>,
+    /// What the load endpoint reports against the truth.
+    pub false_load: Option<Value>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    controls: Controls,
+    /// The samples that the load endpoint reports, oldest first.
     samples: VecDeque<(Instant, Value)>,
     record: TargetRecord,
 }
 
-type Shared = Arc<Mutex<Controls>>;
-
 /// A stand-in for a target VM. Dropping it kills the target.
 #[derive(Debug)]
 pub struct Target {
     config: TargetConfig,
     address: SocketAddr,
-    shared: Shared,
+    shared: Arc<Mutex<Shared>>,
     http: Server,
     _task: Guard,
 }
@@ -239,17 +227,10 @@
         let now = Instant::now();
         let socket = bind((Ipv4Addr::LOCALHOST, 0).into())?;
         let address = socket.local_addr()?;
-        let shared = Arc::new(Mutex::new(Controls {
-            service_time: config.service_time,
-            shed: 0.0,
-            draining: false,
-            silent: false,
-            restart: None,
-            lag: Duration::ZERO,
-            lie: Lie::default(),
-            samples: VecDeque::new(),
-            record: TargetRecord::new(now),
-        }));
+        let mut shared = Shared::default();
+        shared.controls.service_time = config.service_time;
+        shared.record.start = Some(now);
+        let shared = Arc::new(Mutex::new(shared));
         let endpoint = shared.clone();
         let http = Server::start((Ipv4Addr::LOCALHOST, 0).into(), move |uri| {
             std::future::ready(respond(&lock(&endpoint), &uri))
@@ -303,61 +284,29 @@
         read(&lock(&self.shared).record)
     }
 
-    /// Restarts without notice: the target loses its connections and changes its start identity.
-    /// It takes effect within 50 ms.
-    pub fn restart(&self, warm: bool) {
-        lock(&self.shared).restart = Some(warm);
-    }
-
-    /// Makes the target ignore all packets, or listen again.
-    pub fn set_silent(&self, silent: bool) {
-        lock(&self.shared).silent = silent;
-    }
-
-    /// Makes the health endpoint report a draining target with status 503.
-    pub fn set_draining(&self, draining: bool) {
-        lock(&self.shared).draining = draining;
-    }
-
-    /// Answers a share of the requests with status 503.
-    pub fn set_shed(&self, share: f64) {
-        lock(&self.shared).shed = share;
-    }
-
-    /// Sets the time that a request takes.
-    pub fn set_service_time(&self, time: Duration) {
-        lock(&self.shared).service_time = time;
-    }
-
-    /// Sets the age of what the endpoints report.
-    pub fn set_lag(&self, lag: Duration) {
-        lock(&self.shared).lag = lag;
-    }
-
-    /// Sets what the endpoints report against the truth.
-    pub fn set_lie(&self, lie: Lie) {
-        lock(&self.shared).lie = lie;
+    /// Changes how the target behaves from now on.
+    pub fn control(&self, change: impl FnOnce(&mut Controls)) {
+        change(&mut lock(&self.shared).controls);
     }
 }
 
-fn respond(controls: &Controls, uri: &str) -> Reply {
-    let Some(visible) = Instant::now().checked_sub(controls.lag) else {
-        return Reply::Json(503, Value::Null);
-    };
-    let samples = &controls.samples;
-    let sample = samples
-        .iter()
-        .rfind(|(at, _)| *at <= visible)
-        .or(samples.front());
+fn respond(shared: &Shared, uri: &str) -> Reply {
+    let controls = &shared.controls;
     match uri {
         "/health" => {
             let truth = if controls.draining { 503 } else { 200 };
-            Reply::Json(controls.lie.health.unwrap_or(truth), Value::Null)
+            Reply::Json(controls.false_health.unwrap_or(truth), Value::Null)
+        }
+        "/load" => {
+            let visible = Instant::now().checked_sub(controls.lag);
+            let samples = &shared.samples;
+            let sample = samples.iter().rfind(|(at, _)| Some(*at) <= visible);
+            let truth = sample.or(samples.front()).map(|(_, load)| load);
+            match controls.false_load.as_ref().or(truth) {
+                Some(load) => Reply::Json(200, load.clone()),
+                None => Reply::Json(503, Value::Null),
+            }
         }
-        "/load" => match controls.lie.load.as_ref().or(sample.map(|(_, load)| load)) {
-            Some(load) => Reply::Json(200, load.clone()),
-            None => Reply::Json(503, Value::Null),
-        },
         _ => Reply::Json(404, Value::Null),
     }
 }
@@ -376,7 +325,7 @@
 struct Engine {
     config: TargetConfig,
     socket: UdpSocket,
-    shared: Shared,
+    shared: Arc<Mutex<Shared>>,
     random: Pcg64,
     flows: HashMap<Key, Flow>,
     timers: Timers<Key>,
@@ -390,7 +339,12 @@
 }
 
 impl Engine {
-    fn new(config: TargetConfig, socket: UdpSocket, shared: Shared, now: Instant) -> Self {
+    fn new(
+        config: TargetConfig,
+        socket: UdpSocket,
+        shared: Arc<Mutex<Shared>>,
+        now: Instant,
+    ) -> Self {
         Self {
             random: Pcg64::seed_from_u64(config.seed),
             warm: config.warm,
@@ -452,9 +406,9 @@
 
     /// Records a packet. Returns whether to process it.
     fn note(&mut self, segment: Option<&Segment>, now: Instant) -> bool {
-        let mut controls = lock(&self.shared);
-        let silent = controls.silent;
-        let record = &mut controls.record;
+        let shared = &mut *lock(&self.shared);
+        let silent = shared.controls.silent;
+        let record = &mut shared.record;
         record.packets += 1;
         let Some(segment) = segment else {
             record.malformed += 1;
@@ -542,7 +496,7 @@
     /// Runs, queues or sheds a request.
     fn accept(&mut self, key: Key, request: Request, now: Instant) {
         let cold = self.is_cold(now);
-        let shed = lock(&self.shared).shed;
+        let shed = lock(&self.shared).controls.shed;
         if shed > 0.0 && self.random.random_bool(shed) {
             return self.answer(key, request, 503);
         }
@@ -571,11 +525,11 @@
 
     fn execute(&mut self, key: Key, request: Request, now: Instant) {
         let time = {
-            let mut controls = lock(&self.shared);
-            let record = &mut controls.record;
+            let shared = &mut *lock(&self.shared);
+            let record = &mut shared.record;
             *record.executed.entry(request.id).or_default() += 1;
             record.peak_busy = record.peak_busy.max(self.running.len() + 1);
-            controls.service_time
+            shared.controls.service_time
         };
         self.running.insert((now + time, request.id), key);
         self.requests.insert(request.id, request);
@@ -600,7 +554,7 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        let restart = lock(&self.shared).restart.take();
+        let restart = lock(&self.shared).controls.restart.take();
         if let Some(warm) = restart {
             self.restart(warm, now);
         }
@@ -660,12 +614,12 @@
             "queued": self.queue.len(),
             "connections": self.flows.len(),
         });
-        let mut controls = lock(&self.shared);
-        controls.record.open = self.flows.len();
-        controls.samples.push_back((now, load));
-        let oldest = now.checked_sub(controls.lag + SAMPLE);
-        while controls.samples.len() > 1 && controls.samples.front().map(|(at, _)| *at) < oldest {
-            controls.samples.pop_front();
+        let shared = &mut *lock(&self.shared);
+        shared.record.open = self.flows.len();
+        shared.samples.push_back((now, load));
+        let oldest = now.checked_sub(shared.controls.lag + SAMPLE);
+        while shared.samples.len() > 1 && shared.samples.front().map(|(at, _)| *at) < oldest {
+            shared.samples.pop_front();
         }
     }
 
--- a/testkit/tests/endpoints.rs
+++ b/testkit/tests/endpoints.rs
@@ -8,10 +8,14 @@
 };
 
 use banyanwharf_testkit::{
-    Caller, CallerConfig, Cause, Daemons, Fabric, Impairment, Probe, ProbeConfig, Responder,
+    Caller, CallerConfig, Cause, Daemons, Fabric, Impairment, Probe, ProbeConfig, Responder, Spray,
     Target, TargetConfig,
 };
-use tokio::net::UdpSocket;
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpStream, UdpSocket},
+};
 
 const SERVICE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 9, 0, 1)), 80);
 
@@ -33,10 +37,11 @@
     }
 }
 
-async fn forwarder(fabric: &Fabric, daemons: &Daemons, targets: Vec<SocketAddr>) {
+async fn forwarder(fabric: &Fabric, targets: Vec<SocketAddr>) -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    daemons.set([socket.local_addr().unwrap()]);
+    let address = socket.local_addr().unwrap();
     tokio::spawn(forward(socket, fabric.address().unwrap(), targets));
+    address
 }
 
 fn target(name: &str, daemons: &Daemons) -> TargetConfig {
@@ -55,13 +60,22 @@
     config
 }
 
+/// Waits until `done`, so that a busy machine only delays a test.
+async fn wait_for(what: &str, done: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < Duration::from_secs(30), "{what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against test doubles that break flows or lose responses by themselves.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn flows_survive_losses_and_reordering_of_a_correct_forwarder() {
     let daemons = Daemons::default();
     let fabric = Fabric::start(1, daemons.clone()).unwrap();
     let target = Target::start(target("turnos-1", &daemons)).unwrap();
-    forwarder(&fabric, &daemons, vec![target.address()]).await;
+    daemons.set([forwarder(&fabric, vec![target.address()]).await]);
     let caller = Caller::start(caller(2), &fabric);
     caller.open(150, Duration::from_millis(500), None);
     caller.open(
@@ -116,7 +130,7 @@
     let daemons = Daemons::default();
     let fabric = Fabric::start(1, daemons.clone()).unwrap();
     let target = Target::start(target("turnos-1", &daemons)).unwrap();
-    forwarder(&fabric, &daemons, vec![target.address()]).await;
+    daemons.set([forwarder(&fabric, vec![target.address()]).await]);
     let mut config = caller(2);
     config.timeout = Duration::from_secs(3);
     let caller = Caller::start(config, &fabric);
@@ -125,16 +139,11 @@
         broken.iter().filter(|flow| flow.cause == cause).count()
     };
     caller.open(40, Duration::ZERO, None);
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    target.restart(true);
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    let resets = broken(Cause::Reset);
-    assert!(
-        resets > 20,
-        "{resets} flows were reset by the restarted target"
-    );
+    wait_for("open flows", || caller.record().opened == 40).await;
+    target.control(|controls| controls.restart = Some(true));
+    wait_for("resets", || broken(Cause::Reset) > 20).await;
     caller.open(10, Duration::ZERO, Some(Duration::from_secs(9)));
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    wait_for("more open flows", || caller.record().opened == 50).await;
     caller.take_out(["turnos-1".into()]);
     drop(target);
     caller.begin_finish(Duration::from_millis(100));
@@ -158,13 +167,14 @@
     let fabric = Fabric::start(1, daemons.clone()).unwrap();
     let one = Target::start(target("turnos-1", &daemons)).unwrap();
     let two = Target::start(target("turnos-2", &daemons)).unwrap();
-    forwarder(&fabric, &daemons, vec![one.address(), two.address()]).await;
+    daemons.set([forwarder(&fabric, vec![one.address(), two.address()]).await]);
     let caller = Caller::start(caller(2), &fabric);
     caller.open(100, Duration::from_millis(200), None);
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    let record = caller.record();
-    let lost = record.broken.len() + record.refused.len();
-    assert!(lost > 50, "{record:?}");
+    wait_for("broken flows", || {
+        let record = caller.record();
+        record.broken.len() + record.refused.len() > 50
+    })
+    .await;
     assert!(one.record().resets + two.record().resets > 0);
 }
 
@@ -177,13 +187,101 @@
     config.warm = false;
     config.service_time = Duration::from_millis(50);
     let target = Target::start(config).unwrap();
-    forwarder(&fabric, &daemons, vec![target.address()]).await;
+    daemons.set([forwarder(&fabric, vec![target.address()]).await]);
     let caller = Caller::start(caller(2), &fabric);
     caller.open(100, Duration::ZERO, None);
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    wait_for("a reset", || target.read(|record| record.fallen) > 0).await;
     let record = target.record();
-    assert!(record.over_cold > 0 && record.fallen > 0, "{record:?}");
-    assert_eq!(record.peak_busy, 1);
+    assert!(record.over_cold > 0 && record.peak_busy == 1, "{record:?}");
+}
+
+async fn get(url: &str) -> (u16, Value) {
+    let (address, path) = url
+        .strip_prefix("http://")
+        .unwrap()
+        .split_once('/')
+        .unwrap();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!("GET /{path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    (
+        head[9..12].parse().unwrap(),
+        serde_json::from_str(body).unwrap(),
+    )
+}
+
+/// Guards against endpoints that report other than the target is, unless told to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endpoints_report_limits_and_lies() {
+    let daemons = Daemons::default();
+    let fabric = Fabric::start(1, daemons.clone()).unwrap();
+    let mut config = target("turnos-1", &daemons);
+    config.connections = 10;
+    let target = Target::start(config).unwrap();
+    daemons.set([forwarder(&fabric, vec![target.address()]).await]);
+    let url = target.describe();
+    let (health, load) = (url.health.unwrap(), url.load.unwrap());
+    let caller = Caller::start(caller(2), &fabric);
+    caller.open(30, Duration::ZERO, None);
+    target.control(|controls| controls.shed = 1.0);
+    wait_for("shed requests", || caller.record().shed > 20).await;
+    wait_for("refusals", || caller.record().refused.len() == 20).await;
+    wait_for("10 open flows", || target.read(|record| record.open) == 10).await;
+    let before = get(&load).await;
+    assert_eq!((before.0, &before.1["connections"]), (200, &json!(10)));
+    target.control(|controls| {
+        controls.restart = Some(true);
+        controls.lag = Duration::from_secs(1000);
+        controls.draining = true;
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(get(&health).await.0, 503);
+    assert_eq!(get(&load).await, before, "the report does not lag");
+    target.control(|controls| {
+        controls.lag = Duration::ZERO;
+        controls.false_health = Some(200);
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(get(&health).await.0, 200);
+    let after = get(&load).await.1;
+    assert_ne!(after["start"], before.1["start"]);
+    assert_eq!(after["connections"], 0);
+    target.control(|controls| controls.false_load = Some(json!({"busy": 9})));
+    assert_eq!(get(&load).await.1, json!({"busy": 9}));
+}
+
+/// Guards against flows that change the daemon although the fabric hashes them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ipv6_flows_stay_on_their_daemon() {
+    let service: SocketAddr = "[fd00::9]:80".parse().unwrap();
+    let daemons = Daemons::default();
+    let fabric = Fabric::start(1, daemons.clone()).unwrap();
+    fabric.set_spray(Spray::Flow);
+    let targets = ["turnos-1", "turnos-2"].map(|name| {
+        let mut config = target(name, &daemons);
+        config.addresses = vec![service];
+        Target::start(config).unwrap()
+    });
+    let mut forwarders = Vec::new();
+    for target in &targets {
+        forwarders.push(forwarder(&fabric, vec![target.address()]).await);
+    }
+    daemons.set(forwarders);
+    let mut config = caller_config(2, "fd00::1".parse().unwrap());
+    config.services = vec![("turnos".into(), service)];
+    let caller = Caller::start(config, &fabric);
+    caller.open(100, Duration::from_millis(200), None);
+    wait_for("open flows", || caller.record().opened == 100).await;
+    caller.begin_finish(Duration::from_millis(200));
+    caller.closed().await;
+    let record = caller.record();
+    assert_eq!((record.closed, record.broken.len()), (100, 0), "{record:?}");
+    for target in &targets {
+        assert!(target.read(|record| record.flows.len()) > 20);
+    }
 }
 
 /// Guards against a probe or responder that loses flows by itself or misses moved flows.
@@ -192,7 +290,7 @@
     let daemons = Daemons::default();
     let fabric = Fabric::start(1, daemons.clone()).unwrap();
     let one = Responder::start(1, vec![SERVICE], daemons.clone()).unwrap();
-    forwarder(&fabric, &daemons, vec![one.address()]).await;
+    daemons.set([forwarder(&fabric, vec![one.address()]).await]);
     let config = ProbeConfig {
         service: SERVICE,
         addresses: vec![caller_address()],
@@ -200,24 +298,14 @@
         attempts: 10,
     };
     let probe = Probe::start(config, &fabric);
-    let settled = |done: fn(&banyanwharf_testkit::ProbeRecord) -> u64, count: u64| {
-        let probe = &probe;
-        async move {
-            let start = Instant::now();
-            while done(&probe.record()) < count && start.elapsed() < Duration::from_secs(20) {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-            assert_eq!(done(&probe.record()), count, "{:?}", probe.record());
-        }
-    };
     for number in 0..2000 {
         probe.open(number);
     }
-    settled(|record| record.opened, 2000).await;
+    wait_for("opened", || probe.record().opened == 2000).await;
     for number in 0..2000 {
         assert!(probe.exchange(number));
     }
-    settled(|record| record.answered, 4000).await;
+    wait_for("answered", || probe.record().answered == 4000).await;
     let record = probe.record();
     assert_eq!(
         (
@@ -231,13 +319,13 @@
     for number in 0..1000 {
         assert!(probe.close(number));
     }
-    settled(|record| record.closed, 1000).await;
+    wait_for("closed", || probe.record().closed == 1000).await;
     let two = Responder::start(2, vec![SERVICE], daemons.clone()).unwrap();
-    forwarder(&fabric, &daemons, vec![two.address()]).await;
+    daemons.set([forwarder(&fabric, vec![two.address()]).await]);
     for number in 1000..2000 {
         assert!(probe.exchange(number));
     }
-    settled(|record| record.broken, 1000).await;
+    wait_for("broken", || probe.record().broken == 1000).await;
     assert!(two.record().unknown >= 1000);
     assert_eq!(one.record().accepted, 2000);
 }
