Tolerate malformed entries in the VM list and any body of a health response

One bad entry failed the whole list, which a joiner needs for its first contacts; bad entries are now left out and counted. A health response of more than 16 KB was an error although only its status matters.

--- a/src/platform/endpoint.rs
+++ b/src/platform/endpoint.rs
@@ -57,7 +57,7 @@
     ///
     /// Returns an [`Error`] if the endpoint does not respond with 200 or 503.
     pub async fn health(&self, url: &str) -> Result<Health> {
-        match self.fetch.get(url, Duration::ZERO).await?.0 {
+        match self.fetch.status(url).await? {
             StatusCode::OK => Ok(Health::Healthy),
             StatusCode::SERVICE_UNAVAILABLE => Ok(Health::Unhealthy),
             status => Err(Error::Status {
--- a/src/platform/fetch.rs
+++ b/src/platform/fetch.rs
@@ -1,7 +1,10 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt as _, Empty, LengthLimitError, Limited};
-use hyper::{StatusCode, Uri, body::Bytes};
+use hyper::{
+    Response, StatusCode, Uri,
+    body::{Bytes, Incoming},
+};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -34,15 +37,33 @@
         }
     }
 
-    /// Requests `url`, whose server may wait up to `wait` before it responds.
+    /// Returns the response of `url`, whose server may wait up to `wait` before it responds.
     pub(super) async fn get(&self, url: &str, wait: Duration) -> Result<(StatusCode, Bytes)> {
-        let uri: Uri = url.parse().map_err(|_| Error::Url { url: url.into() })?;
-        if uri.scheme_str() != Some("http") {
-            return Err(Error::Url { url: url.into() });
-        }
+        let call = async {
+            let response = self.respond(url).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), self.limit).collect();
+            let body = body.await.map_err(|source| self.body_error(url, source))?;
+            Ok((status, body.to_bytes()))
+        };
+        self.within(url, wait, call).await
+    }
+
+    /// Returns the status of `url`, whatever its body is.
+    pub(super) async fn status(&self, url: &str) -> Result<StatusCode> {
+        let call = async { Ok(self.respond(url).await?.status()) };
+        self.within(url, Duration::ZERO, call).await
+    }
+
+    async fn within<T>(
+        &self,
+        url: &str,
+        wait: Duration,
+        call: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
         let after = wait + self.timeouts.connect + self.timeouts.read;
-        match tokio::time::timeout(after, self.call(url, uri)).await {
-            Ok(response) => response,
+        match tokio::time::timeout(after, call).await {
+            Ok(result) => result,
             Err(_) => Err(Error::Timeout {
                 url: url.into(),
                 after,
@@ -50,8 +71,12 @@
         }
     }
 
-    async fn call(&self, url: &str, uri: Uri) -> Result<(StatusCode, Bytes)> {
-        let response = self.client.get(uri).await.map_err(|source| {
+    async fn respond(&self, url: &str) -> Result<Response<Incoming>> {
+        let uri: Uri = url.parse().map_err(|_| Error::Url { url: url.into() })?;
+        if uri.scheme_str() != Some("http") {
+            return Err(Error::Url { url: url.into() });
+        }
+        self.client.get(uri).await.map_err(|source| {
             let url = url.into();
             if source.is_connect() {
                 Error::Connect { url, source }
@@ -59,11 +84,7 @@
                 let source = source.into();
                 Error::Broken { url, source }
             }
-        })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.limit).collect();
-        let body = body.await.map_err(|source| self.body_error(url, source))?;
-        Ok((status, body.to_bytes()))
+        })
     }
 
     fn body_error(&self, url: &str, source: Box<dyn std::error::Error + Send + Sync>) -> Error {
--- a/src/platform/vms.rs
+++ b/src/platform/vms.rs
@@ -1,17 +1,45 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::platform::Index;
 
 /// The platform's list of entry VMs. It lags and is only a hint.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(from = "Raw")]
 pub struct Vms {
     /// The index of the list's last change.
     pub index: Index,
     /// The VMs.
     pub vms: Vec<Vm>,
+    /// The number of entries that do not follow the protocol. They are left out, so that one of
+    /// them does not keep a joiner from its first contacts.
+    pub malformed: usize,
+}
+
+/// The list before its entries are checked.
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct Raw {
+    index: Index,
+    vms: Vec<Value>,
+}
+
+impl From<Raw> for Vms {
+    fn from(raw: Raw) -> Vms {
+        let entries = raw.vms.len();
+        let vms: Vec<Vm> = raw
+            .vms
+            .into_iter()
+            .filter_map(|entry| serde_json::from_value(entry).ok())
+            .collect();
+        Vms {
+            index: raw.index,
+            malformed: entries - vms.len(),
+            vms,
+        }
+    }
 }
 
 /// An entry VM as the platform knows it.
