Close old connections of the admin API

jsonrpsee closes a connection that sends no first request, but, as its source shows, neither an idle one nor one that stalls inside a request, and its keep-alive timeout concerns HTTP/2 only. 64 such connections would have shut out all others. Both HTTP servers now share a listener with a limit on connections; the admin API closes a connection after 10 s and cuts it after 30 s.

--- /dev/null
+++ b/src/admin/limits.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+
+/// What clients may cost the server of the admin API.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest number of open connections; further ones wait.
+    pub connections: usize,
+    /// The age at which a connection is closed once its request is answered.
+    pub close_after: Duration,
+    /// The age at which a connection is closed in any case.
+    pub cut_after: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            connections: 64,
+            close_after: Duration::from_secs(10),
+            cut_after: Duration::from_secs(30),
+        }
+    }
+}
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -2,7 +2,9 @@
 
 use jsonrpsee::{
     core::{RpcResult, async_trait},
-    server::{BatchRequestConfig, ServerBuilder, ServerConfig, ServerHandle},
+    server::{
+        BatchRequestConfig, ServerBuilder, ServerConfig, serve_with_graceful_shutdown, stop_channel,
+    },
     types::{ErrorObject, ErrorObjectOwned},
 };
 use serde_json::Value;
@@ -10,22 +12,17 @@
 
 use crate::{
     admin::{
-        ApiServer, Error, Explanation, Flows, InForce, MAXIMUM_RESPONSE, Member, Question, Reply,
-        Request, Result, Sender, Status, Target, Tickets, Zone,
+        ApiServer, Error, Explanation, Flows, InForce, Limits, MAXIMUM_RESPONSE, Member, Question,
+        Reply, Request, Result, Sender, Status, Target, Tickets, Zone,
     },
     ticket,
+    util::Listener,
 };
 
 /// The largest request in bytes; the longest is about 200 bytes.
 const MAXIMUM_REQUEST: u32 = 16 * 1024;
-/// The largest number of open connections.
-const MAXIMUM_CONNECTIONS: u32 = 64;
 /// The longest time the node may take for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
-/// The longest time a connection may take to send its first request.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
-/// The time after which a connection without requests is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The error code of an answer that did not come in time.
 const TIMEOUT_CODE: i32 = -32001;
@@ -37,8 +34,7 @@
 /// The HTTP server of the admin API. It stops when it is dropped.
 #[derive(Debug)]
 pub struct Server {
-    address: SocketAddr,
-    handle: ServerHandle,
+    listener: Listener,
 }
 
 impl Server {
@@ -48,35 +44,48 @@
     ///
     /// Returns [`Error::Bind`] if the address cannot be bound.
     pub async fn start(address: SocketAddr, node: Sender) -> Result<Server> {
-        let bind_error = |source| Error::Bind { address, source };
+        Server::start_with(address, node, Limits::default()).await
+    }
+
+    /// Serves the API with other limits on connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Bind`] if the address cannot be bound.
+    pub async fn start_with(address: SocketAddr, node: Sender, limits: Limits) -> Result<Server> {
         let config = ServerConfig::builder()
             .http_only()
             .max_request_body_size(MAXIMUM_REQUEST)
             .max_response_body_size(MAXIMUM_RESPONSE)
-            .max_connections(MAXIMUM_CONNECTIONS)
             .set_batch_request_config(BatchRequestConfig::Disabled)
-            .set_first_request_timeout(Some(FIRST_REQUEST_TIMEOUT))
-            .set_keep_alive_timeout(IDLE_TIMEOUT)
             .build();
-        let server = ServerBuilder::with_config(config)
-            .build(address)
-            .await
-            .map_err(bind_error)?;
-        let address = server.local_addr().map_err(bind_error)?;
-        let handle = server.start(Handler { node }.into_rpc());
-        Ok(Server { address, handle })
+        let builder = ServerBuilder::with_config(config).to_service_builder();
+        let methods = Handler { node }.into_rpc();
+        let serve = move |stream| {
+            let (stop, handle) = stop_channel();
+            let service = builder.clone().build(methods.clone(), stop);
+            async move {
+                // jsonrpsee closes neither idle connections nor those that stall in a request.
+                let old = tokio::time::sleep(limits.close_after);
+                let connection = serve_with_graceful_shutdown(stream, service, old);
+                // A client that goes away is no event.
+                let _ = tokio::time::timeout(limits.cut_after, connection).await;
+                drop(handle);
+            }
+        };
+        let listener = Listener::bind(address, limits.connections, serve).await;
+        let listener = listener.map_err(|source| Error::Bind { address, source })?;
+        Ok(Server { listener })
     }
 
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Stops the server. Its address is free when this returns.
     pub async fn stop(self) {
-        // Fails if the server has stopped already.
-        let _ = self.handle.stop();
-        self.handle.stopped().await;
+        self.listener.stop().await;
     }
 }
 
--- a/src/telemetry/server.rs
+++ b/src/telemetry/server.rs
@@ -1,4 +1,4 @@
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use http_body_util::Full;
 use hyper::{
@@ -9,13 +9,12 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
-    task::{JoinHandle, JoinSet},
-};
+use tokio::net::TcpStream;
 
-use crate::telemetry::{Error, Metrics, Result};
+use crate::{
+    telemetry::{Error, Metrics, Result},
+    util::Listener,
+};
 
 /// The largest number of open connections; a scraper needs one.
 const MAXIMUM_CONNECTIONS: usize = 16;
@@ -23,66 +22,32 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// The time that one connection may stay open.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(600);
-/// The pause after a failed `accept`, which fails again at once while files run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
-
 /// The HTTP server of the metrics. It stops when it is dropped.
 #[derive(Debug)]
 pub struct Server {
-    address: SocketAddr,
-    task: JoinHandle<()>,
+    listener: Listener,
 }
 
 impl Server {
     pub(super) async fn start(metrics: Metrics, address: SocketAddr) -> Result<Server> {
-        let bind_error = |source| Error::Bind { address, source };
-        let listener = TcpListener::bind(address).await.map_err(bind_error)?;
-        let address = listener.local_addr().map_err(bind_error)?;
-        let task = tokio::spawn(accept(metrics, listener));
-        Ok(Server { address, task })
+        let serve = move |stream| serve(metrics.clone(), stream);
+        let listener = Listener::bind(address, MAXIMUM_CONNECTIONS, serve).await;
+        let listener = listener.map_err(|source| Error::Bind { address, source })?;
+        Ok(Server { listener })
     }
 
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Stops the server. Its address is free when this returns.
-    pub async fn stop(mut self) {
-        self.task.abort();
-        // The task ends with the error that it was cancelled.
-        let _ = (&mut self.task).await;
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn accept(metrics: Metrics, listener: TcpListener) {
-    let permits = Arc::new(Semaphore::new(MAXIMUM_CONNECTIONS));
-    // Dropping the set closes the connections.
-    let mut connections = JoinSet::new();
-    loop {
-        while connections.try_join_next().is_some() {}
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                connections.spawn(serve(metrics.clone(), stream, permit));
-            }
-            Err(error) => {
-                log::warn!("metrics connection could not be accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+    pub async fn stop(self) {
+        self.listener.stop().await;
     }
 }
 
-async fn serve(metrics: Metrics, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+async fn serve(metrics: Metrics, stream: TcpStream) {
     let service = service_fn(move |request| {
         let response = respond(&metrics, &request);
         async move { Ok::<_, Infallible>(response) }
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -5,8 +5,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use banyanwharf::admin::{ApiClient as _, Error, Flows, Request, Server, channel, connect};
+use banyanwharf::admin::{ApiClient as _, Error, Flows, Limits, Request, Server, channel, connect};
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
 fn local() -> SocketAddr {
     "127.0.0.1:0".parse().expect("an address")
@@ -21,6 +25,10 @@
 
 /// Starts a server whose node answers some requests and drops the others.
 async fn start() -> Server {
+    start_with(Limits::default()).await
+}
+
+async fn start_with(limits: Limits) -> Server {
     let (sender, mut receiver) = channel();
     tokio::spawn(async move {
         while let Some(request) = receiver.recv().await {
@@ -31,7 +39,8 @@
             }
         }
     });
-    Server::start(local(), sender).await.expect("a free port")
+    let server = Server::start_with(local(), sender, limits).await;
+    server.expect("a free port")
 }
 
 /// Guards against an API that loses answers, hangs on a silent node or keeps its port.
@@ -105,3 +114,36 @@
         );
     }
 }
+
+/// Guards against clients that shut others out by idle connections or requests that never end.
+#[tokio::test]
+async fn api_closes_connections() {
+    let limits = Limits {
+        connections: 4,
+        close_after: Duration::from_millis(500),
+        cut_after: Duration::from_secs(1),
+    };
+    let server = start_with(limits).await;
+    let call = r#"{"jsonrpc":"2.0","id":1,"method":"flows"}"#;
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: 41";
+    let mut open = Vec::new();
+    for sent in [
+        "",
+        &head[..30],
+        &format!("{head}\r\n\r\n{{"),
+        &format!("{head}\r\n\r\n{call}"),
+    ] {
+        let stream = TcpStream::connect(server.address()).await;
+        let mut stream = stream.expect("it listens");
+        stream.write_all(sent.as_bytes()).await.expect("it reads");
+        open.push(stream);
+    }
+    let client = connect(server.address(), Duration::from_secs(60)).expect("a client");
+    assert_eq!(client.flows().await.expect("an answer"), flows());
+    let mut response = String::new();
+    open[3]
+        .read_to_string(&mut response)
+        .await
+        .expect("it responds");
+    assert!(response.contains("\"owned\":12"), "{response}");
+}
