--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashSet, net::IpAddr, time::Instant};
+use std::{collections::HashSet, net::IpAddr, sync::Arc, time::Instant};
 
 use crate::{
     flow::{Fingerprint, Key},
@@ -42,7 +42,8 @@
     started: Instant,
     holders: Holders,
     counts: Counts,
-    known: Option<HashSet<TargetId>>,
+    known: HashSet<TargetId>,
+    services: HashSet<Arc<str>>,
     callers: CallerLimit,
 }
 
@@ -55,7 +56,8 @@
             started: now,
             holders: Holders::default(),
             counts: Counts::new(),
-            known: None,
+            known: HashSet::new(),
+            services: HashSet::new(),
             callers: CallerLimit::new(seed, now),
         }
     }
@@ -65,20 +67,28 @@
         self.holders = Holders::new(view, region, self.config.failed_hold);
     }
 
-    /// Takes over a new route table. Targets that appear later than the first table are cold.
+    /// Takes over a new route table. Targets that join a service that is already known are cold.
     ///
-    /// The targets of the first table are not: a daemon that starts would otherwise refuse most
-    /// flows for the length of the ramp.
+    /// The first targets of a service are not: a daemon that starts, or a new service, would
+    /// otherwise refuse most flows for the length of the ramp. If they have just started after
+    /// all, their load endpoints or their resets say so.
     pub fn set_routes(&mut self, now: Instant, table: &Table) {
-        let ids: HashSet<TargetId> = table.targets().map(|target| target.id).collect();
-        if let Some(known) = &self.known {
-            for id in ids.difference(known) {
-                self.counts.entry(*id).or_default().ramp = Some(Ramp::new(now));
+        for target in table.targets() {
+            let service = table.service(target.service).map(|service| &service.name);
+            let is_known = service.is_some_and(|name| self.services.contains(name));
+            if is_known && !self.known.contains(&target.id) {
+                self.counts.entry(target.id).or_default().ramp = Some(Ramp::new(now));
             }
         }
+        let ids: HashSet<TargetId> = table.targets().map(|target| target.id).collect();
+        self.services = table
+            .services()
+            .iter()
+            .map(|service| service.name.clone())
+            .collect();
         self.counts
             .retain(|id, count| ids.contains(id) || count.open > 0);
-        self.known = Some(ids);
+        self.known = ids;
     }
 
     /// Sets the class of a target. `since` is when a cold target started.
