--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -15,15 +15,9 @@
     Fabric, Segment,
     message::{Request, Response, body},
     stack::Connection,
-    util::{Guard, Timers, lock, sleep_until},
+    util::{Guard, Timers, flow_address, flow_number, lock, sleep_until},
 };
 
-/// The ports of one caller address.
-const PORTS: usize = 60_000;
-
-/// The lowest port of a caller address.
-const FIRST_PORT: usize = 1024;
-
 /// The packets that are processed before timers are looked at.
 const BATCH: usize = 256;
 
@@ -318,10 +312,7 @@
     }
 
     fn open(&mut self, number: usize, life: Option<Duration>, now: Instant) {
-        let address = SocketAddr::new(
-            self.config.addresses[number / PORTS],
-            (FIRST_PORT + number % PORTS) as u16,
-        );
+        let address = flow_address(&self.config.addresses, number);
         let service = self.random.random_range(0..self.config.services.len());
         let remote = self.config.services[service].1;
         let seed = self.random.random();
@@ -350,11 +341,9 @@
             return;
         };
         let to = segment.destination;
-        let addresses = &self.config.addresses;
-        let Some(index) = addresses.iter().position(|address| *address == to.ip()) else {
+        let Some(number) = flow_number(&self.config.addresses, to) else {
             return;
         };
-        let number = index * PORTS + usize::from(to.port()).saturating_sub(FIRST_PORT);
         match self.flows.get_mut(&number) {
             Some(flow) => {
                 flow.reset |= segment.rst;
--- a/testkit/src/http.rs
+++ b/testkit/src/http.rs
@@ -8,7 +8,11 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
 
 use crate::util::Guard;
 
@@ -91,3 +95,28 @@
         .find(|(key, _)| *key == name)
         .and_then(|(_, value)| value.parse().ok())
 }
+
+/// Sends a GET request and returns the status and the body, which must be JSON.
+///
+/// # Errors
+///
+/// Returns the error of the connection, or `InvalidData` if the response is not understood.
+pub async fn get(url: &str) -> io::Result<(u16, serde_json::Value)> {
+    let invalid = || io::Error::from(io::ErrorKind::InvalidData);
+    let rest = url.strip_prefix("http://").ok_or_else(invalid)?;
+    let (address, path) = rest.split_once('/').ok_or_else(invalid)?;
+    let mut stream = TcpStream::connect(address).await?;
+    let request = format!("GET /{path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await?;
+    let mut headers = [httparse::EMPTY_HEADER; 16];
+    let mut response = httparse::Response::new(&mut headers);
+    match response.parse(&bytes) {
+        Ok(httparse::Status::Complete(start)) => Ok((
+            response.code.ok_or_else(invalid)?,
+            serde_json::from_slice(&bytes[start..])?,
+        )),
+        _ => Err(invalid()),
+    }
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -26,6 +26,7 @@
 pub use caller::{Broken, Caller, CallerConfig, CallerRecord, Cause};
 pub use daemons::Daemons;
 pub use fabric::{Fabric, FabricRecord, Impairment, Spray};
+pub use http::get;
 pub use platform::{Mode, Platform, Vm};
 pub use probe::{Probe, ProbeConfig, ProbeRecord};
 pub use responder::{Responder, ResponderRecord};
--- a/testkit/src/probe.rs
+++ b/testkit/src/probe.rs
@@ -9,15 +9,9 @@
 
 use crate::{
     Fabric, Segment,
-    util::{Guard, lock},
+    util::{Guard, flow_address, flow_number, lock},
 };
 
-/// The ports of one caller address.
-const PORTS: usize = 60_000;
-
-/// The lowest port of a caller address.
-const FIRST_PORT: usize = 1024;
-
 /// The settings of a probe.
 #[derive(Debug, Clone)]
 pub struct ProbeConfig {
@@ -173,13 +167,8 @@
 
 impl Shared {
     fn segment(&self, number: usize, sequence: u32) -> Segment {
-        let address = self.config.addresses[number / PORTS];
-        let port = (FIRST_PORT + number % PORTS) as u16;
-        Segment::new(
-            SocketAddr::new(address, port),
-            self.config.service,
-            sequence,
-        )
+        let address = flow_address(&self.config.addresses, number);
+        Segment::new(address, self.config.service, sequence)
     }
 
     fn send(&self, number: usize, segment: Segment) {
@@ -202,11 +191,9 @@
             return;
         };
         let to = segment.destination;
-        let addresses = &self.config.addresses;
-        let Some(index) = addresses.iter().position(|address| *address == to.ip()) else {
+        let Some(number) = flow_number(&self.config.addresses, to) else {
             return;
         };
-        let number = index * PORTS + usize::from(to.port()).saturating_sub(FIRST_PORT);
         let mut state = lock(&self.state);
         let State { flows, record, .. } = &mut *state;
         let Some(flow) = flows.get_mut(&number) else {
--- a/testkit/src/util.rs
+++ b/testkit/src/util.rs
@@ -3,7 +3,7 @@
     collections::{BinaryHeap, HashMap},
     hash::Hash,
     io,
-    net::{Ipv4Addr, SocketAddr, UdpSocket as StdUdpSocket},
+    net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket as StdUdpSocket},
     sync::{Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
@@ -61,6 +61,28 @@
     value ^ (value >> 31)
 }
 
+/// The ports of one caller address.
+const PORTS: usize = 60_000;
+
+/// The lowest port of a caller address.
+const FIRST_PORT: usize = 1024;
+
+/// Returns the address and port of a caller's flow.
+///
+/// # Panics
+///
+/// Panics if there are too few addresses for so many flows.
+pub(crate) fn flow_address(addresses: &[IpAddr], number: usize) -> SocketAddr {
+    let port = (FIRST_PORT + number % PORTS) as u16;
+    SocketAddr::new(addresses[number / PORTS], port)
+}
+
+/// Returns the number of the flow with an address and port.
+pub(crate) fn flow_number(addresses: &[IpAddr], flow: SocketAddr) -> Option<usize> {
+    let index = addresses.iter().position(|address| *address == flow.ip())?;
+    Some(index * PORTS + usize::from(flow.port()).checked_sub(FIRST_PORT)?)
+}
+
 /// Ends a task when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Guard(pub(crate) AbortHandle);
--- a/testkit/tests/endpoints.rs
+++ b/testkit/tests/endpoints.rs
@@ -9,13 +9,10 @@
 
 use banyanwharf_testkit::{
     Broken, Caller, CallerConfig, Cause, Daemons, Fabric, Impairment, Probe, ProbeConfig,
-    Responder, Spray, Target, TargetConfig,
-};
-use serde_json::{Value, json};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpStream, UdpSocket},
+    Responder, Spray, Target, TargetConfig, get,
 };
+use serde_json::json;
+use tokio::net::UdpSocket;
 
 const SERVICE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 9, 0, 1)), 80);
 
@@ -196,24 +193,6 @@
     assert!(record.over_cold > 0 && record.peak_busy == 1, "{record:?}");
 }
 
-async fn get(url: &str) -> (u16, Value) {
-    let (address, path) = url
-        .strip_prefix("http://")
-        .unwrap()
-        .split_once('/')
-        .unwrap();
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    let request = format!("GET /{path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).await.unwrap();
-    let (head, body) = text.split_once("\r\n\r\n").unwrap();
-    (
-        head[9..12].parse().unwrap(),
-        serde_json::from_str(body).unwrap(),
-    )
-}
-
 /// Guards against endpoints that report other than the target is, unless told to.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endpoints_report_limits_and_lies() {
@@ -231,7 +210,7 @@
     wait_for("shed requests", || caller.record().shed > 20).await;
     wait_for("refusals", || caller.record().refused.len() == 20).await;
     wait_for("10 open flows", || target.read(|record| record.open) == 10).await;
-    let before = get(&load).await;
+    let before = get(&load).await.unwrap();
     assert_eq!((before.0, &before.1["connections"]), (200, &json!(10)));
     target.control(|controls| {
         controls.restart = Some(true);
@@ -239,19 +218,19 @@
         controls.draining = true;
     });
     tokio::time::sleep(Duration::from_millis(200)).await;
-    assert_eq!(get(&health).await.0, 503);
-    assert_eq!(get(&load).await, before, "the report does not lag");
+    assert_eq!(get(&health).await.unwrap().0, 503);
+    assert_eq!(get(&load).await.unwrap(), before, "the report does not lag");
     target.control(|controls| {
         controls.lag = Duration::ZERO;
         controls.false_health = Some(200);
     });
     tokio::time::sleep(Duration::from_millis(200)).await;
-    assert_eq!(get(&health).await.0, 200);
-    let after = get(&load).await.1;
+    assert_eq!(get(&health).await.unwrap().0, 200);
+    let after = get(&load).await.unwrap().1;
     assert_ne!(after["start"], before.1["start"]);
     assert_eq!(after["connections"], 0);
     target.control(|controls| controls.false_load = Some(json!({"busy": 9})));
-    assert_eq!(get(&load).await.1, json!({"busy": 9}));
+    assert_eq!(get(&load).await.unwrap().1, json!({"busy": 9}));
 }
 
 /// Guards against flows that change the daemon although the fabric hashes them.
--- a/testkit/tests/platform.rs
+++ b/testkit/tests/platform.rs
@@ -4,51 +4,38 @@
 
 use std::time::Duration;
 
-use banyanwharf_testkit::{Mode, Platform, Vm};
+use banyanwharf_testkit::{Mode, Platform, Vm, get};
 use serde_json::{Value, json};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
 
-async fn get(platform: &Platform, path: &str) -> Option<(u16, Value)> {
-    let url = platform.url();
-    let address = url.strip_prefix("http://").unwrap();
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).await.ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some((status, serde_json::from_str(body).unwrap()))
+async fn read(platform: &Platform, path: &str) -> Option<(u16, Value)> {
+    get(&(platform.url() + path)).await.ok()
 }
 
 /// Guards against a stand-in that differs from the documented protocol.
 #[tokio::test]
 async fn pages_watches_and_counts() {
     let platform = Platform::start().unwrap();
-    let empty = get(&platform, "/v1/tickets?index=0&wait_ms=0").await;
+    let empty = read(&platform, "/v1/tickets?index=0&wait_ms=0").await;
     assert_eq!(
         empty,
         Some((200, json!({"index": 0, "tickets": [], "more": false})))
     );
     platform.publish(&json!({"number": 7}));
     assert_eq!(platform.publish(&json!({"number": 3})), 2);
-    let all = get(&platform, "/v1/tickets?index=0&wait_ms=9000")
+    let all = read(&platform, "/v1/tickets?index=0&wait_ms=9000")
         .await
         .unwrap()
         .1;
     assert_eq!(all["tickets"], json!([{"number": 7}, {"number": 3}]));
-    assert_eq!(get(&platform, "/v1/tickets?index=3").await.unwrap().0, 410);
+    assert_eq!(read(&platform, "/v1/tickets?index=3").await.unwrap().0, 410);
 
-    let (watched, ()) = tokio::join!(get(&platform, "/v1/tickets?index=2&wait_ms=9000"), async {
+    let (watched, ()) = tokio::join!(read(&platform, "/v1/tickets?index=2&wait_ms=9000"), async {
         tokio::time::sleep(Duration::from_millis(50)).await;
         platform.publish(&json!({"number": 9, "note": "x".repeat(600_000)}));
     });
     assert_eq!(watched.unwrap().1["index"], 3);
     platform.publish(&json!({"number": 10, "note": "x".repeat(600_000)}));
-    let page = get(&platform, "/v1/tickets?index=2").await.unwrap().1;
+    let page = read(&platform, "/v1/tickets?index=2").await.unwrap().1;
     assert_eq!((&page["index"], &page["more"]), (&json!(3), &json!(true)));
     assert_eq!(platform.calls(), 5);
 
@@ -61,7 +48,7 @@
         state: "live".into(),
     };
     platform.set_vms(vec![vm.clone()]);
-    let vms = get(&platform, "/v1/vms?index=0&wait_ms=9000")
+    let vms = read(&platform, "/v1/vms?index=0&wait_ms=9000")
         .await
         .unwrap()
         .1;
@@ -75,18 +62,18 @@
     platform.publish(&json!({"number": 1}));
     platform.set_mode(Mode::Stale);
     platform.publish(&json!({"number": 2}));
-    let stale = get(&platform, "/v1/tickets?index=0").await.unwrap().1;
+    let stale = read(&platform, "/v1/tickets?index=0").await.unwrap().1;
     assert_eq!(stale["tickets"], json!([{"number": 1}]));
-    let (watched, ()) = tokio::join!(get(&platform, "/v1/tickets?index=1&wait_ms=9000"), async {
+    let (watched, ()) = tokio::join!(read(&platform, "/v1/tickets?index=1&wait_ms=9000"), async {
         tokio::time::sleep(Duration::from_millis(50)).await;
         platform.set_mode(Mode::Unavailable);
     });
     assert_eq!(watched.unwrap().0, 503);
     platform.set_mode(Mode::Unreachable);
-    assert_eq!(get(&platform, "/v1/tickets?index=0").await, None);
+    assert_eq!(read(&platform, "/v1/tickets?index=0").await, None);
     platform.set_mode(Mode::Normal);
     platform.set_delay(Duration::from_millis(300));
-    let (delayed, _) = tokio::join!(get(&platform, "/v1/tickets?index=1"), async {
+    let (delayed, _) = tokio::join!(read(&platform, "/v1/tickets?index=1"), async {
         tokio::time::sleep(Duration::from_millis(50)).await;
         platform.publish(&json!({"number": 3}))
     });
@@ -100,7 +87,7 @@
     platform.set_limit(Some(3));
     let mut statuses = Vec::new();
     for _ in 0..10 {
-        statuses.push(get(&platform, "/v1/tickets?index=0").await.unwrap().0);
+        statuses.push(read(&platform, "/v1/tickets?index=0").await.unwrap().0);
     }
     assert!(statuses.contains(&429), "{statuses:?}");
     assert!(platform.peak_calls_per_second() >= 5);
--- a/testkit/tests/scenario.rs
+++ b/testkit/tests/scenario.rs
@@ -11,20 +11,10 @@
 
 use banyanwharf::ticket::{Service, Target, TargetState, Ticket, ZoneState};
 use banyanwharf_testkit::{
-    Segment,
+    Segment, get,
     scenario::{Cluster, DaemonConfig, Plan, Result, run},
 };
-use serde::Deserialize;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpStream, UdpSocket},
-    task::JoinHandle,
-};
-
-#[derive(Deserialize)]
-struct Page {
-    tickets: Vec<Ticket>,
-}
+use tokio::{net::UdpSocket, task::JoinHandle};
 
 #[derive(Default)]
 struct Table {
@@ -111,14 +101,11 @@
 /// Reads all tickets again and again.
 async fn watch(config: DaemonConfig, table: Arc<Mutex<Table>>, last: Option<u64>) {
     loop {
-        let address = config.platform.strip_prefix("http://").unwrap();
-        let mut stream = TcpStream::connect(address).await.unwrap();
-        let request = "GET /v1/tickets?index=0 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        stream.write_all(request.as_bytes()).await.unwrap();
-        let mut text = String::new();
-        stream.read_to_string(&mut text).await.unwrap();
-        let body = text.split_once("\r\n\r\n").unwrap().1;
-        let mut tickets = serde_json::from_str::<Page>(body).unwrap().tickets;
+        let page = get(&format!("{}/v1/tickets?index=0", config.platform))
+            .await
+            .unwrap()
+            .1;
+        let mut tickets: Vec<Ticket> = serde_json::from_value(page["tickets"].clone()).unwrap();
         tickets.retain(|ticket| last.is_none_or(|last| ticket.number <= last));
         table.lock().unwrap().learn(tickets);
         tokio::time::sleep(Duration::from_millis(50)).await;
