--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -8,6 +8,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use serde::Serialize;
 use smoltcp::socket::tcp::State;
 use tokio::sync::mpsc;
 
@@ -59,7 +60,8 @@
 }
 
 /// Why a flow broke.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Cause {
     /// The caller received RST.
     Reset,
--- a/testkit/src/scenario.rs
+++ b/testkit/src/scenario.rs
@@ -5,7 +5,7 @@
 //! the records of the test doubles contribute to.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     error::Error,
     future::Future,
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -19,7 +19,7 @@
 use serde::Serialize;
 
 use crate::{
-    Caller, CallerConfig, CallerRecord, Daemons, Fabric, Platform, Target, TargetConfig, Vm,
+    Caller, CallerConfig, CallerRecord, Cause, Daemons, Fabric, Platform, Target, TargetConfig, Vm,
     free_address,
 };
 
@@ -119,6 +119,10 @@
     pub flows: u64,
     /// Flows broken, but for those of targets in a zone taken out of service.
     pub broken: usize,
+    /// The same by cause, without those that had no response when the run gave up.
+    pub broken_by_cause: BTreeMap<Cause, usize>,
+    /// Flows reset while the caller closed them after its last response.
+    pub reset_closing: u64,
     /// Packets at a target of another service.
     pub misdelivered: u64,
     /// Responses to another request.
@@ -459,6 +463,7 @@
     fn add_caller(&self, report: &mut Report, record: &CallerRecord, zone: Option<&str>) {
         report.flows += record.opened;
         report.crossed += record.crossed;
+        report.reset_closing += record.reset_closing;
         report.truncated += record.truncated;
         report.given_up_with_zone += record.given_up;
         report.requests += record.requests;
@@ -476,7 +481,10 @@
         for flow in &record.broken {
             match flow.target.is_none() && in_zone(&flow.caller) {
                 true => report.given_up_with_zone += 1,
-                false => report.broken += 1,
+                false => {
+                    report.broken += 1;
+                    *report.broken_by_cause.entry(flow.cause).or_default() += 1;
+                }
             }
         }
         for (_, caller) in &record.refused {
