--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -8,6 +8,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use serde::Serialize;
 use smoltcp::socket::tcp::State;
 use tokio::sync::mpsc;
 
@@ -15,15 +16,9 @@
     Fabric, Segment,
     message::{Request, Response, body},
     stack::Connection,
-    util::{Guard, Timers, lock, sleep_until},
+    util::{Guard, Timers, flow_address, flow_number, lock, sleep_until},
 };
 
-/// The ports of one caller address.
-const PORTS: usize = 60_000;
-
-/// The lowest port of a caller address.
-const FIRST_PORT: usize = 1024;
-
 /// The packets that are processed before timers are looked at.
 const BATCH: usize = 256;
 
@@ -65,7 +60,8 @@
 }
 
 /// Why a flow broke.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Cause {
     /// The caller received RST.
     Reset,
@@ -318,10 +314,7 @@
     }
 
     fn open(&mut self, number: usize, life: Option<Duration>, now: Instant) {
-        let address = SocketAddr::new(
-            self.config.addresses[number / PORTS],
-            (FIRST_PORT + number % PORTS) as u16,
-        );
+        let address = flow_address(&self.config.addresses, number);
         let service = self.random.random_range(0..self.config.services.len());
         let remote = self.config.services[service].1;
         let seed = self.random.random();
@@ -350,11 +343,9 @@
             return;
         };
         let to = segment.destination;
-        let addresses = &self.config.addresses;
-        let Some(index) = addresses.iter().position(|address| *address == to.ip()) else {
+        let Some(number) = flow_number(&self.config.addresses, to) else {
             return;
         };
-        let number = index * PORTS + usize::from(to.port()).saturating_sub(FIRST_PORT);
         match self.flows.get_mut(&number) {
             Some(flow) => {
                 flow.reset |= segment.rst;
