--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -313,7 +313,11 @@
     };
     assert!(sent(&mut out).contains(&Message::Request(vec![expected])));
     let mut damaged = lost.clone();
-    damaged.bytes[5] ^= 1;
+    let name = damaged
+        .bytes
+        .windows(6)
+        .position(|bytes| bytes == b"target");
+    damaged.bytes[name.expect("the part has a target")] = b'x';
     receiver.on_message(seconds(4), 1, Message::Part(damaged), &mut b, &mut out);
     assert!(b.services().next().is_none() && !b.history().is_applied(7));
     // The next retry fetches the object as a whole.
@@ -336,6 +340,27 @@
     assert_eq!(objects.iter().filter(large).count(), 1);
 }
 
+/// Guards against taking tickets for in force that only the sender has.
+#[test]
+fn histories_count_only_with_the_same_items() {
+    let now = Instant::now();
+    let (mut full, mut empty) = (State::default(), State::default());
+    full.apply(now, ticket(7, 1, 1)).expect("accepted");
+    let message = Message::History {
+        summary: full.summary(),
+        applied: vec![(1, 7)],
+        refused: vec![(9, 9)],
+        reply: true,
+    };
+    let mut spreader = Spreader::new(Config::new("z".into()), 1, 1, now);
+    let mut out = Vec::new();
+    spreader.on_message(now, 2, message.clone(), &mut empty, &mut out);
+    assert!(!empty.history().is_applied(7) && empty.history().is_refused(9) && out.is_empty());
+    empty.merge(now, full.items().cloned().collect());
+    spreader.on_message(now, 2, message, &mut empty, &mut out);
+    assert!(empty.history().is_applied(7) && out == [Action::InForce(7)]);
+}
+
 /// Guards against a number of platform readers that grows with the fleet, and against a zone
 /// without a reader after one failed.
 #[test]
