Keep the scan for base targets

Trial, release profile, equal weights, ns for a lookup and load of the busiest target relative to the mean: 14 targets, scan 123 ns and 1.007; table of 4,096 entries 1.5 ns and 1.064; of 65,536 entries 1.5 ns and 1.034, built in 8.4 ms. A table fine enough for the balance priority takes 128 KB for each generation; a scan runs once for each new flow.

--- a/src/route/generation.rs
+++ b/src/route/generation.rs
@@ -20,6 +20,11 @@
     ///
     /// All arithmetic is on integers, so every daemon finds the same target whatever its
     /// processor and mathematical library.
+    ///
+    /// All targets are compared. A table of 65,536 precomputed entries was measured at 1.5 ns
+    /// instead of 123 ns for 14 targets, but it takes 128 KB for each generation, and its busiest
+    /// target has 3.4% more flows than the mean instead of 0.7%. Only new flows are placed, so
+    /// the time does not matter.
     pub fn base(&self, fingerprint: Fingerprint) -> Option<TargetId> {
         let (&(first, weight), rest) = self.targets.split_first()?;
         let mut best = Score::new(first, weight, fingerprint);
