Hand records over when several daemons stop at the same time

A leaving daemon passed records only for slots that it owned by its previous view, so a record could end at another leaving daemon. Every holder now sends to new owners after an earlier change, and a leaving daemon passes copies on.

--- a/src/forward/copying.rs
+++ b/src/forward/copying.rs
@@ -48,13 +48,17 @@
             let (Some(before), Some(after)) = (previous.owners(slot), ranking.owners(slot)) else {
                 continue;
             };
-            if !before.contains(self.id) {
-                continue;
-            }
             let survives = members(&after).any(|id| before.contains(id));
-            // The change before this one may not have been copied completely yet.
-            let restless = self.history.former(slot).len() > 1;
-            if after.contains(self.id) || self.is_leaving() || !survives || restless {
+            // Earlier pairs, without the one that this change has replaced.
+            let earlier = self.history.former(slot).split_last();
+            let earlier = earlier.map_or(&[][..], |(_, earlier)| earlier);
+            // After an earlier change, the copies to the owners of then may be incomplete, so
+            // everyone who may hold records sends them.
+            let sends = match before.contains(self.id) {
+                true => after.contains(self.id) || !survives || !earlier.is_empty(),
+                false => earlier.iter().any(|pair| pair.owners.contains(self.id)),
+            };
+            if sends || self.is_leaving() {
                 for id in members(&after).filter(|id| !before.contains(*id)) {
                     self.copier.add(id, slot);
                 }
--- a/src/forward/storing.rs
+++ b/src/forward/storing.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     flow::{Entry, Fingerprint, Mark, State},
-    forward::{Action, Cause, Forwarder, Standing, deciding::touched, packet::Packet},
+    forward::{
+        Action, Cause, Forwarder, Standing, deciding::touched, history::members, packet::Packet,
+    },
     member,
     ticket::TargetId,
     wire::{Body, Record, Stage},
@@ -123,11 +125,23 @@
             if weaker {
                 self.counters.copies_stored += 1;
                 self.store(now, &Entry::from_record(record));
+                self.forward_copy(sender, record.fingerprint);
             }
         }
         self.tell(sender, Body::Copied { sequence }, out);
     }
 
+    /// Passes a copied record on if this daemon is about to stop and was taken for an owner.
+    fn forward_copy(&mut self, sender: member::Id, fingerprint: Fingerprint) {
+        let slot = fingerprint.slot();
+        let Some(owners) = self.ranking.owners(slot).filter(|_| self.is_leaving()) else {
+            return;
+        };
+        for id in members(&owners).filter(|id| *id != sender && *id != self.id) {
+            self.copier.add(id, slot);
+        }
+    }
+
     /// Removes a record, so that a record with another target can take its place.
     fn forget(&mut self, now: Instant, fingerprint: Fingerprint) {
         if let Some(entry) = self.table.remove(now, fingerprint)
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -29,13 +29,15 @@
         service: &Service,
         _key: &Key,
         fingerprint: Fingerprint,
-        _excluded: &[TargetId],
+        excluded: &[TargetId],
     ) -> Result<TargetId, Refusal> {
-        service
+        let mut generation = service
             .generations
             .first()
-            .and_then(|g| g.base(fingerprint))
-            .ok_or(Refusal::NoTarget)
+            .cloned()
+            .ok_or(Refusal::NoTarget)?;
+        generation.targets.retain(|(id, _)| !excluded.contains(id));
+        generation.base(fingerprint).ok_or(Refusal::NoTarget)
     }
 
     /// Notes that a flow placed by this placer or taken over by it is open on `target`.
--- a/tests/fleet/caller.rs
+++ b/tests/fleet/caller.rs
@@ -153,7 +153,10 @@
     /// Handles a packet at the caller.
     pub(super) fn at_caller(&mut self, bytes: &[u8]) {
         let Ok(summary) = packet::parse(bytes) else {
-            return;
+            // An ICMP error quotes the packet after its own headers.
+            let headers = if bytes[0] >> 4 == 4 { 28 } else { 48 };
+            let quote = packet::parse(&bytes[headers..]).expect("the quote is whole");
+            return self.at_reset(self.index[&quote.request_key()]);
         };
         let index = self.index[&summary.return_key()];
         let flow = &mut self.flows[index];
@@ -235,10 +238,12 @@
         let gone =
             target.is_some_and(|target| target.removed || self.zones_out.contains(&target.zone));
         let outcome = match flow.phase {
+            Phase::Done => return,
             Phase::Opening => Outcome::Unopened,
+            Phase::Open if flow.target.is_none() => Outcome::Unopened,
             Phase::Closing => Outcome::Finished,
-            Phase::Open | Phase::Done if gone => Outcome::Terminated,
-            Phase::Open | Phase::Done => {
+            Phase::Open if gone => Outcome::Terminated,
+            Phase::Open => {
                 Outcome::Broken(format!("{:?} at {:?} was reset", flow.key, flow.target))
             }
         };
--- a/tests/fleet/daemon.rs
+++ b/tests/fleet/daemon.rs
@@ -21,6 +21,8 @@
     pub zone: Arc<str>,
     pub view: View,
     pub paused: Option<Instant>,
+    /// The number of the newest ticket in the routes.
+    pub version: u64,
     leaving: Option<Instant>,
     info: Info,
 }
@@ -60,6 +62,7 @@
             zone: zone.into(),
             view: View::new(),
             paused: None,
+            version: 0,
             leaving: None,
             info: info.clone(),
         };
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use banyanwharf::forward::{Config, Mode};
+use banyanwharf::{
+    flow::Protocol,
+    forward::{Config, Mode},
+};
 use bolero::TypeGenerator;
 use fleet::{Fleet, ZONES};
 
@@ -96,3 +99,126 @@
     let fleet = play(Mode::Owners, 1, &steps);
     assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
 }
+
+fn settled(flows: usize) -> Fleet {
+    let mut fleet = Fleet::new(3, 5, Config::default());
+    fleet.open_many(flows, Duration::from_secs(5), 8);
+    fleet
+}
+
+/// Guards against flows that stay on a target which refuses or ignores their SYNs, and against
+/// payload at the target that they were moved from.
+#[test]
+fn unaccepted_flows_move() {
+    for silent in [false, true] {
+        let mut fleet = Fleet::new(3, 5, Config::default());
+        let target = fleet
+            .targets
+            .values_mut()
+            .next()
+            .expect("there are targets");
+        (target.refuses, target.silent) = (!silent, silent);
+        fleet.open_many(100, Duration::from_secs(20), 4);
+        fleet.run(Duration::from_secs(200));
+        // UDP flows have no handshake, so those on a silent target get no response.
+        let udp = fleet
+            .flows
+            .iter()
+            .filter(|flow| flow.key.protocol == Protocol::Udp);
+        let bound = if silent { udp.count() as u64 } else { 0 };
+        assert!(fleet.findings.unopened <= bound, "{:?}", fleet.findings);
+        assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+        assert!(fleet.total(|counters| counters.moved) > 0);
+    }
+}
+
+/// Guards against refusals without bound on retries: if every target refuses, the caller gets
+/// the reset of a target, and retries stay within the budget.
+#[test]
+fn retries_are_bounded() {
+    let mut fleet = Fleet::new(4, 5, Config::default());
+    for target in fleet.targets.values_mut() {
+        target.refuses = true;
+    }
+    fleet.open_many(500, Duration::from_secs(50), 1);
+    fleet.run(Duration::from_secs(100));
+    let retries = fleet.total(|counters| counters.retried);
+    // Each of 5 daemons starts with 10 retries and earns one with 10 new flows.
+    assert!((50..=100).contains(&retries), "{retries}");
+    let tcp = fleet
+        .flows
+        .iter()
+        .filter(|flow| flow.key.protocol == Protocol::Tcp);
+    assert_eq!(fleet.findings.unopened as usize, tcp.count());
+}
+
+/// Guards against packets in a zone that was taken out, and against flows there that are not
+/// reset or flows elsewhere that are.
+#[test]
+fn flows_of_a_zone_out_are_reset() {
+    let mut fleet = settled(200);
+    let open = fleet.count_open();
+    fleet.zones_out.insert(ZONES[1].into());
+    fleet.publish(Duration::from_secs(3));
+    fleet.run(Duration::from_secs(5));
+    for target in fleet.targets.values_mut() {
+        target.removed = *target.zone == *ZONES[1];
+    }
+    fleet.run(Duration::from_secs(200));
+    assert!(
+        open > 100 && fleet.findings.terminated > 20,
+        "{:?}",
+        fleet.findings
+    );
+    assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+}
+
+/// Guards against a reset for flows of a draining target, and against flows that stay open
+/// without a target after the ticket that removes it.
+#[test]
+fn removed_targets_end_their_flows() {
+    let mut fleet = settled(200);
+    fleet.change_targets(5);
+    fleet.run(Duration::from_secs(20));
+    assert_eq!(fleet.findings.broken + fleet.findings.terminated, 0);
+    fleet.remove_drained();
+    fleet.run(Duration::from_secs(200));
+    assert!(fleet.findings.terminated > 5, "{:?}", fleet.findings);
+    assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+}
+
+/// Guards against silence and against a false refusal when a service has no target.
+#[test]
+fn flows_without_a_target_are_refused_at_once() {
+    let mut fleet = settled(0);
+    fleet
+        .services
+        .iter_mut()
+        .for_each(|service| service.targets.clear());
+    fleet.publish(Duration::ZERO);
+    fleet.run(Duration::from_secs(1));
+    fleet.open_many(50, Duration::from_secs(5), 1);
+    fleet.run(Duration::from_millis(100));
+    assert_eq!(fleet.total(|counters| counters.refused), 50);
+    assert_eq!(fleet.total(|counters| counters.delivered), 0);
+}
+
+/// Guards against records that are handed to a daemon that stops too: three of five daemons
+/// stop at the same time, then one is lost.
+#[test]
+fn overlapping_stops_hand_over() {
+    let steps = [
+        Step::Targets(248),
+        Step::Stop(168),
+        Step::Stop(14),
+        Step::Loss,
+        Step::Stop(251),
+        Step::Loss,
+        Step::Crash(150),
+        Step::Loss,
+    ];
+    for seed in [4_683_592_923_710_974_146, 1, 2, 3] {
+        let fleet = play(Mode::Owners, seed, &steps);
+        assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+    }
+}
