--- a/src/forward/placing.rs
+++ b/src/forward/placing.rs
@@ -102,8 +102,11 @@
         packet: &Packet<'_>,
         out: &mut Vec<Action>,
     ) {
+        let slot = packet.fingerprint.slot();
+        // While views differ, another member may act as primary owner too.
+        let unsettled = self.history.is_unsettled(now, slot, self.config.unsettled);
         if packet.summary.opens() {
-            return match self.is_searched(now, packet) {
+            return match unsettled {
                 true => self.ask(now, packet, Kind::Opening, None, out),
                 false => self.place(now, packet, true, out),
             };
@@ -114,19 +117,12 @@
         if !packet.is_datagram() {
             return self.ask(now, packet, Kind::Stream, None, out);
         }
-        match self.is_certain(packet.fingerprint.slot(), None) {
+        match !unsettled && self.is_certain(slot, None) {
             true => self.place(now, packet, true, out),
             false => self.ask(now, packet, Kind::Datagram, None, out),
         }
     }
 
-    /// Returns whether a SYN must wait until other members were asked.
-    fn is_searched(&self, now: Instant, packet: &Packet<'_>) -> bool {
-        let slot = packet.fingerprint.slot();
-        let unsettled = self.history.is_unsettled(now, slot, self.config.unsettled);
-        unsettled && !self.is_certain(slot, None)
-    }
-
     /// Makes a cached target the record of the flow.
     fn adopt(&mut self, now: Instant, packet: &Packet<'_>, out: &mut Vec<Action>) -> bool {
         let Some(cached) = self.cache.get(now, packet.fingerprint) else {
