--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -208,7 +208,8 @@
     /// Returns whether a further flow keeps the target within the bound and its limits.
     fn is_below(&self, now: Instant, target: &Target, level: f64) -> bool {
         let open = f64::from(self.open(target.id));
-        open <= level * self.weight(now, target) && self.is_within_limits(target)
+        // Without the extra flow, small counts would move most flows off their base targets.
+        open <= level * self.weight(now, target) + 1.0 && self.is_within_limits(target)
     }
 
     /// Returns whether the target takes a flow at all.
--- a/tests/forwarders/daemon.rs
+++ b/tests/forwarders/daemon.rs
@@ -22,6 +22,8 @@
     pub zone: Arc<str>,
     pub view: View,
     pub paused: Option<Instant>,
+    /// The number of the newest ticket in the routes.
+    pub version: u64,
     leaving: Option<Instant>,
     info: Info,
 }
@@ -63,6 +65,7 @@
             zone: zone.into(),
             view: View::new(),
             paused: None,
+            version: 0,
             leaving: None,
             info: info.clone(),
         };
@@ -109,6 +112,10 @@
     pub(super) fn set_view(&mut self, at: member::Id, of: member::Id, status: Status) {
         let now = self.now;
         let info = self.daemons.get(&of).map(|daemon| daemon.info.clone());
+        let paused = self
+            .daemons
+            .get(&of)
+            .is_some_and(|daemon| daemon.paused.is_some());
         let cut = info
             .as_ref()
             .is_some_and(|info| self.cut.contains(&info.zone));
@@ -120,10 +127,8 @@
         }
         // News do not cross a partition, and a member that is back is not reported dead.
         let apart = cut != self.cut.contains(&daemon.zone);
-        if info.is_some()
-            && apart != (status == Status::Failed)
-            && (apart || status == Status::Failed)
-        {
+        let unheard = apart != (status == Status::Failed) && !(paused && status == Status::Failed);
+        if info.is_some() && unheard {
             return;
         }
         let known = daemon.view.get(of).map(|member| member.info.clone());
