Measure the cost of membership and shorten zone losses and merges

The first measurement showed three slow cases. A merge after cutting off one of four zones took over 60 s at 275 daemons, because each daemon pinged failed members only every 10 s; it now pings all of them when one comes back. Incarnations that only rise are sent less often. The loss of a zone left stragglers, because verdicts and suspicions shared the eight updates of a message; verdicts now wait for suspicions, and a backlog of updates causes additional pings within a byte budget. Verification of each claim at once was ruled out: every daemon would ping every member that the other side takes for failed.

The join or loss of a member cost 1.9 ms at 1,100 members, most of it in maps of candidates; with sorted lists it is 0.35 ms to 0.4 ms, on a busy machine.

--- /dev/null
+++ b/examples/slopes_member.rs
@@ -0,0 +1,328 @@
+//! Measures how the cost of the failure detector and of the ranking grows with the fleet.
+//!
+//! All daemons run in this process on virtual time. Bytes are the encoded frames without IP and
+//! UDP headers. CPU time covers the decision code only, not sockets and encoding.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::{
+    collections::HashSet,
+    fs,
+    hint::black_box,
+    io::{self, Write as _},
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use banyanwharf::member::{Ranking, Snapshot, SnapshotMember, Status, View};
+use bpaf::Bpaf;
+use comfy_table::Table;
+use fleet::Fleet;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Status changes a day at the design size of 1,100 daemons.
+const CHANGES_A_DAY: f64 = 4200.0;
+
+/// Status changes of one planned restart: leaving, left, alive.
+const CHANGES_A_RESTART: f64 = 3.0;
+
+/// How long the fleet runs before anything is measured.
+const WARM_UP: Duration = Duration::from_secs(60);
+
+/// The longest wait for a change to be known to all.
+const PATIENCE: Duration = Duration::from_secs(300);
+
+/// Measures the cost of the failure detector and of the ranking.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Seed of all random choices
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Numbers of daemons, separated by commas
+    #[bpaf(argument("LIST"), fallback("16,64,256,1100".to_owned()), display_fallback)]
+    sizes: String,
+    /// Virtual seconds under the design rate of changes
+    #[bpaf(argument("SECONDS"), fallback(250), display_fallback)]
+    seconds: u64,
+    /// Trials of each kind of change
+    #[bpaf(argument("COUNT"), fallback(3), display_fallback)]
+    trials: usize,
+    /// Where to write the figures as CSV
+    #[bpaf(argument("PATH"))]
+    csv: Option<PathBuf>,
+}
+
+const COLUMNS: [&str; 19] = [
+    "members",
+    "idle_sent_bytes_per_s",
+    "sent_bytes_per_s",
+    "received_bytes_per_s",
+    "worst_sent_bytes_per_s",
+    "largest_frame_bytes",
+    "cpu_us_per_daemon_s",
+    "bytes_per_member",
+    "crash_unranked_mean_s",
+    "crash_unranked_max_s",
+    "crash_failed_max_s",
+    "leave_mean_s",
+    "leave_max_s",
+    "merge_s",
+    "zone_loss_most_s",
+    "zone_loss_s",
+    "rank_full_us",
+    "rank_lost_us",
+    "rank_gained_us",
+];
+
+fn main() -> io::Result<()> {
+    let options = options().run();
+    let mut table = Table::new();
+    table.set_header(COLUMNS.map(|column| column.replace('_', " ")));
+    let mut csv = COLUMNS.join(",") + "\n";
+    // Memory that a former fleet gave back would hide what the next one takes.
+    let mut fleets = Vec::new();
+    for size in options.sizes.split(',') {
+        let size = size.trim().parse().map_err(io::Error::other)?;
+        let (fleet, row) = measure(size, &options);
+        fleets.push(fleet);
+        table.add_row(&row);
+        csv += &(row.join(",") + "\n");
+    }
+    writeln!(io::stdout(), "seed {}\n{table}", options.seed)?;
+    if let Some(path) = &options.csv {
+        fs::write(path, csv)?;
+    }
+    Ok(())
+}
+
+fn measure(size: usize, options: &Options) -> (Fleet, Vec<String>) {
+    let mut rng = Pcg64Mcg::seed_from_u64(options.seed);
+    let zones = if size < 512 { 4 } else { 13 };
+    let before = resident_bytes();
+    let mut fleet = formed(size, zones, options.seed);
+    let memory = resident_bytes().saturating_sub(before) as f64 / (size * size) as f64;
+
+    fleet.run(WARM_UP);
+    let (idle, ..) = traffic(&mut fleet, 60, |_| {});
+    fleet.cpu = Duration::ZERO;
+    let interval = (86_400.0 * CHANGES_A_RESTART / CHANGES_A_DAY) as u64;
+    let mut restarting = 0;
+    let mut elapsed = 0;
+    let (sent, received, worst) = traffic(&mut fleet, options.seconds, |fleet| {
+        let now = fleet.now;
+        match elapsed % interval {
+            // The last restart ends within the time.
+            0 if elapsed + 20 <= options.seconds => {
+                restarting = rng.random_range(0..size);
+                fleet.with(restarting, |detector| detector.leave(now));
+            }
+            5 => fleet.with(restarting, |detector| detector.left(now)),
+            10 if fleet.daemons[restarting].detector.is_none() => {
+                rejoin(fleet, restarting, &mut rng);
+            }
+            _ => {}
+        }
+        elapsed += 1;
+    });
+    let cpu = fleet.cpu.as_secs_f64() * 1e6 / (size as f64 * options.seconds as f64);
+    fleet.measure = false;
+    // The last restart may be under way.
+    for index in 0..size {
+        if fleet.daemons[index].detector.is_none() {
+            rejoin(&mut fleet, index, &mut rng);
+        }
+    }
+    fleet.run(Duration::from_secs(20));
+
+    let mut unranked = Vec::new();
+    let mut failed = Vec::new();
+    let mut left = Vec::new();
+    for _ in 0..options.trials {
+        let index = rng.random_range(0..size);
+        let id = fleet.id(index);
+        fleet.crash(index);
+        let live = [Status::Alive, Status::Leaving];
+        unranked.push(until(&mut fleet, |f| f.holders(id, &live) == 0));
+        let all = size - 1;
+        let rest = until(&mut fleet, |f| f.holders(id, &[Status::Failed]) == all);
+        failed.push(unranked.last().copied().unwrap_or_default() + rest);
+        rejoin(&mut fleet, index, &mut rng);
+        fleet.run(Duration::from_secs(20));
+
+        let index = rng.random_range(0..size);
+        let id = fleet.id(index);
+        let now = fleet.now;
+        fleet.with(index, |detector| detector.leave(now));
+        left.push(until(&mut fleet, |f| f.holders(id, &[Status::Alive]) == 0));
+        fleet.crash(index);
+        rejoin(&mut fleet, index, &mut rng);
+        fleet.run(Duration::from_secs(20));
+    }
+    let merge = merge(&mut fleet);
+    let view = fleet.detector(0).view().clone();
+    let (most, all) = zone_loss(&mut fleet);
+    let (full, lost, gained) = rank(&view);
+    let largest = fleet.daemons.iter().map(|d| d.largest).max().unwrap_or(0);
+    let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len().max(1) as f64;
+    let max = |values: &[f64]| values.iter().copied().fold(0.0, f64::max);
+    let mut row = vec![size.to_string()];
+    row.extend([idle, sent, received, worst].map(|bytes| format!("{bytes:.0}")));
+    row.push(largest.to_string());
+    row.extend([cpu, memory].map(|value| format!("{value:.1}")));
+    row.extend([mean(&unranked), max(&unranked), max(&failed)].map(|s| format!("{s:.1}")));
+    row.extend([mean(&left), max(&left), merge, most, all].map(|s| format!("{s:.1}")));
+    row.extend([full, lost, gained].map(|time| format!("{:.0}", time.as_secs_f64() * 1e6)));
+    (fleet, row)
+}
+
+/// Starts daemons that all know each other already.
+fn formed(size: usize, zones: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(size, zones, seed);
+    fleet.measure = true;
+    for index in 0..size {
+        fleet.start(index);
+    }
+    let members = (0..size).map(|index| SnapshotMember {
+        info: fleet.daemons[index].info.clone(),
+        incarnation: 1_790_000_000_000,
+        status: Status::Alive,
+        age_ms: 0,
+    });
+    let members = members.collect();
+    let encoded = postcard::to_stdvec(&Snapshot { members }).expect("a snapshot can be encoded");
+    let now = fleet.now;
+    for index in 0..size {
+        // Decoding gives each daemon its own copy of the text, as in separate processes.
+        let snapshot = postcard::from_bytes(&encoded).expect("the snapshot was just encoded");
+        fleet.with(index, |detector| {
+            detector.add_contacts(now, []);
+            detector.merge_snapshot(now, snapshot);
+        });
+    }
+    fleet
+}
+
+/// Runs for `seconds` and returns the mean bytes sent and received a second by a daemon, and the
+/// most that any daemon sent in one second.
+fn traffic(
+    fleet: &mut Fleet,
+    seconds: u64,
+    mut each_second: impl FnMut(&mut Fleet),
+) -> (f64, f64, f64) {
+    let sum = |fleet: &Fleet| {
+        let sent: u64 = fleet.daemons.iter().map(|d| d.sent_bytes).sum();
+        let received: u64 = fleet.daemons.iter().map(|d| d.received_bytes).sum();
+        (sent, received)
+    };
+    let before = sum(fleet);
+    let mut worst = 0;
+    for _ in 0..seconds {
+        let old: Vec<u64> = fleet.daemons.iter().map(|d| d.sent_bytes).collect();
+        each_second(fleet);
+        fleet.run(Duration::from_secs(1));
+        let most = old
+            .iter()
+            .zip(&fleet.daemons)
+            .map(|(old, d)| d.sent_bytes - old)
+            .max();
+        worst = worst.max(most.unwrap_or(0));
+    }
+    let after = sum(fleet);
+    let daemon_seconds = (fleet.daemons.len() as u64 * seconds) as f64;
+    (
+        (after.0 - before.0) as f64 / daemon_seconds,
+        (after.1 - before.1) as f64 / daemon_seconds,
+        worst as f64,
+    )
+}
+
+fn rejoin(fleet: &mut Fleet, index: usize, rng: &mut Pcg64Mcg) {
+    let running = fleet.running();
+    let peer = running[rng.random_range(0..running.len())];
+    fleet.join(index, peer);
+}
+
+/// Returns the virtual seconds until `done`.
+fn until(fleet: &mut Fleet, done: impl Fn(&Fleet) -> bool) -> f64 {
+    let begun = fleet.now;
+    while !done(fleet) && fleet.now - begun < PATIENCE {
+        fleet.run(Duration::from_millis(100));
+    }
+    (fleet.now - begun).as_secs_f64()
+}
+
+/// Cuts off one zone for 60 s and returns the seconds until every daemon holds every other as
+/// alive again.
+fn merge(fleet: &mut Fleet) -> f64 {
+    let zone = fleet.zone(0);
+    for daemon in &mut fleet.daemons {
+        daemon.side = u8::from(daemon.info.zone == zone);
+    }
+    fleet.run(Duration::from_secs(60));
+    fleet.daemons.iter_mut().for_each(|daemon| daemon.side = 0);
+    until(fleet, |fleet| {
+        (0..fleet.daemons.len()).all(|index| {
+            let mut members = fleet.detector(index).view().iter();
+            members.all(|(_, member)| member.status == Status::Alive)
+        })
+    })
+}
+
+/// Crashes all daemons of a zone and returns the seconds until 99% of the pairs of a daemon and
+/// a lost one are known, and until all are.
+fn zone_loss(fleet: &mut Fleet) -> (f64, f64) {
+    let zone = fleet.zone(0);
+    let (lost, kept): (Vec<usize>, Vec<usize>) =
+        (0..fleet.daemons.len()).partition(|index| fleet.zone(*index) == zone);
+    lost.iter().for_each(|index| fleet.crash(*index));
+    let unknown = |fleet: &Fleet| {
+        let of = |index: &usize| {
+            let members = fleet.detector(*index).view().iter();
+            members
+                .filter(|(_, m)| m.status == Status::Alive && m.info.zone == zone)
+                .count()
+        };
+        kept.iter().map(of).sum::<usize>()
+    };
+    let most = until(fleet, |fleet| {
+        100 * unknown(fleet) <= lost.len() * kept.len()
+    });
+    (most, most + until(fleet, |fleet| unknown(fleet) == 0))
+}
+
+/// Returns the times of a full ranking, of the loss and of the join of a member.
+fn rank(view: &View) -> (Duration, Duration, Duration) {
+    let none = HashSet::new();
+    let now = Instant::now();
+    let begun = Instant::now();
+    let mut ranking = Ranking::new(view, "montevideo", &none);
+    let full = begun.elapsed();
+    let mut view = view.clone();
+    let members: Vec<_> = view.iter().map(|(id, _)| id).take(16).collect();
+    let (mut lost, mut gained) = (Duration::ZERO, Duration::ZERO);
+    for id in &members {
+        let Some(member) = view.remove(*id) else {
+            continue;
+        };
+        let begun = Instant::now();
+        black_box(ranking.update(now, &view, "montevideo", &none));
+        lost += begun.elapsed();
+        view.insert(member);
+        let begun = Instant::now();
+        black_box(ranking.update(now, &view, "montevideo", &none));
+        gained += begun.elapsed();
+    }
+    let count = members.len().max(1) as u32;
+    (full, lost / count, gained / count)
+}
+
+/// Returns the resident memory of this process.
+fn resident_bytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
--- a/src/member/detector/apply.rs
+++ b/src/member/detector/apply.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Detector, MAX_CLAIMS, Peer, Suspicion};
+use super::{Detector, MAX_CLAIMS, Peer, REFUTATION_SENDS, Suspicion};
 use crate::member::{
     Id, Incarnation, Info, Member, Message, Output, Snapshot, SnapshotMember, Status, Update,
 };
@@ -77,6 +77,7 @@
         out: &mut Vec<Output>,
     ) -> Vec<Update> {
         let doubtful = self.is_doubtful(peer.id);
+        let failed = self.has_failed(peer.id);
         let mut corrections = Vec::new();
         let mut wanted = Vec::new();
         for update in updates {
@@ -90,6 +91,11 @@
                 Verdict::Adopted | Verdict::Known | Verdict::Refused => {}
             }
         }
+        if failed && !self.has_failed(peer.id) {
+            // The partition between the two has ended, and others may be back too.
+            self.sync_with.push(peer.id);
+            self.revisit_failed();
+        }
         if self.view.get(peer.id).is_none() {
             wanted.push(peer.id);
         }
@@ -101,6 +107,11 @@
         corrections
     }
 
+    pub(super) fn has_failed(&self, id: Id) -> bool {
+        let member = self.view.get(id);
+        member.is_some_and(|member| member.status == Status::Failed)
+    }
+
     /// Returns whether the member `id` was out of contact lately.
     pub(super) fn is_doubtful(&self, id: Id) -> bool {
         self.recovered.contains_key(&id)
@@ -143,7 +154,7 @@
         let present = matches!(known.status, Status::Alive | Status::Leaving);
         let claim = matches!(update.status, Status::Suspect | Status::Failed);
         if doubtful && present && claim {
-            self.verify(update);
+            self.verify(now, update);
             return Verdict::Refused;
         }
         let status = match update.status {
@@ -173,13 +184,15 @@
     }
 
     /// Queues a claim that a member has failed, to be verified by a ping.
-    fn verify(&mut self, claim: &Update) {
-        let known = self.claims.iter().any(|other| other.id == claim.id);
+    fn verify(&mut self, now: Instant, claim: &Update) {
+        let known = self.claims.iter().any(|(_, other)| other.id == claim.id);
         if !known && self.claims.len() < MAX_CLAIMS {
-            self.claims.push_back(Update {
-                info: None,
+            let info = None;
+            let claim = Update {
+                info,
                 ..claim.clone()
-            });
+            };
+            self.claims.push_back((now, claim));
         }
     }
 
@@ -234,7 +247,7 @@
             status,
             since,
         });
-        self.rumors.push(self.own, with_info);
+        self.rumors.push(self.own, with_info, 0);
     }
 
     /// Sets the state of another member and passes it on.
@@ -281,7 +294,6 @@
         let present = matches!(status, Status::Alive | Status::Leaving);
         if present && before.is_some_and(|(status, _)| status == Status::Failed) {
             self.recovered.insert(id, now);
-            self.sync_with.push(id);
         }
         if !matches!(status, Status::Failed | Status::Left) {
             self.enlist(id);
@@ -290,13 +302,22 @@
             Some((old, since)) if old == status => since,
             _ => now,
         };
+        let sent = match before {
+            Some((old, _)) if old == status && !with_info => {
+                self.send_limit().saturating_sub(REFUTATION_SENDS)
+            }
+            // The suspicion has taken the member out of the ranking already, so the verdict
+            // waits for updates that change it.
+            Some((Status::Suspect, _)) if status == Status::Failed => self.send_limit() / 2,
+            _ => 0,
+        };
         self.store(Member {
             info,
             incarnation,
             status,
             since,
         });
-        self.rumors.push(id, with_info);
+        self.rumors.push(id, with_info, sent);
     }
 
     /// Returns how long a suspicion that another member began may be refuted.
--- a/src/member/detector/mod.rs
+++ b/src/member/detector/mod.rs
@@ -46,6 +46,12 @@
 /// How many members must have acknowledged the departure.
 const FAREWELL_ACKS: usize = 3;
 
+/// How often an update is sent that only raises an incarnation.
+///
+/// Few members need it: those that have heard of the refuted claim pass it on as a change of
+/// state. After a partition there is one such update for each member.
+const REFUTATION_SENDS: u32 = 6;
+
 const HOUSEKEEPING: Duration = Duration::from_secs(10);
 
 /// A suspicion that waits for a refutation.
@@ -105,11 +111,14 @@
     probes: Vec<probe::Probe>,
     relays: VecDeque<probe::Relay>,
     suspicions: BTreeMap<Id, Suspicion>,
-    claims: VecDeque<Update>,
+    claims: VecDeque<(Instant, Update)>,
     /// Members that have announced their departure.
     departing: HashSet<Id>,
     /// When members that had failed came back.
     recovered: HashMap<Id, Instant>,
+    /// Failed members to ping soon, because another failed member came back.
+    revisits: Vec<Id>,
+    next_revisit: Instant,
     contacts: BTreeMap<Id, SocketAddr>,
     sequence: u32,
     last_tick: Instant,
@@ -120,6 +129,9 @@
     next_sync: Instant,
     next_housekeeping: Instant,
     sync_budget: TokenBucket,
+    /// Limits additional pings while many updates wait.
+    gossip_budget: TokenBucket,
+    next_relief: Instant,
     /// Members to compare views with, because they came back.
     sync_with: Vec<Id>,
     confirmation: Option<sync::Confirmation>,
@@ -159,6 +171,8 @@
             claims: VecDeque::new(),
             departing: HashSet::new(),
             recovered: HashMap::new(),
+            revisits: Vec::new(),
+            next_revisit: now,
             contacts: BTreeMap::new(),
             sequence: rng.random::<u32>() >> 8,
             rng,
@@ -170,6 +184,8 @@
             next_sync: now + sync_phase,
             next_housekeeping: now + HOUSEKEEPING,
             sync_budget: TokenBucket::new(config.sync_rate.into(), 8192.0, now),
+            gossip_budget: TokenBucket::new(config.sync_rate.into(), 16384.0, now),
+            next_relief: now,
             sync_with: Vec::new(),
             confirmation: None,
             farewell: None,
@@ -185,7 +201,7 @@
             since: now,
         };
         detector.store(member);
-        detector.rumors.push(own, true);
+        detector.rumors.push(own, true, 0);
         detector
     }
 
--- a/src/member/detector/probe.rs
+++ b/src/member/detector/probe.rs
@@ -1,6 +1,9 @@
 use std::time::{Duration, Instant};
 
-use rand::{RngExt, seq::IteratorRandom};
+use rand::{
+    RngExt,
+    seq::{IteratorRandom, SliceRandom},
+};
 
 use super::{Detector, Peer, Suspicion};
 use crate::member::{Id, Message, Output, Status, Update};
@@ -9,7 +12,26 @@
 const MAX_RELAYS: usize = 64;
 
 /// The time between two pings that verify claims.
-const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
+const CLAIM_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a claim waits before it is verified, so that its subject can refute it.
+const CLAIM_DELAY: Duration = Duration::from_secs(5);
+
+/// The time between two pings of failed members after one of them came back.
+const REVISIT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How many further members of its zone are pinged when a member does not answer, so that the
+/// loss of a zone is seen sooner.
+const NEIGHBORS: usize = 2;
+
+/// How many pings may wait for an answer.
+const MAX_PROBES: usize = 8;
+
+/// Updates that were sent less often count as waiting.
+const BACKLOG_SENDS: u32 = 4;
+
+/// The time between two additional pings while many updates wait.
+const RELIEF_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How often a suspect is told again that it is suspected.
 const REMIND: Duration = Duration::from_millis(500);
@@ -43,21 +65,50 @@
                 self.probe(now, target, Vec::new(), out);
             }
         }
-        if now >= self.next_claim
-            && let Some(claim) = self.claims.pop_front()
+        self.verify_claim(now, out);
+        if now >= self.next_failed {
+            self.ping_failed(now, out);
+        }
+        self.revisit(now, out);
+        self.relieve(now, out);
+    }
+
+    /// Pings a random member if many updates wait, as after the loss of a zone.
+    fn relieve(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let bytes = self.config.max_bytes as f64;
+        if now >= self.next_relief
+            && self
+                .rumors
+                .has_backlog(self.config.max_updates, BACKLOG_SENDS)
+            && self.gossip_budget.take(now, bytes)
+            && let Some(peer) = self.random_peers(1, self.own).pop()
         {
-            self.next_claim = now + CLAIM_INTERVAL;
-            let present = self
-                .view
-                .get(claim.id)
-                .is_some_and(|member| matches!(member.status, Status::Alive | Status::Leaving));
-            if present && let Some(peer) = self.peer(claim.id) {
+            self.next_relief = now + RELIEF_INTERVAL;
+            let sequence = self.next_sequence();
+            self.ping(peer, sequence, Vec::new(), out);
+        }
+    }
+
+    /// Pings a member that another one has reported as failed, unless it has refuted meanwhile.
+    fn verify_claim(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if now < self.next_claim {
+            return;
+        }
+        while let Some((at, claim)) = self.claims.pop_front() {
+            if now < at + CLAIM_DELAY {
+                self.claims.push_front((at, claim));
+                return;
+            }
+            let stands = self.view.get(claim.id).is_some_and(|member| {
+                matches!(member.status, Status::Alive | Status::Leaving)
+                    && member.incarnation <= claim.incarnation
+            });
+            if stands && let Some(peer) = self.peer(claim.id) {
+                self.next_claim = now + CLAIM_INTERVAL;
                 self.probe(now, peer, vec![claim], out);
+                return;
             }
         }
-        if now >= self.next_failed {
-            self.ping_failed(now, out);
-        }
     }
 
     /// Asks others to ping the targets that have not answered, and suspects them in the end.
@@ -70,6 +121,7 @@
                 let target = self.probes.swap_remove(index).target;
                 self.counters.unanswered += 1;
                 self.suspect(now, target.id);
+                self.probe_neighbors(now, target.id, out);
                 continue;
             }
             if elapsed >= self.config.ack_timeout && probe.helpers.is_none() {
@@ -91,6 +143,26 @@
         }
     }
 
+    /// Pings some members of the zone of a member that did not answer.
+    fn probe_neighbors(&mut self, now: Instant, id: Id, out: &mut Vec<Output>) {
+        let Some(zone) = self.view.get(id).map(|member| member.info.zone.clone()) else {
+            return;
+        };
+        let neighbors = self.view.iter().filter(|(other, member)| {
+            *other != self.own
+                && member.status == Status::Alive
+                && member.info.zone == zone
+                && !self.probes.iter().any(|probe| probe.target.id == *other)
+        });
+        let count = NEIGHBORS.min(MAX_PROBES.saturating_sub(self.probes.len()));
+        let neighbors = neighbors.map(|(id, _)| id).sample(&mut self.rng, count);
+        for id in neighbors {
+            if let Some(peer) = self.peer(id) {
+                self.probe(now, peer, Vec::new(), out);
+            }
+        }
+    }
+
     /// Returns the next member in turn.
     fn next_target(&mut self) -> Option<Peer> {
         while !self.order.is_empty() {
@@ -202,6 +274,31 @@
         }
     }
 
+    /// Queues all failed members to be pinged soon.
+    pub(super) fn revisit_failed(&mut self) {
+        if self.revisits.is_empty() {
+            let failed = self.view.iter().filter(|(_, m)| m.status == Status::Failed);
+            self.revisits = failed.map(|(id, _)| id).collect();
+            self.revisits.shuffle(&mut self.rng);
+        }
+    }
+
+    fn revisit(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if now < self.next_revisit {
+            return;
+        }
+        while let Some(id) = self.revisits.pop() {
+            if self.has_failed(id)
+                && let Some(peer) = self.peer(id)
+            {
+                self.next_revisit = now + REVISIT_INTERVAL;
+                let sequence = self.next_sequence();
+                self.ping(peer, sequence, Vec::new(), out);
+                return;
+            }
+        }
+    }
+
     /// Pings contacts that are unknown or failed.
     pub(super) fn tick_contacts(&mut self, now: Instant, out: &mut Vec<Output>) {
         if now < self.next_contact || self.contacts.is_empty() {
--- a/src/member/detector/sync.rs
+++ b/src/member/detector/sync.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use rand::RngExt;
+use rand::seq::SliceRandom;
 
 use super::{Detector, Peer, apply::Verdict, size};
 use crate::member::{
@@ -169,8 +169,9 @@
         }
         let limit = if urgent { MAX_URGENT_PARTS } else { MAX_PARTS };
         if ranges.len() > limit {
-            let start = self.rng.random_range(0..ranges.len());
-            ranges.rotate_left(start);
+            ranges.shuffle(&mut self.rng);
+            // The range with the sender goes first: it may have to refute that it has failed.
+            ranges.sort_by_key(|(from, to, _)| !(*from..=*to).contains(&peer.id));
             ranges.truncate(limit);
         }
         if ranges.is_empty() {
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::HashSet,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -19,8 +19,8 @@
 /// The index of a zone in [`Ranking::zones`].
 type ZoneIndex = u16;
 
-/// The members that can be owners.
-type Candidates = BTreeMap<Id, ZoneIndex>;
+/// The members that can be owners, in the order of their ids.
+type Candidates = Vec<(Id, ZoneIndex)>;
 
 /// A member that was an owner of a hash slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -133,17 +133,8 @@
         let expired = self.expire(now);
         let candidates = self.select(view, None, region, zones_out);
         let old = std::mem::replace(&mut self.candidates, candidates);
-        let lost: Vec<Id> = old
-            .iter()
-            .filter(|(id, zone)| self.candidates.get(id) != Some(zone))
-            .map(|(id, _)| *id)
-            .collect();
-        let gained: Vec<(Id, ZoneIndex)> = self
-            .candidates
-            .iter()
-            .filter(|(id, zone)| old.get(id) != Some(zone))
-            .map(|(id, zone)| (*id, *zone))
-            .collect();
+        let lost = difference(&old, &self.candidates);
+        let gained = difference(&self.candidates, &old);
         if lost.is_empty() && gained.is_empty() {
             return expired;
         }
@@ -214,10 +205,10 @@
             let zone = &member.info.zone;
             match member.status {
                 Status::Alive if !zones_out.contains(zone) => {
-                    candidates.insert(id, self.zone_index(zone));
+                    candidates.push((id, self.zone_index(zone)));
                 }
                 Status::Alive | Status::Leaving => {
-                    reserve.insert(id, self.zone_index(zone));
+                    reserve.push((id, self.zone_index(zone)));
                 }
                 Status::Suspect | Status::Failed | Status::Left => {}
             }
@@ -230,7 +221,10 @@
     }
 
     fn zone_index(&mut self, zone: &Arc<str>) -> ZoneIndex {
-        let known = self.zones.iter().position(|known| known == zone);
+        let known = self
+            .zones
+            .iter()
+            .position(|known| Arc::ptr_eq(known, zone) || known == zone);
         let index = known.unwrap_or_else(|| {
             self.zones.push(zone.clone());
             self.zones.len() - 1
@@ -239,22 +233,19 @@
     }
 
     fn rank_all(&self) -> Vec<Option<Ranked>> {
-        let candidates: Vec<_> = self.candidates.iter().map(|(id, z)| (*id, *z)).collect();
-        (0..SLOTS).map(|slot| rank(slot, &candidates)).collect()
+        (0..SLOTS)
+            .map(|slot| rank(slot, &self.candidates))
+            .collect()
     }
 
     /// Ranks again the hash slots that `lost` owned, then those that `gained` take.
-    fn rank_changes(&self, lost: &[Id], gained: &[(Id, ZoneIndex)]) -> Vec<Option<Ranked>> {
+    fn rank_changes(&self, lost: &Candidates, gained: &Candidates) -> Vec<Option<Ranked>> {
         let mut slots = self.slots.clone();
         if !lost.is_empty() {
-            let kept: Vec<_> = self
-                .candidates
-                .iter()
-                .map(|(id, zone)| (*id, *zone))
-                .filter(|candidate| !gained.contains(candidate))
-                .collect();
+            let kept = difference(&self.candidates, gained);
+            let is_lost = |id| lost.binary_search_by_key(&id, |(id, _)| *id).is_ok();
             for (slot, ranked) in (0..SLOTS).zip(&mut slots) {
-                let affected = ranked.is_some_and(|r| r.owners.iter().any(|id| lost.contains(&id)));
+                let affected = ranked.is_some_and(|ranked| ranked.owners.iter().any(is_lost));
                 if affected {
                     *ranked = rank(slot, &kept);
                 }
@@ -308,6 +299,19 @@
     }
 }
 
+/// Returns the candidates of `a` that are not in `b` or are there with another zone.
+fn difference(a: &Candidates, b: &Candidates) -> Candidates {
+    let mut b = b.iter().peekable();
+    let mut only = Candidates::new();
+    for candidate in a {
+        while b.next_if(|other| other.0 < candidate.0).is_some() {}
+        if b.peek() != Some(&candidate) {
+            only.push(*candidate);
+        }
+    }
+    only
+}
+
 /// Returns a member's rank for a hash slot; the highest is the primary owner.
 fn weight(slot: Slot, id: Id) -> (u64, Id) {
     (util::score(u64::from(slot), id), id)
--- a/src/member/rumors.rs
+++ b/src/member/rumors.rs
@@ -21,20 +21,20 @@
 }
 
 impl Rumors {
-    /// Queues the state of `id`, from the beginning if it is queued already.
-    pub(super) fn push(&mut self, id: Id, with_info: bool) {
+    /// Queues the state of `id`, as if it had been sent `sent` times already.
+    pub(super) fn push(&mut self, id: Id, with_info: bool, sent: u32) {
         let with_info = with_info | self.remove(id);
         let order = self.next_order;
         self.next_order += 1;
         self.rumors.insert(
             id,
             Rumor {
-                sent: 0,
+                sent,
                 order,
                 with_info,
             },
         );
-        self.queue.insert((0, order, id));
+        self.queue.insert((sent, order, id));
     }
 
     /// Removes `id` and returns whether its description was to be sent.
@@ -56,6 +56,14 @@
         })
     }
 
+    /// Returns whether more than `count` members were sent fewer than `sent` times.
+    pub(super) fn has_backlog(&self, count: usize, sent: u32) -> bool {
+        self.queue
+            .iter()
+            .nth(count)
+            .is_some_and(|(done, _, _)| *done < sent)
+    }
+
     /// Counts one more message that carries `id` and drops it after `limit` messages.
     pub(super) fn sent(&mut self, id: Id, limit: u32) {
         let Some(rumor) = self.rumors.get_mut(&id) else {
