Keep flows that open during a partition on one target

Both sides of a partition place a SYN on the same base target, but one side could move it after two unanswered SYNs.

--- a/src/forward/deciding.rs
+++ b/src/forward/deciding.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     flow::{Entry, Mark, State, Table},
-    forward::{Action, Cause, Forwarder, Mode, Standing, packet::Packet},
+    forward::{Action, Cause, Forwarder, Mode, Standing, inquiry::Kind, packet::Packet},
     member,
     packet::{reset, unreachable},
     ticket::TargetId,
@@ -104,6 +104,11 @@
         if packet.summary.opens() {
             return self.decide_opening(now, packet, entry, out);
         }
+        // The caller has a SYN-ACK that did not pass this owner, so the flow may be on another
+        // target by another owner's record.
+        if is_unconfirmed(&entry) && !flags.rst {
+            return self.ask(now, packet, Kind::Stream, None, out);
+        }
         match self.standing(now, packet.service, entry.target) {
             Standing::Gone => return self.terminate(now, packet, entry, out),
             Standing::Unheard => return self.pass_unheard(packet, entry, out),
@@ -303,6 +308,11 @@
     }
 }
 
+/// Returns whether no SYN-ACK of the flow has passed this owner.
+pub(super) fn is_unconfirmed(entry: &Entry) -> bool {
+    entry.state == State::Opening && !entry.has(Mark::Relayed)
+}
+
 /// Returns the entry after a packet without SYN.
 pub(super) fn touched(entry: Entry, packet: &Packet<'_>) -> Entry {
     let mut next = entry;
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -51,6 +51,8 @@
     pub(super) retries: f64,
     /// When each draining target was first seen to drain.
     draining: HashMap<TargetId, Instant>,
+    /// When a member was last seen to fail.
+    pub(super) failure: Option<Instant>,
     /// The targets that a ticket removed.
     removed: HashMap<TargetId, Instant>,
     pruned: Instant,
@@ -84,6 +86,7 @@
             counters: Counters::default(),
             retries: RETRY_RESERVE.0,
             draining: HashMap::new(),
+            failure: None,
             removed: HashMap::new(),
             pruned: now,
             suspended: false,
@@ -128,6 +131,9 @@
             self.history.begin(now, &self.ranking);
             return;
         }
+        if !self.ranking.failed().is_subset(previous.failed()) {
+            self.failure = Some(now);
+        }
         let mut changed = vec![false; usize::from(SLOTS)];
         for slot in 0..SLOTS {
             let (before, after) = (previous.owners(slot), self.ranking.owners(slot));
--- a/src/forward/placing.rs
+++ b/src/forward/placing.rs
@@ -26,7 +26,7 @@
         }
         if entry.state == State::Opening && !entry.has(Mark::Relayed) {
             let placeable = standing == Standing::Usable;
-            if self.may_move(&entry, placeable)
+            if self.may_move(now, &entry, placeable)
                 && let Ok(target) = self.choose(now, packet, &[entry.target])
             {
                 return self.move_flow(now, packet, entry, target, out);
@@ -69,14 +69,23 @@
     }
 
     /// Returns whether a SYN may go to another target, and takes a retry for it.
-    fn may_move(&mut self, entry: &Entry, usable: bool) -> bool {
+    fn may_move(&mut self, now: Instant, entry: &Entry, usable: bool) -> bool {
         if !entry.has(Mark::Placed) || entry.moves >= self.config.retries {
             return false;
         }
         // The retry of a rejected SYN was taken when the reset was dropped.
         !usable
             || entry.has(Mark::Rejected)
-            || (entry.unanswered >= UNANSWERED && self.take_retry())
+            || (entry.unanswered >= UNANSWERED && !self.may_be_split(now) && self.take_retry())
+    }
+
+    /// Returns whether a member has failed by this daemon's view a short while ago.
+    ///
+    /// It may live on the other side of a partition and place the same flow. Both sides take
+    /// the same target unless one moves the flow.
+    fn may_be_split(&self, now: Instant) -> bool {
+        self.failure
+            .is_some_and(|at| now.saturating_duration_since(at) < self.config.history)
     }
 
     fn move_flow(
--- a/src/forward/unknown.rs
+++ b/src/forward/unknown.rs
@@ -4,16 +4,17 @@
 };
 
 use crate::{
-    flow::{Entry, Fingerprint, Mark, Slot},
+    flow::{Entry, Fingerprint, Mark, Slot, State},
     forward::{
         Action, Cause, Forwarder,
+        deciding::is_unconfirmed,
         history::members,
         inquiry::{Held, Inquiry, Kind},
         packet::Packet,
     },
     member::{self, Owners},
     ticket::TargetId,
-    wire::{Body, Record},
+    wire::{Body, Record, RecordState},
 };
 
 /// The number of times a query is sent again.
@@ -171,14 +172,20 @@
         let Some(inquiry) = self.inquiries.get_mut(&fingerprint) else {
             return;
         };
-        let Some(record) = record.filter(|record| record.fingerprint == fingerprint) else {
+        let held = self.table.get(now, fingerprint);
+        // Another opening record says nothing about a flow that is open.
+        let useful = |record: &Record| {
+            record.fingerprint == fingerprint
+                && (held.is_none() || record.state != RecordState::Opening)
+        };
+        let Some(record) = record.filter(useful) else {
             let age = Duration::from_secs(u64::from(uptime));
             let since = now.checked_sub(age).unwrap_or(now);
             inquiry.unknown.insert(sender, since);
             return self.judge(now, fingerprint, false, out);
         };
         self.counters.found += 1;
-        if self.table.get(now, fingerprint).is_none() {
+        if held.as_ref().is_none_or(is_unconfirmed) {
             let mut entry = Entry::from_record(&record);
             entry.set(Mark::Datagram, inquiry.kind == Kind::Datagram);
             self.store(now, &entry);
@@ -218,7 +225,20 @@
         self.pending -= inquiry.packets.len();
         for held in &inquiry.packets {
             let packet = held.packet();
-            if self.table.get(now, fingerprint).is_some() {
+            let request = held.from.is_none() && !packet.summary.opens();
+            let mut entry = self.table.get(now, fingerprint);
+            if let Some(entry) = entry
+                .as_mut()
+                .filter(|entry| request && is_unconfirmed(entry))
+            {
+                if verdict == Verdict::Inconclusive {
+                    self.drop(Cause::Inconclusive, out);
+                    continue;
+                }
+                entry.state = State::Open;
+                self.store(now, &entry.with(Mark::Relayed));
+            }
+            if entry.is_some() {
                 match held.from {
                     Some(target) => self.decide_return(now, &packet, target, out),
                     None => self.decide(now, &packet, out),
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -114,6 +114,11 @@
         self.left.contains(&id)
     }
 
+    /// Returns the members that have failed and were not removed yet.
+    pub fn failed(&self) -> &HashSet<Id> {
+        &self.failed
+    }
+
     /// Returns whether a member is not known to have failed or left.
     pub fn is_present(&self, id: Id) -> bool {
         !self.failed.contains(&id) && !self.left.contains(&id)
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -222,3 +222,21 @@
         assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
     }
 }
+
+/// Guards against two sides of a partition that place one flow on two targets. The flows are
+/// opened once the sides have noticed the partition; until then, 2 unanswered SYNs may still
+/// move a flow on one side.
+#[test]
+fn flows_opened_in_a_partition_have_one_target() {
+    for seed in 42..45 {
+        let mut fleet = Fleet::new(seed, 8, Config::default());
+        fleet.open_many(100, Duration::from_secs(5), 12);
+        fleet.partition(&ZONES[..1]);
+        fleet.run(Duration::from_secs(5));
+        fleet.open_many(700, Duration::from_secs(60), 6);
+        fleet.partition(&[]);
+        fleet.run(Duration::from_secs(250));
+        assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+        assert!(fleet.findings.unopened < 40, "{:?}", fleet.findings);
+    }
+}
