--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 
 mod caller;
 mod daemon;
-mod packets;
+pub mod packets;
 mod target;
 
 use std::{
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use banyanwharf::{
-    flow::Protocol,
-    forward::{Config, Mode},
+    flow::{Key, Protocol},
+    forward::{Action, Cause, Config, Mode},
+    wire::{Body, Frame, Hop, Stage},
 };
 use bolero::TypeGenerator;
 use fleet::{Fleet, ZONES};
@@ -240,3 +241,55 @@
         assert!(fleet.findings.unopened < 40, "{:?}", fleet.findings);
     }
 }
+
+/// Guards against a daemon that forwards with a stale view after a pause, and against packets
+/// that circle between daemons with different views.
+#[test]
+fn suspended_daemons_and_used_up_hops_drop() {
+    let mut fleet = settled(0);
+    let (now, service) = (fleet.now, fleet.services[0].address);
+    let (id, daemon) = fleet.daemons.iter_mut().next().expect("there are daemons");
+    let forwarder = &mut daemon.forwarder;
+    let mut outcomes = Vec::new();
+    for port in 1..200 {
+        let key = Key {
+            protocol: Protocol::Tcp,
+            caller: ([192, 0, 2, 9], port).into(),
+            service,
+        };
+        let ends = (key.caller, service);
+        let packet = fleet::packets::build(key.protocol, ends, fleet::packets::SYN, (0, 0), None);
+        let hop = Hop {
+            stage: Stage::Decide,
+            hops_left: 0,
+            trace: None,
+        };
+        let frame = Frame {
+            sender: 1,
+            body: Body::Hop(hop),
+            packet: &packet,
+        };
+        let mut actions = Vec::new();
+        forwarder.on_frame(now, &frame, &mut actions);
+        let owners = forwarder
+            .explain(now, &key)
+            .owners
+            .expect("there are owners");
+        // A primary owner needs one more hop to the secondary owner.
+        assert_eq!(actions, [Action::Drop(Cause::HopLimit)]);
+        outcomes.push(owners.primary == *id);
+        forwarder.suspend(now);
+        let mut actions = Vec::new();
+        forwarder.on_frame(now, &frame, &mut actions);
+        forwarder.on_datagram(now, key.caller, &packet, None, &mut actions);
+        assert_eq!(
+            actions,
+            [
+                Action::Drop(Cause::Suspended),
+                Action::Drop(Cause::Suspended)
+            ]
+        );
+        forwarder.resume(now, &mut Vec::new());
+    }
+    assert!(outcomes.contains(&true) && outcomes.contains(&false));
+}
