--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -7,6 +7,7 @@
 use banyanwharf::{
     flow::{Key, Protocol},
     forward::{Action, Cause, Config, Mode},
+    ticket::TargetState,
     wire::{Body, Frame, Hop, Stage},
 };
 use bolero::TypeGenerator;
@@ -293,3 +294,25 @@
     }
     assert!(outcomes.contains(&true) && outcomes.contains(&false));
 }
+
+/// Guards against flows that stay on a draining target after its drain deadline.
+#[test]
+fn flows_end_at_the_drain_deadline() {
+    let mut fleet = settled(200);
+    fleet.change_targets(5);
+    for target in &mut fleet.services[0].targets {
+        if target.state == TargetState::Draining {
+            target.drain = Some(Duration::from_secs(30));
+        }
+    }
+    fleet.publish(Duration::from_secs(1));
+    fleet.run(Duration::from_secs(25));
+    assert_eq!(fleet.findings.terminated + fleet.findings.broken, 0);
+    fleet
+        .targets
+        .values_mut()
+        .for_each(|target| target.removed = target.number <= 5);
+    fleet.run(Duration::from_secs(200));
+    assert!(fleet.findings.terminated > 5, "{:?}", fleet.findings);
+    assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+}
