--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use banyanwharf::{
-    flow::Protocol,
-    forward::{Config, Mode},
+    flow::{Key, Protocol},
+    forward::{Action, Cause, Config, Mode},
+    ticket::TargetState,
+    wire::{Body, Frame, Hop, Stage},
 };
 use bolero::TypeGenerator;
 use forwarders::{Fleet, ZONES};
@@ -222,3 +224,95 @@
         assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
     }
 }
+
+/// Guards against two sides of a partition that place one flow on two targets. The flows are
+/// opened once the sides have noticed the partition; until then, 2 unanswered SYNs may still
+/// move a flow on one side.
+#[test]
+fn flows_opened_in_a_partition_have_one_target() {
+    for seed in 42..45 {
+        let mut fleet = Fleet::new(seed, 8, Config::default());
+        fleet.open_many(100, Duration::from_secs(5), 12);
+        fleet.partition(&ZONES[..1]);
+        fleet.run(Duration::from_secs(5));
+        fleet.open_many(700, Duration::from_secs(60), 6);
+        fleet.partition(&[]);
+        fleet.run(Duration::from_secs(250));
+        assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+        assert!(fleet.findings.unopened < 40, "{:?}", fleet.findings);
+    }
+}
+
+/// Guards against a daemon that forwards with a stale view after a pause, and against packets
+/// that circle between daemons with different views.
+#[test]
+fn suspended_daemons_and_used_up_hops_drop() {
+    let mut fleet = settled(0);
+    let (now, service) = (fleet.now, fleet.services[0].address);
+    let (id, daemon) = fleet.daemons.iter_mut().next().expect("there are daemons");
+    let forwarder = &mut daemon.forwarder;
+    let mut outcomes = Vec::new();
+    for port in 1..200 {
+        let key = Key {
+            protocol: Protocol::Tcp,
+            caller: ([192, 0, 2, 9], port).into(),
+            service,
+        };
+        let ends = (key.caller, service);
+        let packet = fleet::packets::build(key.protocol, ends, fleet::packets::SYN, (0, 0), None);
+        let hop = Hop {
+            stage: Stage::Decide,
+            hops_left: 0,
+            trace: None,
+        };
+        let frame = Frame {
+            sender: 1,
+            body: Body::Hop(hop),
+            packet: &packet,
+        };
+        let mut actions = Vec::new();
+        forwarder.on_frame(now, &frame, &mut actions);
+        let owners = forwarder
+            .explain(now, &key)
+            .owners
+            .expect("there are owners");
+        // A primary owner needs one more hop to the secondary owner.
+        assert_eq!(actions, [Action::Drop(Cause::HopLimit)]);
+        outcomes.push(owners.primary == *id);
+        forwarder.suspend(now);
+        let mut actions = Vec::new();
+        forwarder.on_frame(now, &frame, &mut actions);
+        forwarder.on_datagram(now, key.caller, &packet, None, &mut actions);
+        assert_eq!(
+            actions,
+            [
+                Action::Drop(Cause::Suspended),
+                Action::Drop(Cause::Suspended)
+            ]
+        );
+        forwarder.resume(now, &mut Vec::new());
+    }
+    assert!(outcomes.contains(&true) && outcomes.contains(&false));
+}
+
+/// Guards against flows that stay on a draining target after its drain deadline.
+#[test]
+fn flows_end_at_the_drain_deadline() {
+    let mut fleet = settled(200);
+    fleet.change_targets(5);
+    for target in &mut fleet.services[0].targets {
+        if target.state == TargetState::Draining {
+            target.drain = Some(Duration::from_secs(30));
+        }
+    }
+    fleet.publish(Duration::from_secs(1));
+    fleet.run(Duration::from_secs(25));
+    assert_eq!(fleet.findings.terminated + fleet.findings.broken, 0);
+    fleet
+        .targets
+        .values_mut()
+        .for_each(|target| target.removed = target.number <= 5);
+    fleet.run(Duration::from_secs(200));
+    assert!(fleet.findings.terminated > 5, "{:?}", fleet.findings);
+    assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+}
