Carry a checksum of the description with each update

Long runs of the convergence test found an old address kept for ever: two restarts within 5 ms looked like a refutation, which needs no description. Each update and summary entry now carries a 16-bit checksum of the description, so a missed one is requested. Guessing restarts from the distance of incarnations is gone.

The test waits for a round and hands out the platform's present list, since it now ends with addresses that only the platform knows.

--- a/src/member/detector/apply.rs
+++ b/src/member/detector/apply.rs
@@ -5,10 +5,10 @@
     Id, Incarnation, Info, Member, Message, Output, Snapshot, SnapshotMember, Status, Update,
 };
 
-/// An incarnation that is higher by more than this belongs to a later process.
+/// An incarnation this much above the one at the start belongs to another process of the name.
 ///
 /// Incarnations start at the time in ms and rise by one with each refutation.
-const RESTART_GAP: u64 = 1000;
+const REPLACED_GAP: u64 = 1000;
 
 /// What to do about an update.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +47,7 @@
                 id,
                 incarnation: member.incarnation,
                 status: member.status,
+                check: member.info.check(),
                 info: Some(member.info.clone().into()),
             };
             let present = !matches!(member.status, Status::Failed | Status::Left);
@@ -147,8 +148,8 @@
                 Verdict::Outdated
             };
         }
-        let restarted = update.incarnation.saturating_sub(known.incarnation) > RESTART_GAP;
-        if restarted && update.info.is_none() {
+        // Without a description, the update must be about the known one.
+        if update.info.is_none() && update.check != known.info.check() {
             return Verdict::Incomplete;
         }
         let present = matches!(known.status, Status::Alive | Status::Leaving);
@@ -166,7 +167,8 @@
             return Verdict::Known;
         }
         let info = update.info.as_deref().unwrap_or(&known.info).clone();
-        self.adopt(now, info, update.incarnation, status, restarted);
+        let described = info != known.info;
+        self.adopt(now, info, update.incarnation, status, described);
         Verdict::Adopted
     }
 
@@ -206,21 +208,23 @@
                 Verdict::Known
             };
         }
-        let later = update.incarnation > own.0;
         let other_address = update.info.as_deref().is_some_and(|info| {
             self.own_member()
                 .is_some_and(|member| member.info.peer != info.peer)
         });
         let present = matches!(update.status, Status::Alive | Status::Leaving);
-        if present && other_address && update.incarnation > self.started + RESTART_GAP {
+        if present
+            && other_address
+            && update.incarnation > self.started.saturating_add(REPLACED_GAP)
+        {
             self.replaced = true;
             return Verdict::Refused;
         }
         self.counters.refutations += 1;
-        // An incarnation above the own one is of an earlier process whose clock was ahead. The
-        // gap makes all members take the description of this process.
-        let step = if later { RESTART_GAP + 1 } else { 1 };
-        let incarnation = update.incarnation.saturating_add(step);
+        let incarnation = update.incarnation.saturating_add(1);
+        // An incarnation above the own one is of an earlier process whose clock was ahead. Its
+        // description may be another.
+        let later = update.incarnation > own.0;
         self.set_own(now, own.1, incarnation, later);
         Verdict::Adopted
     }
--- a/src/member/detector/mod.rs
+++ b/src/member/detector/mod.rs
@@ -120,6 +120,10 @@
     revisits: Vec<Id>,
     next_revisit: Instant,
     contacts: BTreeMap<Id, SocketAddr>,
+    /// Contacts that were not pinged yet in this round.
+    untried: Vec<Id>,
+    /// Whether this is the first round of contacts.
+    hurried: bool,
     sequence: u32,
     last_tick: Instant,
     next_probe: Instant,
@@ -174,6 +178,8 @@
             revisits: Vec::new(),
             next_revisit: now,
             contacts: BTreeMap::new(),
+            untried: Vec::new(),
+            hurried: false,
             sequence: rng.random::<u32>() >> 8,
             rng,
             last_tick: now,
@@ -286,12 +292,20 @@
     ///
     /// A contact is only a hint: it is pinged if its member is unknown or failed, and joins
     /// the view when it answers.
-    pub fn add_contacts(&mut self, _now: Instant, contacts: impl IntoIterator<Item = Info>) {
+    pub fn add_contacts(&mut self, now: Instant, contacts: impl IntoIterator<Item = Info>) {
+        let first = self.contacts.is_empty();
         self.contacts = contacts
             .into_iter()
             .map(|info| (info.id(), info.peer))
             .filter(|(id, _)| *id != self.own)
             .collect();
+        if first {
+            // Later lists are not tried at once: all daemons would ping a joiner together.
+            self.hurried = true;
+            self.untried = self.contacts.keys().copied().collect();
+            self.untried.shuffle(&mut self.rng);
+            self.next_contact = now;
+        }
     }
 
     /// Announces that the local member is about to stop. It continues to answer.
@@ -402,6 +416,7 @@
             id,
             incarnation: member.incarnation,
             status: member.status,
+            check: member.info.check(),
             info: with_info.then(|| Arc::new(member.info.clone())),
         })
     }
--- a/src/member/detector/probe.rs
+++ b/src/member/detector/probe.rs
@@ -304,30 +304,44 @@
         if now < self.next_contact || self.contacts.is_empty() {
             return;
         }
-        let alone = self.order.is_empty();
-        let (count, interval) = if alone {
-            (3, self.config.period)
+        // A member that is alone tries several at a time.
+        let count = if self.order.is_empty() { 3 } else { 1 };
+        let mut chosen = Vec::new();
+        while chosen.len() < count
+            && let Some(id) = self.untried.pop()
+        {
+            if self.is_lost(id) {
+                chosen.push(id);
+            }
+        }
+        let hurry = self.order.is_empty() || self.hurried;
+        let interval = if hurry {
+            self.config.period
         } else {
-            (1, self.config.failed_interval)
+            self.config.failed_interval
         };
         self.next_contact = now + interval;
-        let candidates = self.contacts.iter().filter(|(id, _)| {
-            self.view
-                .get(**id)
-                .is_none_or(|member| member.status == Status::Failed)
-        });
-        let chosen: Vec<Peer> = candidates
-            .map(|(id, address)| Peer {
-                id: *id,
-                address: *address,
-            })
-            .sample(&mut self.rng, count);
-        for peer in chosen {
+        if self.untried.is_empty() {
+            self.hurried = false;
+            self.untried = self.contacts.keys().copied().collect();
+            self.untried.shuffle(&mut self.rng);
+        }
+        for id in chosen {
+            let Some(address) = self.contacts.get(&id).copied() else {
+                continue;
+            };
             let sequence = self.next_sequence();
-            self.ping(peer, sequence, Vec::new(), out);
+            self.ping(Peer { id, address }, sequence, Vec::new(), out);
         }
     }
 
+    /// Returns whether a contact is unknown or failed.
+    fn is_lost(&self, id: Id) -> bool {
+        self.view
+            .get(id)
+            .is_none_or(|member| member.status == Status::Failed)
+    }
+
     pub(super) fn on_ack(&mut self, peer: Peer, sequence: u32, out: &mut Vec<Output>) {
         self.probes.retain(|probe| {
             let helped = probe.helpers.as_ref();
--- a/src/member/detector/sync.rs
+++ b/src/member/detector/sync.rs
@@ -17,8 +17,8 @@
 /// How many messages answer a digest of a daemon that has paused.
 const MAX_URGENT_PARTS: usize = 64;
 
-/// Members in one summary: each takes 16 bytes.
-const MAX_ENTRIES: usize = 21;
+/// Members in one summary: each takes 17 bytes.
+const MAX_ENTRIES: usize = 20;
 
 /// How many messages of updates answer one message.
 const MAX_UPDATE_MESSAGES: usize = 4;
@@ -179,7 +179,7 @@
         }
         let parts = ranges.len() as u8;
         for (from, to, entries) in ranges {
-            let cost = 40.0 + 16.0 * entries.len() as f64;
+            let cost = 40.0 + 17.0 * entries.len() as f64;
             if urgent {
                 self.sync_budget.force(now, cost);
             } else if !self.sync_budget.take(now, cost) {
@@ -209,6 +209,7 @@
                 id,
                 incarnation: member.incarnation,
                 status: member.status,
+                check: member.info.check(),
             });
         }
         ranges.push((first, to, entries));
@@ -234,12 +235,15 @@
                 id: entry.id,
                 incarnation: entry.incarnation,
                 status: entry.status,
+                check: entry.check,
                 info: None,
             };
             // After a pause the local view is the one that is out of date.
             match self.apply(now, &update, !confirming) {
                 Verdict::Outdated => {
-                    updates.extend(self.update_about(entry.id, true));
+                    let known = self.view.get(entry.id);
+                    let differs = known.is_some_and(|known| known.info.check() != entry.check);
+                    updates.extend(self.update_about(entry.id, differs));
                 }
                 Verdict::Incomplete => wanted.push(entry.id),
                 Verdict::Adopted => differences += 1,
--- a/src/member/info.rs
+++ b/src/member/info.rs
@@ -1,8 +1,11 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::member;
+use crate::{member, util};
 
 /// What a member says about itself when it joins.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +28,24 @@
     pub fn id(&self) -> member::Id {
         member::id(&self.name)
     }
+
+    /// Returns a checksum of the description, which tells whether a known one is up to date.
+    pub fn check(&self) -> u16 {
+        let octets = |address: SocketAddr| match address.ip() {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
+            IpAddr::V6(ip) => ip.octets(),
+        };
+        let hash = util::hash_bytes(&[
+            self.name.as_bytes(),
+            self.region.as_bytes(),
+            self.zone.as_bytes(),
+            &octets(self.peer),
+            &self.peer.port().to_le_bytes(),
+            &octets(self.admin),
+            &self.admin.port().to_le_bytes(),
+        ]);
+        hash as u16
+    }
 }
 
 /// The state of a member as the failure detector sees it.
--- a/src/member/message.rs
+++ b/src/member/message.rs
@@ -16,6 +16,9 @@
     pub incarnation: Incarnation,
     /// The member's state.
     pub status: Status,
+    /// The checksum of the member's description.
+    #[serde(with = "postcard::fixint::le")]
+    pub check: u16,
     /// The member's description, sent while the member is new to others or on request.
     pub info: Option<Arc<Info>>,
 }
@@ -31,6 +34,9 @@
     pub incarnation: Incarnation,
     /// The member's state.
     pub status: Status,
+    /// The checksum of the member's description.
+    #[serde(with = "postcard::fixint::le")]
+    pub check: u16,
 }
 
 /// A message of the failure detector.
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -179,6 +179,15 @@
         self.push(self.now + phase, What::Tick(index, starts));
     }
 
+    /// Gives all daemons the present list of the platform.
+    pub(crate) fn list(&mut self) {
+        let infos: Vec<Info> = self.daemons.iter().map(|d| d.info.clone()).collect();
+        let now = self.now;
+        for index in 0..self.daemons.len() {
+            self.with(index, |detector| detector.add_contacts(now, infos.clone()));
+        }
+    }
+
     /// Starts a daemon that fetches the member list from the daemon `peer`.
     pub(crate) fn join(&mut self, index: usize, peer: usize) {
         let snapshot = self.detector(peer).snapshot(self.now);
