Place by base target while a partition is possible

A flow opened in a partition could be placed by both sides. Services with the balance priority keep the load bound.

--- a/src/forward/history.rs
+++ b/src/forward/history.rs
@@ -44,8 +44,7 @@
                 formed: None,
                 replaced: now,
             });
-            self.former[at] = former.collect();
-            self.former[at].reverse();
+            self.former[at] = former.into_iter().collect();
         }
     }
 
--- a/src/forward/placing.rs
+++ b/src/forward/placing.rs
@@ -4,8 +4,8 @@
     flow::{Entry, Mark, State},
     forward::{Action, Cause, Forwarder, Standing, inquiry::Kind, packet::Packet},
     load::Observation,
-    place::Refusal,
-    ticket::TargetId,
+    place::{Preference, Refusal},
+    ticket::{Priority, TargetId},
 };
 
 /// The number of unanswered SYNs after which a flow may be moved.
@@ -194,14 +194,20 @@
     ) -> Result<TargetId, Refusal> {
         let service = self.routes.service(packet.service);
         let service = service.ok_or(Refusal::NoTarget)?;
-        let key = packet.summary.request_key();
         let fingerprint = packet.fingerprint;
         if excluded.is_empty() {
-            self.placer.admit(now, key.caller.ip())?;
+            self.placer
+                .admit(now, packet.summary.request_key().caller.ip())?;
         }
+        let is_stable = service.policy.priority == Priority::Stability;
+        let preference = match is_stable && self.may_be_split(now) {
+            true => Preference::Base,
+            false => Preference::Balance,
+        };
+        let routes = &self.routes;
         let target = self
             .placer
-            .place(now, &self.routes, service, &key, fingerprint, excluded)?;
+            .place(now, routes, service, fingerprint, preference, excluded)?;
         match self.is_placeable(target) && !excluded.contains(&target) {
             true => Ok(target),
             false => Err(Refusal::NoTarget),
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -13,8 +13,7 @@
 /// How long former owners are kept.
 const FORMER_RETENTION: Duration = Duration::from_secs(600);
 
-/// How many former pairs of owners of a hash slot are kept. Each member costs a query for an
-/// unknown flow.
+/// How many former owners of a hash slot are kept. Each costs a query for an unknown flow.
 const MAX_FORMER: usize = 6;
 
 /// The index of a zone in [`Ranking::zones`].
@@ -23,10 +22,10 @@
 /// The members that can be owners, in the order of their ids.
 type Candidates = Vec<(Id, ZoneIndex)>;
 
-/// The members that were the owners of a hash slot.
+/// A member that was an owner of a hash slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Former {
-    owners: Owners,
+    id: Id,
     until: Instant,
 }
 
@@ -79,6 +78,8 @@
     changed_at: Vec<Option<Instant>>,
     /// The former owners by hash slot, newest first.
     former: Vec<Option<Arc<[Former]>>>,
+    /// The owners before this daemon joined, in its first ranking.
+    before: Option<Arc<[Option<Owners>]>>,
     leaving: Vec<Id>,
     left: HashSet<Id>,
     failed: HashSet<Id>,
@@ -111,6 +112,11 @@
         let mut ranking = Ranking::empty();
         ranking.candidates = ranking.select(view, Some(own), region, zones_out);
         ranking.slots = ranking.rank_all();
+        let before = ranking
+            .slots
+            .iter()
+            .map(|ranked| ranked.map(|ranked| ranked.owners));
+        ranking.before = Some(before.collect());
         ranking.update(now, view, region, zones_out);
         ranking
     }
@@ -122,6 +128,7 @@
             slots: vec![None; usize::from(SLOTS)],
             changed_at: vec![None; usize::from(SLOTS)],
             former: vec![None; usize::from(SLOTS)],
+            before: None,
             leaving: Vec::new(),
             left: HashSet::new(),
             failed: HashSet::new(),
@@ -165,24 +172,28 @@
 
     /// Returns the former owners of `slot`, newest first, without the present ones.
     ///
-    /// There are at most twelve. It does not allocate.
+    /// There are at most six. It does not allocate.
     pub fn former(&self, slot: Slot) -> impl Iterator<Item = Id> {
         let present = self.owners(slot);
-        let ids = move || self.former_owners(slot).flat_map(|owners| owners.iter());
-        ids()
-            .enumerate()
-            .filter(move |(index, id)| !ids().take(*index).any(|earlier| earlier == *id))
-            .map(|(_, id)| id)
-            .filter(move |id| !present.is_some_and(|present| present.contains(*id)))
-    }
-
-    /// Returns the former pairs of owners of `slot`, newest first.
-    pub fn former_owners(&self, slot: Slot) -> impl Iterator<Item = Owners> {
         let former = self.former.get(usize::from(slot)).and_then(Option::as_ref);
         former
             .into_iter()
             .flat_map(|former| former.iter())
-            .map(|former| former.owners)
+            .map(|former| former.id)
+            .filter(move |id| !present.is_some_and(|present| present.contains(*id)))
+    }
+
+    /// Returns the owners of `slot` before this daemon joined, or before the ranking that
+    /// [`Ranking::after`] was called with.
+    ///
+    /// Unlike [`Ranking::former`], it names both owners of a pair, also one that is still an
+    /// owner.
+    pub fn former_owners(&self, slot: Slot) -> Option<Owners> {
+        self.before
+            .as_ref()?
+            .get(usize::from(slot))
+            .copied()
+            .flatten()
     }
 
     /// Returns the members that are about to stop and still answer.
@@ -195,7 +206,7 @@
         self.left.contains(&id)
     }
 
-    /// Returns the members that have failed and were not removed yet.
+    /// Returns the members that have failed.
     pub fn failed(&self) -> &HashSet<Id> {
         &self.failed
     }
@@ -212,6 +223,11 @@
 
     /// Makes the owners of `previous` the newest former owners of this ranking.
     pub fn after(mut self, previous: &Ranking, now: Instant) -> Ranking {
+        let before = previous
+            .slots
+            .iter()
+            .map(|ranked| ranked.map(|ranked| ranked.owners));
+        self.before = Some(before.collect());
         let slots = std::mem::replace(&mut self.slots, previous.slots.clone());
         self.slots.resize(usize::from(SLOTS), None);
         self.changed_at.clone_from(&previous.changed_at);
@@ -320,17 +336,17 @@
         }
         self.changed_at[slot] = Some(now);
         let Some(old) = old else { return };
-        let newest = Former {
-            owners: old,
-            until: now,
-        };
-        let kept = self.former[slot].iter().flat_map(|former| former.iter());
-        let kept = kept.filter(|former| former.owners != old);
-        let former = std::iter::once(&newest)
-            .chain(kept)
-            .take(MAX_FORMER)
-            .copied()
+        let gone: Vec<Former> = old
+            .iter()
+            .filter(|id| !new.is_some_and(|new| new.contains(*id)))
+            .map(|id| Former { id, until: now })
             .collect();
+        if gone.is_empty() {
+            return;
+        }
+        let kept = self.former[slot].iter().flat_map(|former| former.iter());
+        let kept = kept.filter(|former| !old.contains(former.id));
+        let former = gone.iter().chain(kept).take(MAX_FORMER).copied().collect();
         self.former[slot] = Some(former);
     }
 
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -1,18 +1,17 @@
 use std::{collections::HashSet, net::IpAddr, sync::Arc, time::Instant};
 
 use crate::{
-    flow::{Fingerprint, Key},
+    flow::Fingerprint,
     load::Class,
     member::{Id, View},
     place::{
-        Config, Holders, Refusal,
+        Config, Holders, Preference, Refusal,
         caller::CallerLimit,
         count::{Count, Counts},
         ramp::Ramp,
     },
     route::{Service, Table, Target},
     ticket::TargetId,
-    util,
 };
 
 /// The weight of a target that reports more load than it bears, relative to its full weight.
@@ -130,34 +129,35 @@
         now: Instant,
         table: &Table,
         service: &Service,
-        _key: &Key,
         fingerprint: Fingerprint,
+        preference: Preference,
         excluded: &[TargetId],
     ) -> Result<TargetId, Refusal> {
-        let targets: Vec<&Target> = service
-            .targets
-            .iter()
-            .filter_map(|id| table.target(*id))
-            .filter(|target| target.is_placeable() && !excluded.contains(&target.id))
-            .collect();
-        if targets.is_empty() {
-            return Err(Refusal::NoTarget);
-        }
-        let level = self.level(now, &targets);
-        let base = service
-            .generations
-            .first()
-            .and_then(|generation| generation.base(fingerprint));
-        let base = targets.iter().find(|target| Some(target.id) == base);
-        let bound = service.policy.bound();
+        let can_take = |target: &&Target| target.is_placeable() && !excluded.contains(&target.id);
+        let targets = service.targets.iter().filter_map(|id| table.target(*id));
+        let targets: Vec<&Target> = targets.filter(can_take).collect();
+        let newest = service.generations.first().filter(|_| !targets.is_empty());
+        let newest = newest.ok_or(Refusal::NoTarget)?;
+        let level = match preference {
+            Preference::Balance => service.policy.bound() * self.level(now, &targets),
+            Preference::Base => f64::INFINITY,
+        };
+        let base = newest
+            .base(fingerprint)
+            .and_then(|id| table.target(id))
+            .filter(can_take);
         if let Some(base) = base
-            && self.is_below(now, base, bound * level)
+            && self.is_below(now, base, level)
             && self.spend(now, base)
         {
             return Ok(base.id);
         }
-        self.place_elsewhere(now, targets, fingerprint, bound * level)
-            .ok_or(Refusal::Full)
+        let order = newest
+            .ranked(fingerprint)
+            .into_iter()
+            .filter_map(|id| table.target(id));
+        let order = order.filter(can_take).collect();
+        self.place_elsewhere(now, order, level).ok_or(Refusal::Full)
     }
 
     /// Notes that this daemon owns an open flow on `target` as primary.
@@ -209,7 +209,8 @@
     fn is_below(&self, now: Instant, target: &Target, level: f64) -> bool {
         let open = f64::from(self.open(target.id));
         // Without the extra flow, small counts would move most flows off their base targets.
-        open <= level * self.weight(now, target) + 1.0 && self.is_within_limits(target)
+        let bound = (level * self.weight(now, target).max(f64::MIN_POSITIVE)) + 1.0;
+        open <= bound && self.is_within_limits(target)
     }
 
     /// Returns whether the target takes a flow at all.
@@ -230,29 +231,26 @@
         (share + 3.0 * share.sqrt()).ceil() as u32
     }
 
-    /// Places a flow that its base target cannot take on the first target within the bound,
-    /// in rendezvous order, or else on the least loaded target within the limits.
+    /// Places a flow that its base target cannot take on the first target of `order` within the
+    /// bound, or else on the least loaded target within the limits.
     fn place_elsewhere(
         &mut self,
         now: Instant,
-        mut targets: Vec<&Target>,
-        fingerprint: Fingerprint,
+        mut order: Vec<&Target>,
         level: f64,
     ) -> Option<TargetId> {
-        targets.retain(|target| self.is_within_limits(target));
-        targets.sort_by_cached_key(|target| {
-            std::cmp::Reverse((util::score(fingerprint.low(), target.id), target.id))
-        });
-        for target in &targets {
+        order.retain(|target| self.is_within_limits(target));
+        for target in &order {
             if self.is_below(now, target, level) && self.spend(now, target) {
                 return Some(target.id);
             }
         }
-        let load = |placer: &Placer, target: &Target| {
-            f64::from(placer.open(target.id)) / placer.weight(now, target).max(f64::MIN_POSITIVE)
+        let load = |target: &Target| {
+            let weight = self.weight(now, target).max(f64::MIN_POSITIVE);
+            f64::from(self.open(target.id)) / weight
         };
-        targets.sort_by(|a, b| load(self, a).total_cmp(&load(self, b)));
-        targets
+        order.sort_by(|a, b| load(a).total_cmp(&load(b)));
+        order
             .iter()
             .find(|target| self.spend(now, target))
             .map(|target| target.id)
--- a/tests/detectors/mod.rs
+++ b/tests/detectors/mod.rs
@@ -311,6 +311,7 @@
             body: Body::Member(message),
             packet: &[],
         };
+        self.buffer.clear();
         frame
             .encode(&self.keyring, &mut self.buffer)
             .expect("the frame is short");
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -259,7 +259,8 @@
             service,
         };
         let ends = (key.caller, service);
-        let packet = fleet::packets::build(key.protocol, ends, fleet::packets::SYN, (0, 0), None);
+        let packet =
+            forwarders::packets::build(key.protocol, ends, forwarders::packets::SYN, (0, 0), None);
         let hop = Hop {
             stage: Stage::Decide,
             hops_left: 0,
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -11,7 +11,7 @@
 use banyanwharf::{
     load::Class,
     member::{Id, Info, Member, Status, View, id},
-    place::{Config, Placer, Refusal},
+    place::{Config, Placer, Preference, Refusal},
     ticket::{Priority, TargetState},
 };
 
@@ -97,7 +97,7 @@
                 let service = table.service(0).expect("the service exists");
                 let fingerprint = common::hasher().fingerprint(&key);
                 if placer
-                    .place(now, &table, service, &key, fingerprint, &[])
+                    .place(now, &table, service, fingerprint, Preference::Balance, &[])
                     .is_ok()
                 {
                     placer.opened(target.id);
@@ -159,7 +159,7 @@
         let fingerprint = common::hasher().fingerprint(&key);
         let placer = &mut placers[usize::from(fingerprint.slot()) % deciders];
         let target = placer
-            .place(now, &table, service, &key, fingerprint, &[])
+            .place(now, &table, service, fingerprint, Preference::Balance, &[])
             .expect("the targets are not full");
         placer.opened(target);
         *counts.entry(target).or_default() += 1;
@@ -200,7 +200,7 @@
         for flow in 0..3000 {
             let key = common::key(flow);
             let fingerprint = common::hasher().fingerprint(&key);
-            match placer.place(now, &table, service, &key, fingerprint, &[]) {
+            match placer.place(now, &table, service, fingerprint, Preference::Balance, &[]) {
                 Ok(target) => placer.opened(target),
                 Err(refusal) => {
                     assert_eq!(refusal, Refusal::Full);
@@ -230,8 +230,8 @@
             now,
             &table,
             service,
-            &key,
             common::hasher().fingerprint(&key),
+            Preference::Balance,
             excluded,
         )
     };
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -360,6 +360,7 @@
             body: Body::Spread(message),
             packet: &[],
         };
+        buffer.clear();
         frame.encode(&keyring, &mut buffer).expect("it fits");
         assert!(buffer.len() < 1_200, "{} bytes", buffer.len());
         // The headers of IPv4 and UDP.
