--- a/examples/long_run.rs
+++ b/examples/long_run.rs
@@ -96,10 +96,7 @@
         "single-owner" => vec![Mode::SingleOwner],
         _ => vec![Mode::Owners, Mode::Local, Mode::SingleOwner],
     };
-    println!(
-        "seed {}, {} flows, {} daemons",
-        options.seed, options.flows, options.daemons
-    );
+    println!("seed {}, {} flows, {} daemons", options.seed, options.flows, options.daemons);
     println!(
         "{:30} {:12} {:>7} {:>7} {:>7} {:>8} {:>9} {:>9} {:>11}",
         "fault",
@@ -112,55 +109,29 @@
         "B/cached",
         "control B/s"
     );
-    let chosen = FAULTS
-        .iter()
-        .filter(|(name, _)| name.contains(&options.fault));
+    let chosen = FAULTS.iter().filter(|(name, _)| name.contains(&options.fault));
     for (name, fault) in chosen {
         for mode in &modes {
             for step in 0..options.steps {
-                run(
-                    &options,
-                    options.seed + u64::from(step),
-                    *mode,
-                    name,
-                    *fault,
-                );
+                run(&options, options.seed + u64::from(step), *mode, name, *fault);
             }
         }
     }
 }
 
 fn run(options: &Options, seed: u64, mode: Mode, name: &str, fault: fn(&mut Fleet)) {
-    let config = Config {
-        mode,
-        ..Config::default()
-    };
+    let config = Config { mode, ..Config::default() };
     let mut fleet = Fleet::new(seed, options.daemons, config);
     fleet.loss = options.loss;
     fleet.open_many(options.flows, Duration::from_secs(20), 12);
     fleet.run(Duration::from_secs(10));
     let open = fleet.count_open();
     fault(&mut fleet);
-    let records: usize = fleet
-        .daemons
-        .values()
-        .map(|daemon| daemon.forwarder.table().len())
-        .sum();
-    let cached: usize = fleet
-        .daemons
-        .values()
-        .map(|daemon| daemon.forwarder.cache().len())
-        .sum();
-    let memory: usize = fleet
-        .daemons
-        .values()
-        .map(|daemon| daemon.forwarder.table().memory())
-        .sum();
-    let cache: usize = fleet
-        .daemons
-        .values()
-        .map(|daemon| daemon.forwarder.cache().memory())
-        .sum();
+    let records: usize = fleet.daemons.values().map(|daemon| daemon.forwarder.table().len()).sum();
+    let cached: usize = fleet.daemons.values().map(|daemon| daemon.forwarder.cache().len()).sum();
+    let memory: usize =
+        fleet.daemons.values().map(|daemon| daemon.forwarder.table().memory()).sum();
+    let cache: usize = fleet.daemons.values().map(|daemon| daemon.forwarder.cache().memory()).sum();
     fleet.run(Duration::from_secs(400));
     let packets = fleet.total(|counters| counters.datagrams).max(1) as f64;
     let time = (fleet.now - fleet.start).as_secs_f64() * options.daemons as f64;
@@ -175,11 +146,7 @@
         fleet.total(|counters| counters.control_bytes) as f64 / time,
     );
     if options.verbose {
-        println!(
-            "{:?} open at the end, {:?}",
-            fleet.count_open(),
-            fleet.findings
-        );
+        println!("{:?} open at the end, {:?}", fleet.count_open(), fleet.findings);
         for daemon in fleet.daemons.values() {
             println!("{:?}", daemon.forwarder.counters());
         }
--- a/examples/slopes_member.rs
+++ b/examples/slopes_member.rs
@@ -223,11 +223,7 @@
         let old: Vec<u64> = fleet.daemons.iter().map(|d| d.sent_bytes).collect();
         each_second(fleet);
         fleet.run(Duration::from_secs(1));
-        let most = old
-            .iter()
-            .zip(&fleet.daemons)
-            .map(|(old, d)| d.sent_bytes - old)
-            .max();
+        let most = old.iter().zip(&fleet.daemons).map(|(old, d)| d.sent_bytes - old).max();
         worst = worst.max(most.unwrap_or(0));
     }
     let after = sum(fleet);
@@ -281,15 +277,11 @@
     let unknown = |fleet: &Fleet| {
         let of = |index: &usize| {
             let members = fleet.detector(*index).view().iter();
-            members
-                .filter(|(_, m)| m.status == Status::Alive && m.info.zone == zone)
-                .count()
+            members.filter(|(_, m)| m.status == Status::Alive && m.info.zone == zone).count()
         };
         kept.iter().map(of).sum::<usize>()
     };
-    let most = until(fleet, |fleet| {
-        100 * unknown(fleet) <= lost.len() * kept.len()
-    });
+    let most = until(fleet, |fleet| 100 * unknown(fleet) <= lost.len() * kept.len());
     (most, most + until(fleet, |fleet| unknown(fleet) == 0))
 }
 
--- a/examples/slopes_spread.rs
+++ b/examples/slopes_spread.rs
@@ -99,11 +99,7 @@
 }
 
 fn sent(fleet: &Fleet) -> Vec<u64> {
-    fleet
-        .nodes
-        .iter()
-        .map(|node| node.spreader.counters().sent_bytes)
-        .collect()
+    fleet.nodes.iter().map(|node| node.spreader.counters().sent_bytes).collect()
 }
 
 fn busy(fleet: &Fleet) -> f64 {
@@ -112,11 +108,7 @@
 
 /// Publishes tickets at the design rate and then measures without tickets.
 fn measure(seed: u64, loss: f64, daemons: usize) -> Row {
-    let network = Network {
-        loss,
-        duplicates: 0.0,
-        delay: Duration::from_millis(40),
-    };
+    let network = Network { loss, duplicates: 0.0, delay: Duration::from_millis(40) };
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut fleet = Fleet::new(seed, daemons, ZONES.min(daemons.div_ceil(2)), network);
     fleet.run(Duration::from_secs(10), |_| false);
@@ -124,26 +116,18 @@
     let (before, calls, cpu, start) = (sent(&fleet), fleet.calls, busy(&fleet), fleet.now);
     for number in 1..=TICKETS {
         let published = fleet.now;
-        fleet
-            .platform
-            .push(ticket(number, rng.random_range(0..SERVICES)));
+        fleet.platform.push(ticket(number, rng.random_range(0..SERVICES)));
         fleet.run(INTERVAL, |_| false);
         let in_force = fleet.nodes.iter().map(|node| {
-            let at = node
-                .in_force
-                .get(&number)
-                .expect("the ticket is in force everywhere");
+            let at = node.in_force.get(&number).expect("the ticket is in force everywhere");
             at.duration_since(published).as_secs_f64()
         });
         times.push(in_force.fold(0.0, f64::max));
     }
     times.sort_by(f64::total_cmp);
     let seconds = fleet.now.duration_since(start).as_secs_f64();
-    let bytes: Vec<f64> = sent(&fleet)
-        .iter()
-        .zip(&before)
-        .map(|(after, before)| (after - before) as f64)
-        .collect();
+    let bytes: Vec<f64> =
+        sent(&fleet).iter().zip(&before).map(|(after, before)| (after - before) as f64).collect();
     let mut row = Row {
         daemons,
         median: times[times.len() / 2],
@@ -164,11 +148,7 @@
 
 /// Returns the time until a change of one service with many targets is in force at all daemons.
 fn measure_large(seed: u64, loss: f64, daemons: usize, targets: usize) -> f64 {
-    let network = Network {
-        loss,
-        duplicates: 0.0,
-        delay: Duration::from_millis(40),
-    };
+    let network = Network { loss, duplicates: 0.0, delay: Duration::from_millis(40) };
     let mut fleet = Fleet::new(seed, daemons, ZONES, network);
     fleet.run(Duration::from_secs(10), |_| false);
     let published = fleet.now;
@@ -229,24 +209,15 @@
     let targets = compilation.table.targets().count();
     assert_eq!(targets, TARGETS);
     let mut figures = vec![
-        (
-            "apply one ticket, us",
-            apply.as_secs_f64() * 1e6 / number as f64,
-        ),
+        ("apply one ticket, us", apply.as_secs_f64() * 1e6 / number as f64),
         ("state with 4 generations, MB", memory / 1e6),
         ("encoded snapshot, MB", encoded.len() as f64 / 1e6),
         ("compile the route table, ms", compile.as_secs_f64() * 1e3),
         ("route table, MB", table / 1e6),
     ];
-    let names = [
-        "base target of 3, ns",
-        "base target of 14, ns",
-        "base target of 1000, ns",
-    ];
+    let names = ["base target of 3, ns", "base target of 14, ns", "base target of 1000, ns"];
     for (name, count) in names.into_iter().zip([3, 14, 1_000]) {
-        let targets = (0..count)
-            .map(|id: u64| (id * 0x9e37_79b9 + 1, 100))
-            .collect();
+        let targets = (0..count).map(|id: u64| (id * 0x9e37_79b9 + 1, 100)).collect();
         let generation = Generation { number: 1, targets };
         let rounds = 3_000_000 / count;
         let start = Instant::now();
@@ -281,10 +252,7 @@
     table.set_header(columns);
     let mut csv = columns.join(",") + "\n";
     for daemons in arguments.daemons.split(',') {
-        let daemons = daemons
-            .trim()
-            .parse()
-            .expect("the numbers of daemons are numbers");
+        let daemons = daemons.trim().parse().expect("the numbers of daemons are numbers");
         let row = measure(arguments.seed, arguments.loss, daemons);
         let cells = [
             row.daemons.to_string(),
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -135,8 +135,7 @@
     }
 
     async fn ticket_in_force(&self, number: ticket::Number) -> RpcResult<InForce> {
-        self.ask(|reply| Request::TicketInForce(number, reply))
-            .await
+        self.ask(|reply| Request::TicketInForce(number, reply)).await
     }
 
     async fn explain(&self, question: Question) -> RpcResult<Explanation> {
--- a/src/bin/banyanwharf/arguments.rs
+++ b/src/bin/banyanwharf/arguments.rs
@@ -134,9 +134,5 @@
 }
 
 fn or_default(addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
-    if addresses.is_empty() {
-        DEFAULT_ADMIN.parse().into_iter().collect()
-    } else {
-        addresses
-    }
+    if addresses.is_empty() { DEFAULT_ADMIN.parse().into_iter().collect() } else { addresses }
 }
--- a/src/bin/banyanwharf/check.rs
+++ b/src/bin/banyanwharf/check.rs
@@ -20,19 +20,13 @@
     let text = read(path)?;
     let value: Option<Value> = serde_json5::from_str(&text).ok();
     let is_ticket = value.is_some_and(|value| value.get("number").is_some());
-    let result = if is_ticket {
-        ticket_verdict(path, &text)
-    } else {
-        settings_verdict(path, &text)
-    };
+    let result =
+        if is_ticket { ticket_verdict(path, &text) } else { settings_verdict(path, &text) };
     Ok(verdict(path, result))
 }
 
 fn read(path: &Path) -> Result<String> {
-    fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.to_owned(),
-        source,
-    })
+    fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })
 }
 
 fn settings_verdict(path: &Path, text: &str) -> Result<String, Wrong> {
--- a/src/bin/banyanwharf/explain.rs
+++ b/src/bin/banyanwharf/explain.rs
@@ -20,15 +20,9 @@
     service: SocketAddr,
     udp: bool,
 ) -> Result<Output> {
-    let question = Question {
-        protocol: if udp { Protocol::Udp } else { Protocol::Tcp },
-        caller,
-        service,
-    };
-    let answer = ask::first(&daemons.admin, async |client| {
-        client.explain(question).await
-    })
-    .await?;
+    let question =
+        Question { protocol: if udp { Protocol::Udp } else { Protocol::Tcp }, caller, service };
+    let answer = ask::first(&daemons.admin, async |client| client.explain(question).await).await?;
     let output = Output::new(daemons.json, &answer, || text(&answer))?;
     Ok(match answer.service {
         Some(_) => output,
--- a/src/bin/banyanwharf/list.rs
+++ b/src/bin/banyanwharf/list.rs
@@ -21,11 +21,7 @@
         return Err(Error::Unanswered { attempts });
     }
     let mut output = Output::new(daemons.json, &answers, || {
-        answers
-            .iter()
-            .map(status_text)
-            .collect::<Vec<_>>()
-            .join("\n")
+        answers.iter().map(status_text).collect::<Vec<_>>().join("\n")
     })?;
     for attempt in attempts {
         output.notes += &format!("no answer from {attempt}\n");
@@ -52,10 +48,7 @@
         ("platform reader", word(platform.is_reader)),
         ("platform index", word(platform.index)),
         ("platform failures", word(platform.failures)),
-        (
-            "platform success",
-            seconds_ago(platform.last_success_seconds),
-        ),
+        ("platform success", seconds_ago(platform.last_success_seconds)),
     ];
     pairs(rows)
 }
@@ -160,13 +153,10 @@
         ("pending packets", word(flows.pending_packets)),
         ("queries", word(flows.queries)),
     ]);
-    let rows = flows.targets.iter().map(|target| {
-        [
-            word(&target.service),
-            word(&target.target),
-            word(target.flows),
-        ]
-    });
+    let rows = flows
+        .targets
+        .iter()
+        .map(|target| [word(&target.service), word(&target.target), word(target.flows)]);
     numbers + "\n" + &table(["SERVICE", "TARGET", "FLOWS"], rows)
 }
 
@@ -181,13 +171,10 @@
         let result = format!("sets {}", ticket.objects.join(", "));
         [word(ticket.number), "accepted".to_owned(), result]
     });
-    let refused = tickets.refused.iter().map(|ticket| {
-        [
-            word(ticket.number),
-            "refused".to_owned(),
-            word(&ticket.reason),
-        ]
-    });
+    let refused = tickets
+        .refused
+        .iter()
+        .map(|ticket| [word(ticket.number), "refused".to_owned(), word(&ticket.reason)]);
     let digest = format!("digest {}\n\n", tickets.digest);
     digest + &table(["TICKET", "RESULT", "DETAIL"], accepted.chain(refused))
 }
--- a/src/bin/banyanwharf/main.rs
+++ b/src/bin/banyanwharf/main.rs
@@ -31,9 +31,7 @@
             return ExitCode::from(if failure.exit_code() == 0 { 0 } else { ERROR });
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let output = match runtime {
         Ok(runtime) => runtime.block_on(run(command)),
         Err(source) => Err(error::Error::Runtime { source }),
@@ -62,18 +60,13 @@
         Command::Tickets { daemons } => list::tickets(&daemons).await,
         Command::Ticket { command } => match command {
             TicketCommand::Check { file } => check::ticket(&file),
-            TicketCommand::Wait {
-                timeout,
-                daemons,
-                number,
-            } => wait::run(&daemons, number, timeout).await,
+            TicketCommand::Wait { timeout, daemons, number } => {
+                wait::run(&daemons, number, timeout).await
+            }
         },
-        Command::Explain {
-            udp,
-            daemons,
-            caller,
-            service,
-        } => explain::run(&daemons, caller, service, udp).await,
+        Command::Explain { udp, daemons, caller, service } => {
+            explain::run(&daemons, caller, service, udp).await
+        }
         Command::Check { file } => check::file(&file),
         Command::Trace { json, file, id } => spans::run(&file, id.as_deref(), json),
     }
--- a/src/bin/banyanwharf/output.rs
+++ b/src/bin/banyanwharf/output.rs
@@ -37,11 +37,7 @@
         if !text.ends_with('\n') {
             text.push('\n');
         }
-        Ok(Output {
-            text,
-            notes: String::new(),
-            code: POSITIVE,
-        })
+        Ok(Output { text, notes: String::new(), code: POSITIVE })
     }
 
     /// Sets the exit code.
--- a/src/bin/banyanwharf/spans.rs
+++ b/src/bin/banyanwharf/spans.rs
@@ -16,22 +16,14 @@
 ///
 /// The spans of one trace may be in the files of several daemons; joined files give whole trees.
 pub(crate) fn run(path: &Path, id: Option<&str>, json: bool) -> Result<Output> {
-    let text = fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.to_owned(),
-        source,
-    })?;
-    let mut records = telemetry::read(&text).map_err(|source| Error::Trace {
-        path: path.to_owned(),
-        source,
-    })?;
+    let text =
+        fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
+    let mut records =
+        telemetry::read(&text).map_err(|source| Error::Trace { path: path.to_owned(), source })?;
     records.retain(|record| record.trace.starts_with(id.unwrap_or_default()));
     records.sort_by(|a, b| a.start_us.cmp(&b.start_us).then(a.span.cmp(&b.span)));
     let output = Output::new(json, &records, || trees(&records))?;
-    Ok(if records.is_empty() {
-        output.with_code(NEGATIVE)
-    } else {
-        output
-    })
+    Ok(if records.is_empty() { output.with_code(NEGATIVE) } else { output })
 }
 
 fn trees(records: &[Record]) -> String {
--- a/src/bin/banyanwharf/wait.rs
+++ b/src/bin/banyanwharf/wait.rs
@@ -59,16 +59,11 @@
     loop {
         round(daemons, number, &mut rows).await?;
         let is_held_up = rows.values().any(holds_up);
-        let is_refused = rows
-            .values()
-            .any(|row| matches!(row.progress, Progress::Refused(_)));
+        let is_refused = rows.values().any(|row| matches!(row.progress, Progress::Refused(_)));
         let now = Instant::now();
         if !is_held_up || is_refused || now >= deadline {
-            let verdict = Verdict {
-                number,
-                is_in_force: !is_held_up,
-                members: rows.into_values().collect(),
-            };
+            let verdict =
+                Verdict { number, is_in_force: !is_held_up, members: rows.into_values().collect() };
             return verdict.output(daemons.json);
         }
         tokio::time::sleep_until(deadline.min(now + INTERVAL)).await;
@@ -115,9 +110,7 @@
 }
 
 async fn ask_member(member: Member, number: Number) -> Row {
-    let answer = ask::one(member.admin, async |client| {
-        client.ticket_in_force(number).await
-    });
+    let answer = ask::one(member.admin, async |client| client.ticket_in_force(number).await);
     let progress = match answer.await.map(|answer| answer.state) {
         Ok(TicketState::InForce) => Progress::InForce,
         Ok(TicketState::Unknown) => Progress::Lagging,
@@ -125,29 +118,17 @@
         Err(_) if member.state == Status::Suspect => Progress::Unreachable,
         Err(cause) => Progress::Unanswered(cause.to_string()),
     };
-    Row {
-        name: member.name,
-        zone: member.zone,
-        admin: member.admin,
-        progress,
-    }
+    Row { name: member.name, zone: member.zone, admin: member.admin, progress }
 }
 
 impl Verdict {
     fn output(self, json: bool) -> Result<Output> {
         let output = Output::new(json, &self, || self.text())?;
-        Ok(if self.is_in_force {
-            output
-        } else {
-            output.with_code(NEGATIVE)
-        })
+        Ok(if self.is_in_force { output } else { output.with_code(NEGATIVE) })
     }
 
     fn text(&self) -> String {
-        let behind = self
-            .members
-            .iter()
-            .filter(|row| row.progress != Progress::InForce);
+        let behind = self.members.iter().filter(|row| row.progress != Progress::InForce);
         let in_force = self.members.len() - behind.clone().count();
         let mut text = format!(
             "ticket {} is in force at {in_force} of {} members\n",
@@ -163,13 +144,7 @@
                     Progress::Unanswered(cause) => ("no answer", cause.clone()),
                     Progress::Unreachable => ("unreachable", "suspected".to_owned()),
                 };
-                [
-                    word(&row.name),
-                    word(&row.zone),
-                    word(row.admin),
-                    state.to_owned(),
-                    detail,
-                ]
+                [word(&row.name), word(&row.zone), word(row.admin), state.to_owned(), detail]
             });
             text += "\n";
             text += &table(["NAME", "ZONE", "ADMIN", "STATE", "DETAIL"], rows);
--- a/src/bin/banyanwharfd.rs
+++ b/src/bin/banyanwharfd.rs
@@ -54,9 +54,7 @@
 }
 
 fn listen(kind: SignalKind) -> miette::Result<Signal> {
-    signal(kind)
-        .into_diagnostic()
-        .wrap_err("signals cannot be received")
+    signal(kind).into_diagnostic().wrap_err("signals cannot be received")
 }
 
 async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
--- a/src/flow/cache.rs
+++ b/src/flow/cache.rs
@@ -46,12 +46,7 @@
 
     /// Creates an empty cache for at most `capacity` flows.
     pub fn new(capacity: usize, now: Instant) -> Cache {
-        Cache {
-            entries: HashTable::new(),
-            capacity: capacity.max(1),
-            start: now,
-            position: 0,
-        }
+        Cache { entries: HashTable::new(), capacity: capacity.max(1), start: now, position: 0 }
     }
 
     /// Returns the number of entries, valid or not.
@@ -72,9 +67,7 @@
     /// Returns the valid entry of a flow.
     pub fn get(&self, now: Instant, fingerprint: Fingerprint) -> Option<Cached> {
         let now = self.seconds(now);
-        let packed = self
-            .entries
-            .find(fingerprint.low(), |packed| packed.is(fingerprint))?;
+        let packed = self.entries.find(fingerprint.low(), |packed| packed.is(fingerprint))?;
         (packed.is_valid(now)).then(|| Cached {
             target: (u64::from(packed.target[0]) << 32) | u64::from(packed.target[1]),
             due: now.saturating_sub(packed.routed) >= Self::REFRESH_SECONDS,
@@ -108,15 +101,13 @@
         if self.entries.len() >= self.capacity {
             self.evict();
         }
-        self.entries
-            .insert_unique(hash, packed, |packed| packed.hash());
+        self.entries.insert_unique(hash, packed, |packed| packed.hash());
     }
 
     /// Removes the entry of a flow.
     pub fn remove(&mut self, fingerprint: Fingerprint) {
-        if let Ok(held) = self
-            .entries
-            .find_entry(fingerprint.low(), |packed| packed.is(fingerprint))
+        if let Ok(held) =
+            self.entries.find_entry(fingerprint.low(), |packed| packed.is(fingerprint))
         {
             held.remove();
         }
--- a/src/flow/entry.rs
+++ b/src/flow/entry.rs
@@ -85,15 +85,7 @@
 impl Entry {
     /// Creates an entry without marks.
     pub fn new(fingerprint: Fingerprint, target: TargetId, state: State) -> Entry {
-        Entry {
-            fingerprint,
-            target,
-            state,
-            idle: 0,
-            unanswered: 0,
-            moves: 0,
-            marks: 0,
-        }
+        Entry { fingerprint, target, state, idle: 0, unanswered: 0, moves: 0, marks: 0 }
     }
 
     /// Creates an entry from a copied record.
--- a/src/flow/fingerprint.rs
+++ b/src/flow/fingerprint.rs
@@ -29,11 +29,7 @@
 
     /// Returns the fingerprint with the given words.
     pub(super) fn from_words(words: [u32; 4]) -> Fingerprint {
-        Fingerprint(
-            words
-                .iter()
-                .fold(0, |value, word| (value << 32) | u128::from(*word)),
-        )
+        Fingerprint(words.iter().fold(0, |value, word| (value << 32) | u128::from(*word)))
     }
 
     /// Returns the low 64 bits, which choose the target and are independent of the slot.
--- a/src/flow/hasher.rs
+++ b/src/flow/hasher.rs
@@ -29,9 +29,7 @@
     /// assert_ne!(hasher.fingerprint(&key), Hasher::new(&[8; 16]).fingerprint(&key));
     /// ```
     pub fn new(key: &[u8; 16]) -> Hasher {
-        Hasher {
-            base: SipHasher13::new_with_key(key),
-        }
+        Hasher { base: SipHasher13::new_with_key(key) }
     }
 
     /// Returns the fingerprint of the flow `key`.
--- a/src/flow/interner.rs
+++ b/src/flow/interner.rs
@@ -48,8 +48,6 @@
 
     /// Returns the number of uses of `target`.
     pub(super) fn uses(&self, target: TargetId) -> u32 {
-        self.indexes
-            .get(&target)
-            .map_or(0, |&index| self.targets[index as usize].1)
+        self.indexes.get(&target).map_or(0, |&index| self.targets[index as usize].1)
     }
 }
--- a/src/flow/table.rs
+++ b/src/flow/table.rs
@@ -78,9 +78,7 @@
 
     /// Returns a flow that has not expired.
     pub fn get(&self, now: Instant, fingerprint: Fingerprint) -> Option<Entry> {
-        let packed = self
-            .entries
-            .find(fingerprint.low(), |packed| packed.is(fingerprint))?;
+        let packed = self.entries.find(fingerprint.low(), |packed| packed.is(fingerprint))?;
         let entry = self.unpack(now, packed);
         (!self.is_expired(&entry)).then_some(entry)
     }
@@ -106,10 +104,7 @@
         let packed = Packed::new(entry, target, seen);
         let hash = entry.fingerprint.low();
         let expired = self.get(now, entry.fingerprint).is_none();
-        if let Some(held) = self
-            .entries
-            .find_mut(hash, |held| held.is(entry.fingerprint))
-        {
+        if let Some(held) = self.entries.find_mut(hash, |held| held.is(entry.fingerprint)) {
             assert!(
                 expired
                     || held.target == target
@@ -122,22 +117,15 @@
             *held = packed;
             return None;
         }
-        let evicted = if self.entries.len() >= self.capacity {
-            self.evict(now)
-        } else {
-            None
-        };
-        self.entries
-            .insert_unique(hash, packed, |packed| packed.fingerprint().low());
+        let evicted = if self.entries.len() >= self.capacity { self.evict(now) } else { None };
+        self.entries.insert_unique(hash, packed, |packed| packed.fingerprint().low());
         evicted
     }
 
     /// Removes a flow.
     pub fn remove(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<Removed> {
-        let held = self
-            .entries
-            .find_entry(fingerprint.low(), |packed| packed.is(fingerprint))
-            .ok()?;
+        let held =
+            self.entries.find_entry(fingerprint.low(), |packed| packed.is(fingerprint)).ok()?;
         let (packed, _) = held.remove();
         let entry = self.unpack(now, &packed);
         self.targets.release(packed.target);
@@ -182,10 +170,7 @@
     ) -> bool {
         let buckets = self.entries.num_buckets();
         if cursor.buckets != buckets {
-            *cursor = Cursor {
-                position: 0,
-                buckets,
-            };
+            *cursor = Cursor { position: 0, buckets };
         }
         let end = cursor.position.saturating_add(limit).min(buckets);
         for position in cursor.position..end {
--- a/src/forward/copying.rs
+++ b/src/forward/copying.rs
@@ -90,12 +90,7 @@
             if !records.is_empty() {
                 let sequence = self.copier.next_sequence();
                 self.counters.copied += records.len() as u64;
-                let batch = Batch {
-                    recipient,
-                    records,
-                    sent: now,
-                    tries: 1,
-                };
+                let batch = Batch { recipient, records, sent: now, tries: 1 };
                 self.send_batch(now, sequence, &batch, out);
                 self.copier.unacknowledged.insert(sequence, batch);
             }
@@ -148,10 +143,7 @@
     /// Handles the acknowledgement of a batch.
     pub(super) fn on_copied(&mut self, sender: member::Id, sequence: u32) {
         let batches = &mut self.copier.unacknowledged;
-        if batches
-            .get(&sequence)
-            .is_none_or(|batch| batch.recipient != sender)
-        {
+        if batches.get(&sequence).is_none_or(|batch| batch.recipient != sender) {
             return;
         }
         let Some(batch) = batches.remove(&sequence) else {
--- a/src/forward/deciding.rs
+++ b/src/forward/deciding.rs
@@ -167,14 +167,7 @@
     pub(super) fn inform(&mut self, packet: &Packet<'_>, target: TargetId, out: &mut Vec<Action>) {
         let fingerprint = packet.fingerprint;
         if let Some(sender) = packet.sender {
-            self.tell(
-                sender,
-                Body::Learned {
-                    fingerprint,
-                    target,
-                },
-                out,
-            );
+            self.tell(sender, Body::Learned { fingerprint, target }, out);
         }
     }
 
@@ -194,11 +187,7 @@
         );
         let address = target.address;
         self.counters.delivered += 1;
-        out.push(Action::Deliver {
-            target: id,
-            address,
-            packet: packet.payload(),
-        });
+        out.push(Action::Deliver { target: id, address, packet: packet.payload() });
     }
 
     /// Sends a packet to another daemon.
@@ -217,11 +206,7 @@
         self.counters.hops += 1;
         out.push(Action::Peer {
             member,
-            body: Body::Hop(Hop {
-                stage,
-                hops_left,
-                trace: packet.trace,
-            }),
+            body: Body::Hop(Hop { stage, hops_left, trace: packet.trace }),
             packet: packet.payload(),
         });
     }
@@ -275,9 +260,7 @@
             .get(now, packet.fingerprint)
             .filter(|entry| self.standing(now, packet.service, entry.target) == Standing::Usable);
         let base = || self.candidates(packet.service, packet.fingerprint);
-        let Some(target) = known
-            .map(|entry| entry.target)
-            .or_else(|| base().first().copied())
+        let Some(target) = known.map(|entry| entry.target).or_else(|| base().first().copied())
         else {
             return self.answer(packet, out);
         };
@@ -321,9 +304,6 @@
     if matches!(entry.state, State::Opening | State::Answered) {
         next.state = State::Open;
     }
-    next.set(
-        Mark::Relayed,
-        next.has(Mark::Relayed) || !next.has(Mark::Probing),
-    );
+    next.set(Mark::Relayed, next.has(Mark::Relayed) || !next.has(Mark::Probing));
     next
 }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -116,12 +116,9 @@
             }
         }
         let history = self.config.timeouts.open;
-        self.removed
-            .retain(|_, at| now.saturating_duration_since(*at) <= history);
+        self.removed.retain(|_, at| now.saturating_duration_since(*at) <= history);
         self.draining.retain(|id, _| {
-            routes
-                .target(*id)
-                .is_some_and(|target| target.state == TargetState::Draining)
+            routes.target(*id).is_some_and(|target| target.state == TargetState::Draining)
         });
         for target in routes.targets() {
             if target.state == TargetState::Draining {
@@ -153,9 +150,7 @@
         }
         self.history.prune(now, self.config.history);
         if self.config.mode == Mode::Owners {
-            self.table.unmark(Mark::Copied, |fingerprint| {
-                changed[usize::from(fingerprint.slot())]
-            });
+            self.table.unmark(Mark::Copied, |fingerprint| changed[usize::from(fingerprint.slot())]);
             self.plan_copies(&previous);
         }
     }
@@ -356,9 +351,7 @@
     }
 
     pub(super) fn is_placeable(&self, id: TargetId) -> bool {
-        self.routes
-            .target(id)
-            .is_some_and(|target| target.is_placeable())
+        self.routes.target(id).is_some_and(|target| target.is_placeable())
     }
 
     /// Returns the owners of the packet's flow.
@@ -410,9 +403,7 @@
             let slot = entry.fingerprint.slot();
             owners_mode
                 && Table::TICK * u32::from(entry.idle) > history
-                && ranking
-                    .owners(slot)
-                    .is_some_and(|owners| !owners.contains(id))
+                && ranking.owners(slot).is_some_and(|owners| !owners.contains(id))
         };
         self.table.expire(now, SWEEP_BUCKETS, stale, |entry| {
             if entry.has(Mark::Placed) && entry.state != State::Closed {
@@ -445,11 +436,7 @@
     /// Sends a control message.
     pub(super) fn tell(&mut self, member: member::Id, body: Body, actions: &mut Vec<Action>) {
         self.counters.control_bytes += size(&body);
-        actions.push(Action::Peer {
-            member,
-            body,
-            packet: None,
-        });
+        actions.push(Action::Peer { member, body, packet: None });
     }
 }
 
--- a/src/forward/frames.rs
+++ b/src/forward/frames.rs
@@ -19,16 +19,11 @@
         let sender = frame.sender;
         match &frame.body {
             Body::Hop(hop) => self.on_hop(now, sender, hop, frame.packet, actions),
-            Body::Learned {
-                fingerprint,
-                target,
-            } => self.on_learned(now, *fingerprint, *target),
+            Body::Learned { fingerprint, target } => self.on_learned(now, *fingerprint, *target),
             Body::Query { fingerprint } => self.on_query(now, sender, *fingerprint, actions),
-            Body::Answer {
-                fingerprint,
-                record,
-                uptime,
-            } => self.on_answer(now, sender, *fingerprint, *record, *uptime, actions),
+            Body::Answer { fingerprint, record, uptime } => {
+                self.on_answer(now, sender, *fingerprint, *record, *uptime, actions)
+            }
             Body::Copy { sequence, records } => {
                 self.on_copy(now, sender, *sequence, records, actions);
             }
--- a/src/forward/history.rs
+++ b/src/forward/history.rs
@@ -52,11 +52,7 @@
     pub(super) fn replace(&mut self, now: Instant, slot: Slot, owners: Option<Owners>) {
         let slot = usize::from(slot);
         if let Some(owners) = owners {
-            self.former[slot].push(Former {
-                owners,
-                formed: self.formed[slot],
-                replaced: now,
-            });
+            self.former[slot].push(Former { owners, formed: self.formed[slot], replaced: now });
         }
         self.formed[slot] = Some(now);
         self.changed[slot] = Some(now);
@@ -88,7 +84,5 @@
 
 /// Returns the members of a pair.
 pub(super) fn members(owners: &Owners) -> impl Iterator<Item = Id> {
-    [Some(owners.primary), owners.secondary]
-        .into_iter()
-        .flatten()
+    [Some(owners.primary), owners.secondary].into_iter().flatten()
 }
--- a/src/forward/placing.rs
+++ b/src/forward/placing.rs
@@ -86,8 +86,7 @@
     /// It may live on the other side of a partition and place the same flow. Both sides take
     /// the same target unless one moves the flow.
     fn may_be_split(&self, now: Instant) -> bool {
-        self.failure
-            .is_some_and(|at| now.saturating_duration_since(at) < self.config.history)
+        self.failure.is_some_and(|at| now.saturating_duration_since(at) < self.config.history)
     }
 
     fn move_flow(
@@ -196,8 +195,7 @@
         let service = service.ok_or(Refusal::NoTarget)?;
         let fingerprint = packet.fingerprint;
         if excluded.is_empty() {
-            self.placer
-                .admit(now, packet.summary.request_key().caller.ip())?;
+            self.placer.admit(now, packet.summary.request_key().caller.ip())?;
         }
         let is_stable = service.policy.priority == Priority::Stability;
         let preference = match is_stable && self.may_be_split(now) {
@@ -205,9 +203,7 @@
             false => Preference::Balance,
         };
         let routes = &self.routes;
-        let target = self
-            .placer
-            .place(now, routes, service, fingerprint, preference, excluded)?;
+        let target = self.placer.place(now, routes, service, fingerprint, preference, excluded)?;
         match self.is_placeable(target) && !excluded.contains(&target) {
             true => Ok(target),
             false => Err(Refusal::NoTarget),
--- a/src/forward/returning.rs
+++ b/src/forward/returning.rs
@@ -30,10 +30,7 @@
         if packet.summary.is_control() {
             return self.return_to_primary(now, packet, target, out);
         }
-        if self
-            .known_target(now, packet)
-            .is_some_and(|known| known != target)
-        {
+        if self.known_target(now, packet).is_some_and(|known| known != target) {
             return self.return_to_primary(now, packet, target, out);
         }
         self.cache.put(now, packet.fingerprint, target, false);
@@ -42,9 +39,7 @@
 
     /// Returns the target of the flow by this daemon's record or cache.
     fn known_target(&self, now: Instant, packet: &Packet<'_>) -> Option<TargetId> {
-        let owner = self
-            .owners(packet)
-            .is_some_and(|owners| owners.contains(self.id));
+        let owner = self.owners(packet).is_some_and(|owners| owners.contains(self.id));
         let held = owner.then(|| self.table.get(now, packet.fingerprint));
         let held = held.flatten().map(|entry| entry.target);
         held.or_else(|| {
@@ -195,14 +190,7 @@
         {
             self.counters.conflicts_open += 1;
             let target = entry.target;
-            self.tell(
-                sender,
-                Body::Learned {
-                    fingerprint,
-                    target,
-                },
-                out,
-            );
+            self.tell(sender, Body::Learned { fingerprint, target }, out);
             return self.drop(Cause::ResetFilter, out);
         }
         let same = held.filter(|entry| entry.target == target);
@@ -218,9 +206,7 @@
     /// Sends a return packet to the fabric.
     pub(super) fn give_back(&mut self, packet: &Packet<'_>, out: &mut Vec<Action>) {
         self.counters.returned += 1;
-        out.push(Action::Return {
-            packet: packet.payload(),
-        });
+        out.push(Action::Return { packet: packet.payload() });
     }
 }
 
--- a/src/forward/storing.rs
+++ b/src/forward/storing.rs
@@ -32,14 +32,7 @@
         if let Some(entry) = kept {
             self.counters.conflicts += 1;
             let target = entry.target;
-            self.tell(
-                sender,
-                Body::Learned {
-                    fingerprint,
-                    target,
-                },
-                out,
-            );
+            self.tell(sender, Body::Learned { fingerprint, target }, out);
             return self.deliver_stored(now, sender, packet, entry, out);
         }
         let same = held.filter(|entry| entry.target == target);
--- a/src/forward/unknown.rs
+++ b/src/forward/unknown.rs
@@ -151,11 +151,7 @@
         let held = self.table.get(now, fingerprint);
         let record = held.filter(|entry| !entry.has(Mark::Probing));
         let uptime = now.saturating_duration_since(self.started).as_secs() as u32 + 1;
-        let body = Body::Answer {
-            fingerprint,
-            record: record.map(|entry| entry.record()),
-            uptime,
-        };
+        let body = Body::Answer { fingerprint, record: record.map(|entry| entry.record()), uptime };
         self.tell(sender, body, out);
     }
 
@@ -198,10 +194,7 @@
         let Some(inquiry) = self.inquiries.get(&fingerprint) else {
             return;
         };
-        let complete = inquiry
-            .asked
-            .iter()
-            .all(|id| inquiry.unknown.contains_key(id));
+        let complete = inquiry.asked.iter().all(|id| inquiry.unknown.contains_key(id));
         let certain = self.is_certain(fingerprint.slot(), Some(&inquiry.unknown));
         if certain && (complete || due) {
             self.conclude(now, fingerprint, Verdict::Unknown, out);
@@ -227,10 +220,7 @@
             let packet = held.packet();
             let request = held.from.is_none() && !packet.summary.opens();
             let mut entry = self.table.get(now, fingerprint);
-            if let Some(entry) = entry
-                .as_mut()
-                .filter(|entry| request && is_unconfirmed(entry))
-            {
+            if let Some(entry) = entry.as_mut().filter(|entry| request && is_unconfirmed(entry)) {
                 if verdict == Verdict::Inconclusive {
                     self.drop(Cause::Inconclusive, out);
                     continue;
--- a/src/load/monitor.rs
+++ b/src/load/monitor.rs
@@ -37,12 +37,7 @@
 impl Monitor {
     /// Creates a monitor for the member `own` that knows nothing of any target.
     pub fn new(config: Config, own: Id) -> Monitor {
-        Monitor {
-            config,
-            own,
-            tracks: HashMap::new(),
-            classes: HashMap::new(),
-        }
+        Monitor { config, own, tracks: HashMap::new(), classes: HashMap::new() }
     }
 
     /// Returns whether this daemon reads the endpoints of `target`: the member of the target's
@@ -84,13 +79,7 @@
         }
         track.sent = Some((class, now));
         track.sequence += 1;
-        Some(Report {
-            target,
-            class,
-            start: track.start,
-            sequence: track.sequence,
-            age: 0,
-        })
+        Some(Report { target, class, start: track.start, sequence: track.sequence, age: 0 })
     }
 
     /// Takes a report of another daemon. Of two reports the later observation counts.
@@ -108,10 +97,7 @@
 
     /// Takes an observation of this daemon's packet path.
     pub fn on_observation(&mut self, now: Instant, target: TargetId, observation: Observation) {
-        self.tracks
-            .entry(target)
-            .or_default()
-            .observe(now, &self.config, observation);
+        self.tracks.entry(target).or_default().observe(now, &self.config, observation);
     }
 
     /// Returns the classes that have changed since the last call, capping ejections per service.
@@ -135,11 +121,7 @@
                 }
                 let previous = self.classes.insert(*target, class).unwrap_or_default();
                 if previous != class {
-                    changes.push(Change {
-                        target: *target,
-                        class,
-                        since,
-                    });
+                    changes.push(Change { target: *target, class, since });
                 }
             }
         }
--- a/src/load/track.rs
+++ b/src/load/track.rs
@@ -32,16 +32,8 @@
     /// Takes a reading and returns the class that follows from it.
     pub(super) fn read(&mut self, config: &Config, reading: &Reading) -> Class {
         let good = reading.healthy.unwrap_or(true);
-        self.streak = if good == self.failing {
-            self.streak + 1
-        } else {
-            0
-        };
-        let needed = if self.failing {
-            config.good_to_return
-        } else {
-            config.bad_to_eject
-        };
+        self.streak = if good == self.failing { self.streak + 1 } else { 0 };
+        let needed = if self.failing { config.good_to_return } else { config.bad_to_eject };
         if self.streak >= needed {
             self.failing = !self.failing;
             self.streak = 0;
--- a/src/member/detector/apply.rs
+++ b/src/member/detector/apply.rs
@@ -34,9 +34,7 @@
             status: member.status,
             age_ms: now.saturating_duration_since(member.since).as_millis() as u64,
         });
-        Snapshot {
-            members: members.collect(),
-        }
+        Snapshot { members: members.collect() }
     }
 
     /// Merges another daemon's snapshot into the view.
@@ -137,16 +135,9 @@
         let Some(known) = self.view.get(update.id) else {
             return self.apply_unknown(now, update);
         };
-        let (new, old) = (
-            (update.incarnation, update.status),
-            (known.incarnation, known.status),
-        );
+        let (new, old) = ((update.incarnation, update.status), (known.incarnation, known.status));
         if new <= old {
-            return if new == old {
-                Verdict::Known
-            } else {
-                Verdict::Outdated
-            };
+            return if new == old { Verdict::Known } else { Verdict::Outdated };
         }
         // Without a description, the update must be about the known one.
         if update.info.is_none() && update.check != known.info.check() {
@@ -190,10 +181,7 @@
         let known = self.claims.iter().any(|(_, other)| other.id == claim.id);
         if !known && self.claims.len() < MAX_CLAIMS {
             let info = None;
-            let claim = Update {
-                info,
-                ..claim.clone()
-            };
+            let claim = Update { info, ..claim.clone() };
             self.claims.push_back((now, claim));
         }
     }
@@ -202,15 +190,10 @@
     fn defend(&mut self, now: Instant, update: &Update) -> Verdict {
         let own = (self.incarnation(), self.status());
         if (update.incarnation, update.status) <= own || own.1 == Status::Left {
-            return if update.incarnation < own.0 {
-                Verdict::Outdated
-            } else {
-                Verdict::Known
-            };
+            return if update.incarnation < own.0 { Verdict::Outdated } else { Verdict::Known };
         }
         let other_address = update.info.as_deref().is_some_and(|info| {
-            self.own_member()
-                .is_some_and(|member| member.info.peer != info.peer)
+            self.own_member().is_some_and(|member| member.info.peer != info.peer)
         });
         let present = matches!(update.status, Status::Alive | Status::Leaving);
         if present
@@ -239,18 +222,9 @@
         let Some(member) = self.own_member() else {
             return;
         };
-        let since = if member.status == status {
-            member.since
-        } else {
-            now
-        };
+        let since = if member.status == status { member.since } else { now };
         let info = member.info.clone();
-        self.store(Member {
-            info,
-            incarnation,
-            status,
-            since,
-        });
+        self.store(Member { info, incarnation, status, since });
         self.rumors.push(self.own, with_info, 0);
     }
 
@@ -264,10 +238,7 @@
         with_info: bool,
     ) {
         let id = info.id();
-        let before = self
-            .view
-            .get(id)
-            .map(|member| (member.status, member.since));
+        let before = self.view.get(id).map(|member| (member.status, member.since));
         match status {
             Status::Alive => {
                 self.departing.remove(&id);
@@ -284,10 +255,7 @@
                 // A suspicion that began here is in the map already.
                 let again = before.is_some_and(|(status, _)| status == Status::Suspect);
                 if again || !self.suspicions.contains_key(&id) {
-                    let suspicion = Suspicion {
-                        deadline,
-                        remind_at,
-                    };
+                    let suspicion = Suspicion { deadline, remind_at };
                     self.suspicions.insert(id, suspicion);
                 }
             }
@@ -315,12 +283,7 @@
             Some((Status::Suspect, _)) if status == Status::Failed => self.send_limit() / 2,
             _ => 0,
         };
-        self.store(Member {
-            info,
-            incarnation,
-            status,
-            since,
-        });
+        self.store(Member { info, incarnation, status, since });
         self.rumors.push(id, with_info, sent);
     }
 
--- a/src/member/detector/mod.rs
+++ b/src/member/detector/mod.rs
@@ -200,12 +200,7 @@
             counters: Counters::default(),
             config,
         };
-        let member = Member {
-            info,
-            incarnation,
-            status: Status::Alive,
-            since: now,
-        };
+        let member = Member { info, incarnation, status: Status::Alive, since: now };
         detector.store(member);
         detector.rumors.push(own, true, 0);
         detector
@@ -243,10 +238,7 @@
             return;
         }
         self.observe(now);
-        let peer = Peer {
-            id: from,
-            address: from_address,
-        };
+        let peer = Peer { id: from, address: from_address };
         match message {
             Message::Ping { sequence, updates } => {
                 let corrections = self.receive(now, peer, &updates, out);
@@ -258,26 +250,14 @@
                 self.receive(now, peer, &updates, out);
                 self.on_ack(peer, sequence, out);
             }
-            Message::PingRequest {
-                sequence,
-                target,
-                updates,
-            } => {
+            Message::PingRequest { sequence, target, updates } => {
                 self.receive(now, peer, &updates, out);
                 self.on_ping_request(now, peer, sequence, target, out);
             }
-            Message::Digest {
-                sequence,
-                urgent,
-                buckets,
-            } => self.on_digest(now, peer, sequence, urgent, &buckets, out),
-            Message::Summary {
-                sequence,
-                parts,
-                from,
-                to,
-                entries,
-            } => {
+            Message::Digest { sequence, urgent, buckets } => {
+                self.on_digest(now, peer, sequence, urgent, &buckets, out)
+            }
+            Message::Summary { sequence, parts, from, to, entries } => {
                 self.note_part(peer, sequence, parts);
                 self.on_summary(now, peer, (from, to), &entries, out);
             }
@@ -365,13 +345,11 @@
     }
 
     fn status(&self) -> Status {
-        self.own_member()
-            .map_or(Status::Alive, |member| member.status)
+        self.own_member().map_or(Status::Alive, |member| member.status)
     }
 
     fn incarnation(&self) -> Incarnation {
-        self.own_member()
-            .map_or(self.started, |member| member.incarnation)
+        self.own_member().map_or(self.started, |member| member.incarnation)
     }
 
     fn is_running(&self) -> bool {
@@ -463,11 +441,7 @@
     }
 
     fn send(&self, peer: Peer, message: Message, out: &mut Vec<Output>) {
-        out.push(Output::Send {
-            to: peer.id,
-            address: peer.address,
-            message,
-        });
+        out.push(Output::Send { to: peer.id, address: peer.address, message });
     }
 
     /// Returns the address of a known member.
@@ -535,8 +509,7 @@
             return;
         }
         self.next_housekeeping = now + HOUSEKEEPING;
-        self.recovered
-            .retain(|_, at| now.saturating_duration_since(*at) < DOUBT);
+        self.recovered.retain(|_, at| now.saturating_duration_since(*at) < DOUBT);
         let age = |member: &Member| now.saturating_duration_since(member.since);
         let old: Vec<Id> = self
             .view
--- a/src/member/detector/probe.rs
+++ b/src/member/detector/probe.rs
@@ -77,9 +77,7 @@
     fn relieve(&mut self, now: Instant, out: &mut Vec<Output>) {
         let bytes = self.config.max_bytes as f64;
         if now >= self.next_relief
-            && self
-                .rumors
-                .has_backlog(self.config.max_updates, BACKLOG_SENDS)
+            && self.rumors.has_backlog(self.config.max_updates, BACKLOG_SENDS)
             && self.gossip_budget.take(now, bytes)
             && let Some(peer) = self.random_peers(1, self.own).pop()
         {
@@ -186,12 +184,7 @@
     fn probe(&mut self, now: Instant, target: Peer, first: Vec<Update>, out: &mut Vec<Output>) {
         let sequence = self.next_sequence();
         self.ping(target, sequence, first, out);
-        self.probes.push(Probe {
-            target,
-            sequence,
-            sent: now,
-            helpers: None,
-        });
+        self.probes.push(Probe { target, sequence, sent: now, helpers: None });
     }
 
     fn ping(&mut self, peer: Peer, sequence: u32, mut first: Vec<Update>, out: &mut Vec<Output>) {
@@ -214,10 +207,7 @@
             self.config.suspicion
         };
         let (info, incarnation) = (member.info.clone(), member.incarnation);
-        let suspicion = Suspicion {
-            deadline: now + timeout,
-            remind_at: Some(now),
-        };
+        let suspicion = Suspicion { deadline: now + timeout, remind_at: Some(now) };
         self.suspicions.insert(id, suspicion);
         self.adopt(now, info, incarnation, Status::Suspect, false);
     }
@@ -256,11 +246,7 @@
     fn ping_failed(&mut self, now: Instant, out: &mut Vec<Output>) {
         // A member without contact to any other has nothing else to do.
         let alone = self.suspicions.len() >= self.order.len();
-        let interval = if alone {
-            self.config.period
-        } else {
-            self.config.failed_interval
-        };
+        let interval = if alone { self.config.period } else { self.config.failed_interval };
         self.next_failed = now + interval.mul_f64(self.rng.random_range(0.75..1.25));
         let failed = self
             .view
@@ -315,11 +301,7 @@
             }
         }
         let hurry = self.order.is_empty() || self.hurried;
-        let interval = if hurry {
-            self.config.period
-        } else {
-            self.config.failed_interval
-        };
+        let interval = if hurry { self.config.period } else { self.config.failed_interval };
         self.next_contact = now + interval;
         if self.untried.is_empty() {
             self.hurried = false;
@@ -337,9 +319,7 @@
 
     /// Returns whether a contact is unknown or failed.
     fn is_lost(&self, id: Id) -> bool {
-        self.view
-            .get(id)
-            .is_none_or(|member| member.status == Status::Failed)
+        self.view.get(id).is_none_or(|member| member.status == Status::Failed)
     }
 
     pub(super) fn on_ack(&mut self, peer: Peer, sequence: u32, out: &mut Vec<Output>) {
@@ -362,10 +342,8 @@
         if let Some(relay) = relay.and_then(|index| self.relays.remove(index)) {
             // The target's refutation goes first.
             let updates = self.update_about(relay.target, false).into_iter().collect();
-            let message = Message::Ack {
-                sequence: relay.requested,
-                updates: self.piggyback(updates),
-            };
+            let message =
+                Message::Ack { sequence: relay.requested, updates: self.piggyback(updates) };
             self.send(relay.requester, message, out);
         }
     }
@@ -388,8 +366,7 @@
             return;
         }
         let period = self.config.period;
-        self.relays
-            .retain(|relay| now.saturating_duration_since(relay.sent) < period);
+        self.relays.retain(|relay| now.saturating_duration_since(relay.sent) < period);
         if self.relays.len() >= MAX_RELAYS {
             return;
         }
@@ -397,13 +374,7 @@
             return;
         };
         let sequence = self.next_sequence();
-        self.relays.push_back(Relay {
-            sequence,
-            target,
-            requester,
-            requested,
-            sent: now,
-        });
+        self.relays.push_back(Relay { sequence, target, requester, requested, sent: now });
         self.ping(peer, sequence, Vec::new(), out);
     }
 }
--- a/src/member/detector/sync.rs
+++ b/src/member/detector/sync.rs
@@ -70,11 +70,8 @@
     /// answered and the differences are fetched, or after 2 s. A daemon that knows no other
     /// member gets it at once.
     pub fn confirm(&mut self, now: Instant) {
-        self.confirmation = Some(Confirmation {
-            deadline: now + CONFIRM_TIMEOUT,
-            next: now,
-            requests: Vec::new(),
-        });
+        self.confirmation =
+            Some(Confirmation { deadline: now + CONFIRM_TIMEOUT, next: now, requests: Vec::new() });
     }
 
     pub(super) fn tick_confirmation(&mut self, now: Instant, out: &mut Vec<Output>) {
@@ -137,11 +134,7 @@
         let sequence = self.next_sequence();
         let count = (self.order.len() / 16).next_power_of_two().min(BUCKETS);
         let buckets = self.buckets.folded(count);
-        let message = Message::Digest {
-            sequence,
-            urgent,
-            buckets,
-        };
+        let message = Message::Digest { sequence, urgent, buckets };
         self.send(peer, message, out);
         sequence
     }
@@ -185,13 +178,7 @@
             } else if !self.sync_budget.take(now, cost) {
                 return;
             }
-            let message = Message::Summary {
-                sequence,
-                parts,
-                from,
-                to,
-                entries,
-            };
+            let message = Message::Summary { sequence, parts, from, to, entries };
             self.send(peer, message, out);
         }
     }
@@ -301,11 +288,8 @@
                 }
             }
         }
-        let mut answer: Vec<Update> = wanted
-            .iter()
-            .take(MAX_WANTED)
-            .filter_map(|id| self.update_about(*id, true))
-            .collect();
+        let mut answer: Vec<Update> =
+            wanted.iter().take(MAX_WANTED).filter_map(|id| self.update_about(*id, true)).collect();
         answer.dedup();
         self.send_updates(peer, answer, Vec::new(), out);
     }
@@ -340,10 +324,7 @@
             batch.push(update);
         }
         if !batch.is_empty() || !wanted.is_empty() {
-            let message = Message::Updates {
-                updates: batch,
-                wanted,
-            };
+            let message = Message::Updates { updates: batch, wanted };
             self.send(peer, message, out);
         }
     }
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -112,10 +112,7 @@
         let mut ranking = Ranking::empty();
         ranking.candidates = ranking.select(view, Some(own), region, zones_out);
         ranking.slots = ranking.rank_all();
-        let before = ranking
-            .slots
-            .iter()
-            .map(|ranked| ranked.map(|ranked| ranked.owners));
+        let before = ranking.slots.iter().map(|ranked| ranked.map(|ranked| ranked.owners));
         ranking.before = Some(before.collect());
         ranking.update(now, view, region, zones_out);
         ranking
@@ -189,11 +186,7 @@
     /// Unlike [`Ranking::former`], it names both owners of a pair, also one that is still an
     /// owner.
     pub fn former_owners(&self, slot: Slot) -> Option<Owners> {
-        self.before
-            .as_ref()?
-            .get(usize::from(slot))
-            .copied()
-            .flatten()
+        self.before.as_ref()?.get(usize::from(slot)).copied().flatten()
     }
 
     /// Returns the members that are about to stop and still answer.
@@ -223,10 +216,7 @@
 
     /// Makes the owners of `previous` the newest former owners of this ranking.
     pub fn after(mut self, previous: &Ranking, now: Instant) -> Ranking {
-        let before = previous
-            .slots
-            .iter()
-            .map(|ranked| ranked.map(|ranked| ranked.owners));
+        let before = previous.slots.iter().map(|ranked| ranked.map(|ranked| ranked.owners));
         self.before = Some(before.collect());
         let slots = std::mem::replace(&mut self.slots, previous.slots.clone());
         self.slots.resize(usize::from(SLOTS), None);
@@ -266,19 +256,13 @@
                 Status::Suspect | Status::Failed | Status::Left => {}
             }
         }
-        if candidates.is_empty() {
-            reserve
-        } else {
-            candidates
-        }
+        if candidates.is_empty() { reserve } else { candidates }
     }
 
     /// Notes the members that leave, have left or have failed. Returns whether there is a change.
     fn note_departures(&mut self, view: &View) -> bool {
         let with = |status| {
-            view.iter()
-                .filter(move |(_, member)| member.status == status)
-                .map(|(id, _)| id)
+            view.iter().filter(move |(_, member)| member.status == status).map(|(id, _)| id)
         };
         let leaving = with(Status::Leaving).collect();
         let left = with(Status::Left).collect();
@@ -289,10 +273,7 @@
     }
 
     fn zone_index(&mut self, zone: &Arc<str>) -> ZoneIndex {
-        let known = self
-            .zones
-            .iter()
-            .position(|known| Arc::ptr_eq(known, zone) || known == zone);
+        let known = self.zones.iter().position(|known| Arc::ptr_eq(known, zone) || known == zone);
         let index = known.unwrap_or_else(|| {
             self.zones.push(zone.clone());
             self.zones.len() - 1
@@ -301,9 +282,7 @@
     }
 
     fn rank_all(&self) -> Vec<Option<Ranked>> {
-        (0..SLOTS)
-            .map(|slot| rank(slot, &self.candidates))
-            .collect()
+        (0..SLOTS).map(|slot| rank(slot, &self.candidates)).collect()
     }
 
     /// Ranks again the hash slots that `lost` owned, then those that `gained` take.
@@ -415,10 +394,7 @@
     let (primary, primary_zone) = best?;
     let secondary = other.or(second);
     Some(Ranked {
-        owners: Owners {
-            primary: primary.1,
-            secondary: secondary.map(|(weight, _)| weight.1),
-        },
+        owners: Owners { primary: primary.1, secondary: secondary.map(|(weight, _)| weight.1) },
         primary_zone,
         secondary_zone: secondary.map_or(primary_zone, |(_, zone)| zone),
     })
@@ -428,10 +404,7 @@
 fn add(slot: Slot, ranked: Option<Ranked>, id: Id, zone: ZoneIndex) -> Ranked {
     let Some(ranked) = ranked else {
         return Ranked {
-            owners: Owners {
-                primary: id,
-                secondary: None,
-            },
+            owners: Owners { primary: id, secondary: None },
             primary_zone: zone,
             secondary_zone: zone,
         };
@@ -446,31 +419,18 @@
             _ => (primary, ranked.primary_zone),
         };
         return Ranked {
-            owners: Owners {
-                primary: id,
-                secondary: Some(secondary),
-            },
+            owners: Owners { primary: id, secondary: Some(secondary) },
             primary_zone: zone,
             secondary_zone,
         };
     }
     let takes = secondary.is_none_or(|old| {
         let new = (zone != ranked.primary_zone, new);
-        let old = (
-            ranked.secondary_zone != ranked.primary_zone,
-            weight(slot, old),
-        );
+        let old = (ranked.secondary_zone != ranked.primary_zone, weight(slot, old));
         new > old
     });
     if !takes {
         return ranked;
     }
-    Ranked {
-        owners: Owners {
-            primary,
-            secondary: Some(id),
-        },
-        secondary_zone: zone,
-        ..ranked
-    }
+    Ranked { owners: Owners { primary, secondary: Some(id) }, secondary_zone: zone, ..ranked }
 }
--- a/src/member/rumors.rs
+++ b/src/member/rumors.rs
@@ -26,14 +26,7 @@
         let with_info = with_info | self.remove(id);
         let order = self.next_order;
         self.next_order += 1;
-        self.rumors.insert(
-            id,
-            Rumor {
-                sent,
-                order,
-                with_info,
-            },
-        );
+        self.rumors.insert(id, Rumor { sent, order, with_info });
         self.queue.insert((sent, order, id));
     }
 
@@ -48,20 +41,14 @@
 
     /// Returns the queued ids and whether the description is to be sent, least sent first.
     pub(super) fn iter(&self) -> impl Iterator<Item = (Id, bool)> {
-        self.queue.iter().map(|(_, _, id)| {
-            (
-                *id,
-                self.rumors.get(id).is_some_and(|rumor| rumor.with_info),
-            )
-        })
+        self.queue
+            .iter()
+            .map(|(_, _, id)| (*id, self.rumors.get(id).is_some_and(|rumor| rumor.with_info)))
     }
 
     /// Returns whether more than `count` members were sent fewer than `sent` times.
     pub(super) fn has_backlog(&self, count: usize, sent: u32) -> bool {
-        self.queue
-            .iter()
-            .nth(count)
-            .is_some_and(|(done, _, _)| *done < sent)
+        self.queue.iter().nth(count).is_some_and(|(done, _, _)| *done < sent)
     }
 
     /// Counts one more message that carries `id` and drops it after `limit` messages.
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -50,10 +50,7 @@
     /// Returns the members with ids from `first` to `last` in the order of their ids.
     pub(super) fn range(&self, first: Id, last: Id) -> impl Iterator<Item = (Id, &Member)> {
         let range = (first <= last).then(|| self.members.range(first..=last));
-        range
-            .into_iter()
-            .flatten()
-            .map(|(id, member)| (*id, member))
+        range.into_iter().flatten().map(|(id, member)| (*id, member))
     }
 
     /// Returns the number of members in any state.
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -73,9 +73,7 @@
     async fn status(&self) -> Option<Status> {
         let summary = self.summary().await?;
         let view = self.shared.view.load();
-        let alive = view
-            .iter()
-            .filter(|(_, member)| member.status == member::Status::Alive);
+        let alive = view.iter().filter(|(_, member)| member.status == member::Status::Alive);
         let own = view.get(self.info.id());
         let platform = self.shared.platform.load();
         Some(Status {
@@ -135,10 +133,7 @@
                 state: set.map_or(ZoneState::In, |(_, state)| *state),
                 ticket: set.map(|(number, _)| *number),
                 members_alive: alive.count() as u64,
-                targets: routes
-                    .targets()
-                    .filter(|target| target.zone == name)
-                    .count() as u64,
+                targets: routes.targets().filter(|target| target.zone == name).count() as u64,
                 name,
             }
         };
@@ -165,10 +160,7 @@
                     is_placeable: target.is_placeable() && class != Class::Failing,
                     weight: target.weight,
                     flows: flows.get(&target.id).copied().unwrap_or(0),
-                    ticket: service
-                        .generations
-                        .first()
-                        .map_or(0, |newest| newest.number),
+                    ticket: service.generations.first().map_or(0, |newest| newest.number),
                 })
             })
             .collect();
@@ -182,27 +174,16 @@
         for (number, object) in &summary.objects {
             accepted.entry(*number).or_default().push(object.clone());
         }
-        let accepted = accepted
-            .into_iter()
-            .map(|(number, objects)| Accepted { number, objects })
-            .collect();
+        let accepted =
+            accepted.into_iter().map(|(number, objects)| Accepted { number, objects }).collect();
         let refused = summary.refused.into_iter();
-        let refused = refused
-            .map(|(number, reason)| Refused { number, reason })
-            .collect();
-        Some(Tickets {
-            digest: summary.digest,
-            accepted,
-            refused,
-        })
+        let refused = refused.map(|(number, reason)| Refused { number, reason }).collect();
+        Some(Tickets { digest: summary.digest, accepted, refused })
     }
 
     async fn in_force(&self, number: Number) -> Option<InForce> {
         let summary = self.summary().await?;
-        let refused = summary
-            .refused
-            .iter()
-            .find(|(refused, _)| *refused == Some(number));
+        let refused = summary.refused.iter().find(|(refused, _)| *refused == Some(number));
         let state = if summary.history.is_applied(number) {
             TicketState::InForce
         } else if let Some((_, reason)) = refused {
@@ -212,29 +193,14 @@
         } else {
             TicketState::Unknown
         };
-        Some(InForce {
-            name: self.info.name.clone(),
-            number,
-            state,
-        })
+        Some(InForce { name: self.info.name.clone(), number, state })
     }
 
     async fn explain(&self, question: Question) -> Option<Explanation> {
-        let Question {
-            protocol,
-            caller,
-            service,
-        } = question;
-        let key = Key {
-            protocol,
-            caller,
-            service,
-        };
+        let Question { protocol, caller, service } = question;
+        let key = Key { protocol, caller, service };
         let (reply, answer) = oneshot::channel();
-        self.commands
-            .send(Command::Explain(key, reply))
-            .await
-            .ok()?;
+        self.commands.send(Command::Explain(key, reply)).await.ok()?;
         let found = answer.await.ok()?;
         let view = self.shared.view.load();
         let routes = self.shared.routes.load();
@@ -246,9 +212,7 @@
             let known = routes.target(id).map(|target| target.name.clone());
             known.unwrap_or_else(|| format!("{id:016x}").into())
         };
-        let service = routes
-            .service_at(protocol, service)
-            .and_then(|index| routes.service(index));
+        let service = routes.service_at(protocol, service).and_then(|index| routes.service(index));
         let bases = service.map_or_else(Vec::new, |service| {
             let base = |generation: &crate::route::Generation| Base {
                 ticket: generation.number,
@@ -280,11 +244,7 @@
             .filter_map(|(id, flows)| {
                 let target = routes.target(*id)?;
                 let service = routes.service(target.service)?.name.clone();
-                Some(TargetFlows {
-                    service,
-                    target: target.name.clone(),
-                    flows: *flows,
-                })
+                Some(TargetFlows { service, target: target.name.clone(), flows: *flows })
             })
             .collect();
         targets.sort_by(|a, b| (&a.service, &a.target).cmp(&(&b.service, &b.target)));
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -96,16 +96,12 @@
             peer: settings.peer,
             admin: settings.admin,
         };
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = since_epoch.as_millis() as member::Incarnation;
         let keyring = Arc::new(settings.keyring().map_err(Error::Keys)?);
         let data = bind("data", settings.data)?;
         let peer = bind("peer", settings.peer)?;
-        let outgoing = peer
-            .try_clone()
-            .map_err(bind_error("peer", settings.peer))?;
+        let outgoing = peer.try_clone().map_err(bind_error("peer", settings.peer))?;
         let sender = Sender::new(Arc::new(outgoing), keyring.clone(), info.id());
         let shared = Arc::new(Shared::new());
         let (commands, command_queue) = mpsc::channel(QUEUE);
@@ -125,16 +121,9 @@
             region: info.region.clone(),
         };
         let packet_thread = spawn_packet_loop(parts, now)?;
-        let (coordinator, links) = spawn_actors(
-            &settings,
-            &info,
-            incarnation,
-            &shared,
-            &sender,
-            &commands,
-            &mut random,
-        )
-        .await?;
+        let (coordinator, links) =
+            spawn_actors(&settings, &info, incarnation, &shared, &sender, &commands, &mut random)
+                .await?;
         let metrics = Metrics::new()?;
         let mut node = Node {
             info,
@@ -152,10 +141,7 @@
             scrape: None,
         };
         node.spawn_tasks(notice_queue, &mut random).await?;
-        info!(
-            "daemon {} started in zone {}",
-            node.info.name, node.info.zone
-        );
+        info!("daemon {} started in zone {}", node.info.name, node.info.zone);
         Ok(node)
     }
 
@@ -178,12 +164,7 @@
 
     /// Waits until the daemon has the first state and forwards packets, at most about 5 s.
     pub async fn ready(&self) {
-        let _ = self
-            .shared
-            .is_ready
-            .subscribe()
-            .wait_for(|is_ready| *is_ready)
-            .await;
+        let _ = self.shared.is_ready.subscribe().wait_for(|is_ready| *is_ready).await;
     }
 
     /// Stops gracefully: the daemon is no longer an owner, hands over its flows, forwards until the
@@ -210,11 +191,7 @@
         while farewell.elapsed() < FAREWELL_TIMEOUT && !self.is_departed().await {
             sleep(LEAVE_POLL).await;
         }
-        info!(
-            "daemon {} has left after {} ms",
-            self.info.name,
-            begun.elapsed().as_millis()
-        );
+        info!("daemon {} has left after {} ms", self.info.name, begun.elapsed().as_millis());
         self.end().await;
     }
 
@@ -225,10 +202,7 @@
 
     async fn is_handed_over(&self) -> bool {
         let (reply, answer) = oneshot::channel();
-        self.commands
-            .send(Command::IsHandedOver(reply))
-            .await
-            .is_ok()
+        self.commands.send(Command::IsHandedOver(reply)).await.is_ok()
             && answer.await.unwrap_or(true)
     }
 
@@ -266,10 +240,7 @@
         random: &mut Pcg64,
     ) -> Result<()> {
         let links = self.links.clone();
-        let client = Arc::new(Client::new(
-            self.settings.platform.clone(),
-            Timeouts::default(),
-        ));
+        let client = Arc::new(Client::new(self.settings.platform.clone(), Timeouts::default()));
         let joiner = Joiner {
             platform: client.clone(),
             own: self.info.clone(),
@@ -294,28 +265,13 @@
         let shared = || self.shared.clone();
         let watches = [
             tokio::spawn(dispatch(notices, links.clone(), self.coordinator.clone())),
-            tokio::spawn(watch::tickets(
-                client.clone(),
-                shared(),
-                links.tickets.clone(),
-                seed,
-            )),
-            tokio::spawn(watch::vms(
-                client,
-                shared(),
-                links.members.clone(),
-                other_seed,
-            )),
+            tokio::spawn(watch::tickets(client.clone(), shared(), links.tickets.clone(), seed)),
+            tokio::spawn(watch::vms(client, shared(), links.members.clone(), other_seed)),
             tokio::spawn(joiner.run()),
-            tokio::spawn(metrics::run(
-                self.metrics.clone(),
-                shared(),
-                self.sender.clone(),
-            )),
+            tokio::spawn(metrics::run(self.metrics.clone(), shared(), self.sender.clone())),
             tokio::spawn(answerer.run(requests)),
         ];
-        self.tasks
-            .extend(watches.iter().map(tokio::task::JoinHandle::abort_handle));
+        self.tasks.extend(watches.iter().map(tokio::task::JoinHandle::abort_handle));
         Ok(())
     }
 }
@@ -328,33 +284,15 @@
 ) {
     while let Some(notice) = notices.recv().await {
         let is_passed = match notice {
-            Notice::Frame {
-                from,
-                address,
-                body: Body::Member(message),
-            } => links
-                .members
-                .cast(members::Request::Received {
-                    from,
-                    address,
-                    message,
-                })
-                .is_ok(),
-            Notice::Frame {
-                from,
-                body: Body::Spread(message),
-                ..
-            } => links
-                .tickets
-                .cast(tickets::Request::Received { from, message })
-                .is_ok(),
-            Notice::Frame {
-                body: Body::Load(reports),
-                ..
-            } => links
-                .targets
-                .cast(targets::Request::Reports(reports))
-                .is_ok(),
+            Notice::Frame { from, address, body: Body::Member(message) } => {
+                links.members.cast(members::Request::Received { from, address, message }).is_ok()
+            }
+            Notice::Frame { from, body: Body::Spread(message), .. } => {
+                links.tickets.cast(tickets::Request::Received { from, message }).is_ok()
+            }
+            Notice::Frame { body: Body::Load(reports), .. } => {
+                links.targets.cast(targets::Request::Reports(reports)).is_ok()
+            }
             Notice::Frame { .. } => true,
             Notice::Paused(gap) => coordinator.cast(coordinator::Request::Paused(gap)).is_ok(),
             Notice::Observed(seen) => links.targets.cast(targets::Request::Observed(seen)).is_ok(),
@@ -385,14 +323,10 @@
 }
 
 fn spawn_packet_loop(parts: Parts, now: Instant) -> Result<JoinHandle<()>> {
-    let start_error = |source: std::io::Error| Error::Start {
-        name: "packet loop",
-        source: source.into(),
-    };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(start_error)?;
+    let start_error =
+        |source: std::io::Error| Error::Start { name: "packet loop", source: source.into() };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(start_error)?;
     let run = move || {
         runtime.block_on(async move {
             match PacketLoop::new(parts, now) {
@@ -401,10 +335,7 @@
             }
         });
     };
-    std::thread::Builder::new()
-        .name("packets".into())
-        .spawn(run)
-        .map_err(start_error)
+    std::thread::Builder::new().name("packets".into()).spawn(run).map_err(start_error)
 }
 
 async fn spawn_actors(
@@ -416,23 +347,14 @@
     commands: &mpsc::Sender<Command>,
     random: &mut Pcg64,
 ) -> Result<(ActorRef<coordinator::Request>, Links)> {
-    let start_error = |name| {
-        move |source: ractor::SpawnErr| Error::Start {
-            name,
-            source: source.into(),
-        }
-    };
+    let start_error =
+        |name| move |source: ractor::SpawnErr| Error::Start { name, source: source.into() };
     let (coordinator, _) = Actor::spawn(None, Coordinator, (commands.clone(), shared.clone()))
         .await
         .map_err(start_error("coordinator"))?;
     let now = Instant::now();
-    let detector = Detector::new(
-        member::Config::default(),
-        info.clone(),
-        incarnation,
-        random.random(),
-        now,
-    );
+    let detector =
+        Detector::new(member::Config::default(), info.clone(), incarnation, random.random(), now);
     let arguments = members::Arguments {
         detector,
         region: info.region.clone(),
@@ -441,9 +363,8 @@
         shared: shared.clone(),
         coordinator: coordinator.clone(),
     };
-    let (members, _) = Actor::spawn(None, Members, arguments)
-        .await
-        .map_err(start_error("member view"))?;
+    let (members, _) =
+        Actor::spawn(None, Members, arguments).await.map_err(start_error("member view"))?;
     let mut config = spread::Config::new(info.zone.clone());
     config.rate = f64::from(settings.control.bytes_per_second);
     config.burst = f64::from(settings.control.burst_bytes);
@@ -456,9 +377,8 @@
         shared: shared.clone(),
         coordinator: coordinator.clone(),
     };
-    let (tickets, _) = Actor::spawn(None, Tickets, arguments)
-        .await
-        .map_err(start_error("ticket state"))?;
+    let (tickets, _) =
+        Actor::spawn(None, Tickets, arguments).await.map_err(start_error("ticket state"))?;
     let arguments = targets::Arguments {
         monitor: Monitor::new(crate::load::Config::default(), info.id()),
         region: info.region.clone(),
@@ -468,14 +388,9 @@
         shared: shared.clone(),
         own: info.id(),
     };
-    let (targets, _) = Actor::spawn(None, Targets, arguments)
-        .await
-        .map_err(start_error("target classes"))?;
-    let links = Links {
-        members,
-        tickets,
-        targets,
-    };
+    let (targets, _) =
+        Actor::spawn(None, Targets, arguments).await.map_err(start_error("target classes"))?;
+    let links = Links { members, tickets, targets };
     let _ = coordinator.cast(coordinator::Request::Link(Box::new(links.clone())));
     Ok((coordinator, links))
 }
@@ -494,9 +409,5 @@
 }
 
 fn bind_error(name: &'static str, address: SocketAddr) -> impl FnOnce(std::io::Error) -> Error {
-    move |source| Error::Bind {
-        name,
-        address,
-        source,
-    }
+    move |source| Error::Bind { name, address, source }
 }
--- a/src/node/inbox.rs
+++ b/src/node/inbox.rs
@@ -43,26 +43,17 @@
     /// Returns the error of the system call; `WouldBlock` if no datagram waits.
     pub(super) fn receive(&mut self, socket: &impl AsRawFd) -> io::Result<usize> {
         self.received.clear();
-        let mut slices: Vec<[IoSliceMut<'_>; 1]> = self
-            .buffers
-            .iter_mut()
-            .map(|buffer| [IoSliceMut::new(buffer)])
-            .collect();
+        let mut slices: Vec<[IoSliceMut<'_>; 1]> =
+            self.buffers.iter_mut().map(|buffer| [IoSliceMut::new(buffer)]).collect();
         let flags = MsgFlags::MSG_DONTWAIT;
         let fd = socket.as_raw_fd();
         for message in recvmmsg(fd, &mut self.headers, slices.iter_mut(), flags, None)? {
             let is_whole = !message.flags.contains(MsgFlags::MSG_TRUNC);
             let from = message.address.as_ref().and_then(address);
             // A datagram without sender or one that was cut off is treated as empty.
-            let unusable = Received {
-                from: SocketAddr::from(([0, 0, 0, 0], 0)),
-                length: 0,
-            };
+            let unusable = Received { from: SocketAddr::from(([0, 0, 0, 0], 0)), length: 0 };
             self.received.push(match from {
-                Some(from) if is_whole => Received {
-                    from,
-                    length: message.bytes,
-                },
+                Some(from) if is_whole => Received { from, length: message.bytes },
                 _ => unusable,
             });
         }
@@ -72,10 +63,7 @@
     /// Returns the sender and content of the datagram `index` of the last batch.
     pub(super) fn datagram(&self, index: usize) -> Option<(SocketAddr, &[u8])> {
         let received = self.received.get(index)?;
-        Some((
-            received.from,
-            self.buffers.get(index)?.get(..received.length)?,
-        ))
+        Some((received.from, self.buffers.get(index)?.get(..received.length)?))
     }
 }
 
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -44,10 +44,7 @@
     pub(super) async fn run(self) {
         let start = Instant::now();
         if timeout(JOIN_TIMEOUT, self.fetch()).await.is_err() {
-            warn!(
-                "first state is not complete after {} s",
-                JOIN_TIMEOUT.as_secs()
-            );
+            warn!("first state is not complete after {} s", JOIN_TIMEOUT.as_secs());
         }
         info!("joined after {} ms", start.elapsed().as_millis());
         // Requests of one sender arrive in order, so the state is merged before forwarding starts.
@@ -87,16 +84,10 @@
 
     /// Returns the admin addresses of other daemons, those of the own zone and region first.
     fn nearest_first(&self, infos: &[Info]) -> Vec<SocketAddr> {
-        let mut others: Vec<&Info> = infos
-            .iter()
-            .filter(|info| info.name != self.own.name)
-            .collect();
+        let mut others: Vec<&Info> =
+            infos.iter().filter(|info| info.name != self.own.name).collect();
         others.sort_by_key(|info| {
-            (
-                info.region != self.own.region,
-                info.zone != self.own.zone,
-                info.id(),
-            )
+            (info.region != self.own.region, info.zone != self.own.zone, info.id())
         });
         others.iter().map(|info| info.admin).collect()
     }
@@ -120,9 +111,7 @@
             match self.platform.tickets(index, Duration::ZERO).await {
                 Ok(tickets) => {
                     index = tickets.index;
-                    let _ = self
-                        .tickets
-                        .cast(tickets::Request::Published(tickets.tickets));
+                    let _ = self.tickets.cast(tickets::Request::Published(tickets.tickets));
                     if !tickets.more {
                         return;
                     }
@@ -137,14 +126,8 @@
 
     /// Waits until the actors have taken over what was fetched.
     async fn wait_for_routes(&self) {
-        let _ = self
-            .tickets
-            .call(tickets::Request::Summary, Some(PEER_TIMEOUT))
-            .await;
-        let _ = self
-            .members
-            .call(members::Request::IsDeparted, Some(PEER_TIMEOUT))
-            .await;
+        let _ = self.tickets.call(tickets::Request::Summary, Some(PEER_TIMEOUT)).await;
+        let _ = self.members.call(members::Request::IsDeparted, Some(PEER_TIMEOUT)).await;
         info!(
             "{} members and {} services are known",
             self.shared.view.load().len(),
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -90,12 +90,7 @@
     ) -> Result<State, ActorProcessingErr> {
         own.send_interval(TICK, || Request::Tick);
         let zones_out = arguments.shared.zones_out.load_full();
-        let mut state = State {
-            arguments,
-            ranking: None,
-            zones_out,
-            outputs: Vec::new(),
-        };
+        let mut state = State { arguments, ranking: None, zones_out, outputs: Vec::new() };
         state.publish(Instant::now()).await;
         Ok(state)
     }
@@ -123,11 +118,7 @@
                     self.outputs.push(Output::ViewChanged);
                 }
             }
-            Request::Received {
-                from,
-                address,
-                message,
-            } => {
+            Request::Received { from, address, message } => {
                 detector.on_message(now, from, address, message, &mut self.outputs);
             }
             Request::Contacts(contacts) => detector.add_contacts(now, contacts),
@@ -159,9 +150,7 @@
         let mut is_changed = false;
         for output in std::mem::take(&mut self.outputs) {
             match output {
-                Output::Send {
-                    address, message, ..
-                } => {
+                Output::Send { address, message, .. } => {
                     self.arguments.sender.send(address, Body::Member(message));
                 }
                 Output::ViewChanged => is_changed = true,
@@ -171,10 +160,7 @@
                             "member view could not be confirmed after a pause; it stays in force"
                         );
                     }
-                    let _ = self
-                        .arguments
-                        .coordinator
-                        .cast(coordinator::Request::ViewConfirmed);
+                    let _ = self.arguments.coordinator.cast(coordinator::Request::ViewConfirmed);
                 }
             }
         }
@@ -186,9 +172,7 @@
     /// Ranks the owners for the first time. The owners without this daemon are the former ones, so
     /// that the daemon asks them for the flows it now owns.
     fn join(&mut self, now: Instant) {
-        let Arguments {
-            detector, region, ..
-        } = &self.arguments;
+        let Arguments { detector, region, .. } = &self.arguments;
         let (view, own) = (detector.view(), detector.id());
         self.ranking = Some(Ranking::joined(now, view, own, region, &self.zones_out));
     }
@@ -203,13 +187,7 @@
         };
         ranking.update(now, &view, &self.arguments.region, &self.zones_out);
         let ranking = Arc::new(ranking.clone());
-        if self
-            .arguments
-            .commands
-            .send(Command::SetMembers { view, ranking })
-            .await
-            .is_err()
-        {
+        if self.arguments.commands.send(Command::SetMembers { view, ranking }).await.is_err() {
             warn!("packet loop has ended; the member view is not passed on");
         }
     }
@@ -225,16 +203,10 @@
         let name = &member.info.name;
         match member.status {
             Status::Suspect | Status::Failed => {
-                warn!(
-                    "member {name} in {} is {:?}",
-                    member.info.zone, member.status
-                );
+                warn!("member {name} in {} is {:?}", member.info.zone, member.status);
             }
             Status::Alive | Status::Leaving | Status::Left => {
-                info!(
-                    "member {name} in {} is {:?}",
-                    member.info.zone, member.status
-                );
+                info!("member {name} in {} is {:?}", member.info.zone, member.status);
             }
         }
     }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -9,10 +9,8 @@
 /// How often the values are published for the next scrape.
 const PERIOD: Duration = Duration::from_secs(1);
 
-const DATAGRAMS: Instrument = Instrument::counter(
-    "datagrams",
-    "Datagrams received from the fabric and from targets.",
-);
+const DATAGRAMS: Instrument =
+    Instrument::counter("datagrams", "Datagrams received from the fabric and from targets.");
 const PACKETS: Instrument = Instrument::counter("packets", "Packets sent, by destination.");
 const CACHE: Instrument = Instrument::counter("cache_lookups", "Cache lookups, by result.");
 const DROPPED: Instrument = Instrument::counter("dropped_packets", "Dropped packets, by cause.");
@@ -20,10 +18,8 @@
 const NEW_FLOWS: Instrument = Instrument::counter("new_flows", "New flows, by outcome.");
 const QUERIES: Instrument = Instrument::counter("flow_queries", "Queries for records, by outcome.");
 const RECORDS: Instrument = Instrument::counter("flow_records", "Copies of records, by direction.");
-const CONFLICTS: Instrument = Instrument::counter(
-    "flow_conflicts",
-    "Records that differed between the owners, by state.",
-);
+const CONFLICTS: Instrument =
+    Instrument::counter("flow_conflicts", "Records that differed between the owners, by state.");
 const FRAME_BYTES: Instrument =
     Instrument::counter("frame_bytes", "Bytes of frames sent to members, by kind.");
 const ERRORS: Instrument = Instrument::counter("errors", "Datagrams and frames lost, by cause.");
@@ -33,10 +29,8 @@
 const TARGETS: Instrument = Instrument::gauge("targets", "Targets in force.");
 const READER: Instrument =
     Instrument::gauge("platform_reader", "1 if the daemon reads the platform.");
-const PLATFORM_FAILURES: Instrument = Instrument::gauge(
-    "platform_failures",
-    "Failed calls to the platform since the last success.",
-);
+const PLATFORM_FAILURES: Instrument =
+    Instrument::gauge("platform_failures", "Failed calls to the platform since the last success.");
 
 /// Publishes the values of a daemon until the task is aborted.
 pub(super) async fn run(metrics: Metrics, shared: Arc<Shared>, sender: Sender) {
@@ -105,10 +99,7 @@
         (Status::Failed, "failed"),
         (Status::Left, "left"),
     ] {
-        let count = view
-            .iter()
-            .filter(|(_, member)| member.status == status)
-            .count();
+        let count = view.iter().filter(|(_, member)| member.status == status).count();
         snapshot.set(MEMBERS, [("state", name)], count as u64);
     }
     let routes = shared.routes.load();
--- a/src/node/packets.rs
+++ b/src/node/packets.rs
@@ -222,11 +222,7 @@
 
     fn on_tick(&mut self) {
         let now = self.now();
-        if self
-            .suspended_at
-            .is_some_and(|at| now >= at + CONFIRM_TIMEOUT)
-            && !self.is_joining
-        {
+        if self.suspended_at.is_some_and(|at| now >= at + CONFIRM_TIMEOUT) && !self.is_joining {
             self.resume(now);
         }
         self.parts.forwarder.on_tick(now, &mut self.actions);
@@ -240,9 +236,7 @@
 
     fn on_data(&mut self) {
         let inbox = &mut self.inbox;
-        let received = self
-            .data
-            .try_io(Interest::READABLE, || inbox.receive(&self.parts.data));
+        let received = self.data.try_io(Interest::READABLE, || inbox.receive(&self.parts.data));
         let Ok(count) = received else { return };
         let now = self.now();
         for index in 0..count {
@@ -251,23 +245,16 @@
             };
             let length = bytes.len();
             let trace = self.parts.sampler.ingress();
-            self.parts
-                .forwarder
-                .on_datagram(now, from, bytes, trace, &mut self.actions);
+            self.parts.forwarder.on_datagram(now, from, bytes, trace, &mut self.actions);
             self.parts.sampler.decided(&self.actions);
-            self.queue(Some(Source {
-                index,
-                part: 0..length,
-            }));
+            self.queue(Some(Source { index, part: 0..length }));
         }
         self.send(now);
     }
 
     fn on_peer(&mut self) {
         let inbox = &mut self.inbox;
-        let received = self
-            .peer
-            .try_io(Interest::READABLE, || inbox.receive(&self.parts.peer));
+        let received = self.peer.try_io(Interest::READABLE, || inbox.receive(&self.parts.peer));
         let Ok(count) = received else { return };
         let now = self.now();
         for index in 0..count {
@@ -282,19 +269,13 @@
             let part = end - frame.packet.len()..end;
             match frame.body {
                 Body::Member(_) | Body::Spread(_) | Body::Load(_) => {
-                    let notice = Notice::Frame {
-                        from: frame.sender,
-                        address,
-                        body: frame.body,
-                    };
+                    let notice = Notice::Frame { from: frame.sender, address, body: frame.body };
                     // Control messages are repeated, so a full queue may lose them.
                     let _ = self.parts.notices.try_send(notice);
                 }
                 _ => {
                     self.parts.sampler.hop(&mut frame);
-                    self.parts
-                        .forwarder
-                        .on_frame(now, &frame, &mut self.actions);
+                    self.parts.forwarder.on_frame(now, &frame, &mut self.actions);
                     self.parts.sampler.decided(&self.actions);
                     self.queue(Some(Source { index, part }));
                 }
@@ -309,17 +290,13 @@
         match command {
             Command::SetMembers { view, ranking } => {
                 self.addresses = peers::addresses(&view);
-                forwarder
-                    .placer_mut()
-                    .set_members(&view, &self.parts.region);
+                forwarder.placer_mut().set_members(&view, &self.parts.region);
                 forwarder.set_ranking(now, ranking, &mut self.actions);
             }
             Command::SetRoutes(table) => forwarder.set_routes(now, table, &mut self.actions),
             Command::SetClasses(changes) => {
                 for change in changes {
-                    forwarder
-                        .placer_mut()
-                        .set_class(change.target, change.class, change.since);
+                    forwarder.placer_mut().set_class(change.target, change.class, change.since);
                 }
             }
             Command::Resume => {
@@ -350,24 +327,13 @@
     fn queue(&mut self, source: Option<Source>) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Deliver {
-                    address, packet, ..
-                } => {
+                Action::Deliver { address, packet, .. } => {
                     push_packet(&mut self.to_data, address, packet, source.as_ref());
                 }
                 Action::Return { packet } => {
-                    push_packet(
-                        &mut self.to_data,
-                        self.parts.fabric,
-                        packet,
-                        source.as_ref(),
-                    );
+                    push_packet(&mut self.to_data, self.parts.fabric, packet, source.as_ref());
                 }
-                Action::Peer {
-                    member,
-                    body,
-                    packet,
-                } => {
+                Action::Peer { member, body, packet } => {
                     self.queue_frame(member, body, packet, source.as_ref());
                 }
                 Action::Drop(_) => {}
@@ -392,18 +358,10 @@
             bytes.get(source.part.clone())
         });
         let packet = packet.as_deref().or(received).unwrap_or_default();
-        let frame = Frame {
-            sender: self.parts.own,
-            body,
-            packet,
-        };
+        let frame = Frame { sender: self.parts.own, body, packet };
         let before = self.to_peers.bytes();
         let keyring = &self.parts.keyring;
-        if self
-            .to_peers
-            .push_with(*address, |buffer| frame.encode(keyring, buffer))
-            .is_err()
-        {
+        if self.to_peers.push_with(*address, |buffer| frame.encode(keyring, buffer)).is_err() {
             self.counts.unsent += 1;
         }
         let sent = (self.to_peers.bytes() - before) as u64;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -17,9 +17,7 @@
 
 /// Returns the addresses of all members of a view.
 pub(super) fn addresses(view: &View) -> Addresses {
-    view.iter()
-        .map(|(id, member)| (id, member.info.peer))
-        .collect()
+    view.iter().map(|(id, member)| (id, member.info.peer)).collect()
 }
 
 /// Sends control frames to members.
@@ -35,31 +33,20 @@
 impl Sender {
     /// Creates a sender for the member `own`.
     pub(super) fn new(socket: Arc<UdpSocket>, keyring: Arc<Keyring>, own: Id) -> Sender {
-        Sender {
-            socket,
-            keyring,
-            own,
-            sent_bytes: Arc::default(),
-            failed: Arc::default(),
-        }
+        Sender { socket, keyring, own, sent_bytes: Arc::default(), failed: Arc::default() }
     }
 
     /// Sends a frame and returns its length in bytes. A frame that cannot be sent is lost like
     /// one that the network loses.
     pub(super) fn send(&self, to: SocketAddr, body: Body) -> usize {
         let mut buffer = Vec::new();
-        let frame = Frame {
-            sender: self.own,
-            body,
-            packet: &[],
-        };
+        let frame = Frame { sender: self.own, body, packet: &[] };
         let encoded = frame.encode(&self.keyring, &mut buffer);
         if encoded.is_err() || self.socket.send_to(&buffer, to).is_err() {
             self.failed.fetch_add(1, Ordering::Relaxed);
             return 0;
         }
-        self.sent_bytes
-            .fetch_add(buffer.len() as u64, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(buffer.len() as u64, Ordering::Relaxed);
         buffer.len()
     }
 
--- a/src/node/spans.rs
+++ b/src/node/spans.rs
@@ -14,10 +14,7 @@
 impl Sampler {
     /// Creates a sampler.
     pub(super) fn new(tracing: Tracing) -> Sampler {
-        Sampler {
-            tracing,
-            span: None,
-        }
+        Sampler { tracing, span: None }
     }
 
     /// Starts the span of a packet from the fabric or a target and returns its context.
@@ -54,11 +51,7 @@
                     }
                 }
                 Action::Return { .. } => drop(self.child(Hop::Return, &span)),
-                Action::Peer {
-                    member,
-                    body: Body::Hop(_),
-                    ..
-                } => {
+                Action::Peer { member, body: Body::Hop(_), .. } => {
                     span.set("next", format!("{member:016x}"));
                 }
                 Action::Drop(cause) => span.set("dropped", format!("{cause:?}")),
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -110,10 +110,7 @@
             }
             Request::Observed(observations) => {
                 for (target, observation) in observations {
-                    state
-                        .arguments
-                        .monitor
-                        .on_observation(now, target, observation);
+                    state.arguments.monitor.on_observation(now, target, observation);
                 }
             }
         }
@@ -137,18 +134,10 @@
             }
         }
         let monitor = &self.arguments.monitor;
-        let classes = routes
-            .targets()
-            .map(|target| (target.id, monitor.class(target.id)));
-        let classes = classes
-            .filter(|(_, class)| *class != Class::Normal)
-            .collect();
+        let classes = routes.targets().map(|target| (target.id, monitor.class(target.id)));
+        let classes = classes.filter(|(_, class)| *class != Class::Normal).collect();
         self.arguments.shared.classes.store(Arc::new(classes));
-        let _ = self
-            .arguments
-            .commands
-            .send(Command::SetClasses(changes))
-            .await;
+        let _ = self.arguments.commands.send(Command::SetClasses(changes)).await;
     }
 
     /// Starts to read the targets that this daemon is the reader of.
@@ -158,11 +147,7 @@
             if target.health.is_none() && target.load.is_none() {
                 continue;
             }
-            if !self
-                .arguments
-                .monitor
-                .is_reader(view, &self.arguments.region, target)
-            {
+            if !self.arguments.monitor.is_reader(view, &self.arguments.region, target) {
                 continue;
             }
             let Ok(permit) = self.readings.clone().try_acquire_owned() else {
@@ -193,10 +178,7 @@
             if !self.budget.take(now, 0.0) {
                 return;
             }
-            let sent = self
-                .arguments
-                .sender
-                .send(member.info.peer, Body::Load(reports.clone()));
+            let sent = self.arguments.sender.send(member.info.peer, Body::Load(reports.clone()));
             self.budget.force(now, sent as f64);
         }
     }
--- a/src/node/tickets.rs
+++ b/src/node/tickets.rs
@@ -127,9 +127,7 @@
 
 impl Inner {
     async fn handle(&mut self, now: Instant, request: Request) {
-        let Arguments {
-            spreader, state, ..
-        } = &mut self.arguments;
+        let Arguments { spreader, state, .. } = &mut self.arguments;
         let mut is_changed = false;
         match request {
             Request::Tick => self.tick(now),
@@ -161,26 +159,16 @@
         }
         if self.is_confirming && self.arguments.spreader.is_confirmed(now) {
             self.is_confirming = false;
-            let _ = self
-                .arguments
-                .coordinator
-                .cast(coordinator::Request::StateConfirmed);
+            let _ = self.arguments.coordinator.cast(coordinator::Request::StateConfirmed);
         }
     }
 
     fn tick(&mut self, now: Instant) {
-        let Arguments {
-            spreader,
-            state,
-            shared,
-            ..
-        } = &mut self.arguments;
+        let Arguments { spreader, state, shared, .. } = &mut self.arguments;
         let view = shared.view.load();
         spreader.on_tick(now, &view, state, &mut self.actions);
         let is_reader = spreader.is_reader(&view);
-        shared
-            .is_reader
-            .send_if_modified(|value| std::mem::replace(value, is_reader) != is_reader);
+        shared.is_reader.send_if_modified(|value| std::mem::replace(value, is_reader) != is_reader);
     }
 
     /// Applies tickets of the platform. One that cannot be parsed is refused without the others.
@@ -192,9 +180,7 @@
                 Err(error) => self.refuse(None, error.to_string().into()),
             }
         }
-        let Arguments {
-            spreader, state, ..
-        } = &mut self.arguments;
+        let Arguments { spreader, state, .. } = &mut self.arguments;
         spreader.on_published(now, tickets, state, &mut self.actions);
     }
 
@@ -206,9 +192,7 @@
             match action {
                 Action::Send { to, message } => {
                     if let Some(member) = view.get(to) {
-                        self.arguments
-                            .sender
-                            .send(member.info.peer, Body::Spread(message));
+                        self.arguments.sender.send(member.info.peer, Body::Spread(message));
                     }
                 }
                 Action::Changed { .. } => is_changed = true,
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -35,9 +35,7 @@
         }
         shared.platform.store(Arc::new(watch.progress()));
         if let Some(tickets) = tickets
-            && actor
-                .cast(tickets::Request::Published(tickets.tickets))
-                .is_err()
+            && actor.cast(tickets::Request::Published(tickets.tickets)).is_err()
         {
             return;
         }
@@ -103,12 +101,7 @@
 impl Watch {
     fn new(list: &'static str, seed: u64) -> Watch {
         let schedule = Schedule::new(Pace::default(), seed, std::time::Instant::now());
-        Watch {
-            list,
-            index: 0,
-            schedule,
-            last_success: None,
-        }
+        Watch { list, index: 0, schedule, last_success: None }
     }
 
     fn progress(&self) -> Progress {
@@ -127,11 +120,7 @@
 
     /// Returns how long the platform may wait. After a failure it must answer at once.
     fn patience(&self) -> Duration {
-        if self.schedule.failures() > 0 {
-            Duration::ZERO
-        } else {
-            WAIT
-        }
+        if self.schedule.failures() > 0 { Duration::ZERO } else { WAIT }
     }
 
     /// Notes the result of a call. Lines are only written when the platform goes or returns.
--- a/src/packet/answer.rs
+++ b/src/packet/answer.rs
@@ -32,10 +32,7 @@
         let length =
             summary.payload as u32 + u32::from(summary.flags.syn) + u32::from(summary.flags.fin);
         let acknowledgement = summary.sequence.wrapping_add(length);
-        answer
-            .tcp(ports.0, ports.1, 0, 0)
-            .rst()
-            .ack(acknowledgement)
+        answer.tcp(ports.0, ports.1, 0, 0).rst().ack(acknowledgement)
     };
     let mut bytes = Vec::with_capacity(answer.size(0));
     answer.write(&mut bytes, &[]).ok()?;
@@ -55,14 +52,10 @@
     let mut bytes = Vec::new();
     let written = match summary.source.ip() {
         IpAddr::V4(_) => answer
-            .icmpv4(Icmpv4Type::DestinationUnreachable(
-                icmpv4::DestUnreachableHeader::Port,
-            ))
+            .icmpv4(Icmpv4Type::DestinationUnreachable(icmpv4::DestUnreachableHeader::Port))
             .write(&mut bytes, quote),
         IpAddr::V6(_) => answer
-            .icmpv6(Icmpv6Type::DestinationUnreachable(
-                icmpv6::DestUnreachableCode::Port,
-            ))
+            .icmpv6(Icmpv6Type::DestinationUnreachable(icmpv6::DestUnreachableCode::Port))
             .write(&mut bytes, quote),
     };
     written.ok()?;
--- a/src/packet/summary.rs
+++ b/src/packet/summary.rs
@@ -53,20 +53,12 @@
 impl Summary {
     /// Returns the flow of a packet that a caller sent to a service.
     pub fn request_key(&self) -> Key {
-        Key {
-            protocol: self.protocol,
-            caller: self.source,
-            service: self.destination,
-        }
+        Key { protocol: self.protocol, caller: self.source, service: self.destination }
     }
 
     /// Returns the flow of a packet that a target sent to a caller.
     pub fn return_key(&self) -> Key {
-        Key {
-            protocol: self.protocol,
-            caller: self.destination,
-            service: self.source,
-        }
+        Key { protocol: self.protocol, caller: self.destination, service: self.source }
     }
 
     /// Returns whether the packet is a caller's request to open a connection.
@@ -90,16 +82,12 @@
     let ip = IpSlice::from_slice(bytes).map_err(|error| ip_error(bytes, error))?;
     let (version, expected) = match &ip {
         IpSlice::Ipv4(ip) => (Version::V4, usize::from(ip.header().total_len())),
-        IpSlice::Ipv6(ip) => (
-            Version::V6,
-            etherparse::Ipv6Header::LEN + usize::from(ip.header().payload_length()),
-        ),
+        IpSlice::Ipv6(ip) => {
+            (Version::V6, etherparse::Ipv6Header::LEN + usize::from(ip.header().payload_length()))
+        }
     };
     if bytes.len() > expected {
-        return Err(Error::Long {
-            length: bytes.len(),
-            expected,
-        });
+        return Err(Error::Long { length: bytes.len(), expected });
     }
     if ip.is_fragmenting_payload() {
         return Err(Error::Fragment);
@@ -144,12 +132,7 @@
         protocol: Protocol::Tcp,
         source: tcp.source_port(),
         destination: tcp.destination_port(),
-        flags: Flags {
-            syn: tcp.syn(),
-            ack: tcp.ack(),
-            fin: tcp.fin(),
-            rst: tcp.rst(),
-        },
+        flags: Flags { syn: tcp.syn(), ack: tcp.ack(), fin: tcp.fin(), rst: tcp.rst() },
         sequence: tcp.sequence_number(),
         acknowledgement: tcp.acknowledgment_number(),
         payload: tcp.payload().len(),
@@ -159,10 +142,7 @@
 fn udp(payload: &[u8], length: usize) -> Result<Transport> {
     let udp = UdpSlice::from_slice(payload).map_err(|_| Error::Truncated { length })?;
     if usize::from(udp.length()) != payload.len() {
-        return Err(Error::Length {
-            found: usize::from(udp.length()),
-            expected: payload.len(),
-        });
+        return Err(Error::Length { found: usize::from(udp.length()), expected: payload.len() });
     }
     Ok(Transport {
         protocol: Protocol::Udp,
@@ -181,9 +161,7 @@
         _ => {}
     }
     match error {
-        err::ip::SliceError::Len(_) => Error::Truncated {
-            length: bytes.len(),
-        },
+        err::ip::SliceError::Len(_) => Error::Truncated { length: bytes.len() },
         err::ip::SliceError::IpHeaders(_) => Error::Header,
     }
 }
--- a/src/place/caller.rs
+++ b/src/place/caller.rs
@@ -23,12 +23,7 @@
 impl CallerLimit {
     /// Creates a limit whose counters are chosen by `seed`.
     pub(super) fn new(seed: u64, now: Instant) -> CallerLimit {
-        CallerLimit {
-            seed,
-            window: now,
-            total: 0,
-            counters: vec![0; COUNTERS],
-        }
+        CallerLimit { seed, window: now, total: 0, counters: vec![0; COUNTERS] }
     }
 
     /// Counts a new flow of `caller` and returns whether it is within the limits.
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -80,13 +80,8 @@
             }
         }
         let ids: HashSet<TargetId> = table.targets().map(|target| target.id).collect();
-        self.services = table
-            .services()
-            .iter()
-            .map(|service| service.name.clone())
-            .collect();
-        self.counts
-            .retain(|id, count| ids.contains(id) || count.open > 0);
+        self.services = table.services().iter().map(|service| service.name.clone()).collect();
+        self.counts.retain(|id, count| ids.contains(id) || count.open > 0);
         self.known = ids;
     }
 
@@ -105,11 +100,7 @@
     ///
     /// Returns [`Refusal::CallerLimit`] if the daemon is over its limit and the caller over its share.
     pub fn admit(&mut self, now: Instant, caller: IpAddr) -> Result<(), Refusal> {
-        let Config {
-            new_flows_per_second: limit,
-            caller_share: share,
-            ..
-        } = self.config;
+        let Config { new_flows_per_second: limit, caller_share: share, .. } = self.config;
         if self.callers.admit(now, caller, limit, share) {
             Ok(())
         } else {
@@ -142,20 +133,14 @@
             Preference::Balance => service.policy.bound() * self.level(now, &targets),
             Preference::Base => f64::INFINITY,
         };
-        let base = newest
-            .base(fingerprint)
-            .and_then(|id| table.target(id))
-            .filter(can_take);
+        let base = newest.base(fingerprint).and_then(|id| table.target(id)).filter(can_take);
         if let Some(base) = base
             && self.is_below(now, base, level)
             && self.spend(now, base)
         {
             return Ok(base.id);
         }
-        let order = newest
-            .ranked(fingerprint)
-            .into_iter()
-            .filter_map(|id| table.target(id));
+        let order = newest.ranked(fingerprint).into_iter().filter_map(|id| table.target(id));
         let order = order.filter(can_take).collect();
         self.place_elsewhere(now, order, level).ok_or(Refusal::Full)
     }
@@ -179,9 +164,7 @@
 
     /// Returns the open flows of all targets that this daemon owns as primary.
     pub fn open_flows(&self) -> impl Iterator<Item = (TargetId, u64)> {
-        self.counts
-            .iter()
-            .map(|(id, count)| (*id, u64::from(count.open)))
+        self.counts.iter().map(|(id, count)| (*id, u64::from(count.open)))
     }
 
     /// Returns the mean count of open flows per unit of effective weight.
@@ -250,10 +233,7 @@
             f64::from(self.open(target.id)) / weight
         };
         order.sort_by(|a, b| load(a).total_cmp(&load(b)));
-        order
-            .iter()
-            .find(|target| self.spend(now, target))
-            .map(|target| target.id)
+        order.iter().find(|target| self.spend(now, target)).map(|target| target.id)
     }
 
     /// Spends a unit if the target is cold. Returns whether the flow may be placed.
@@ -264,9 +244,7 @@
         if now.saturating_duration_since(self.started) < self.config.join_delay {
             return false;
         }
-        let units = self
-            .holders
-            .held(now, target, ramp.slots(now, target), self.own);
+        let units = self.holders.held(now, target, ramp.slots(now, target), self.own);
         let period = self.config.unit_period;
         let Count { spent, .. } = self.counts.entry(target.id).or_default();
         spent.retain(|at| now.saturating_duration_since(*at) < period);
--- a/src/place/unit.rs
+++ b/src/place/unit.rs
@@ -37,21 +37,14 @@
     pub fn new(view: &View, region: &str, hold: Duration) -> Holders {
         let mut holders = Vec::new();
         let mut deciders = 0;
-        for (id, member) in view
-            .iter()
-            .filter(|(_, member)| &*member.info.region == region)
-        {
+        for (id, member) in view.iter().filter(|(_, member)| &*member.info.region == region) {
             let until = match member.status {
                 Status::Alive | Status::Suspect => None,
                 Status::Failed => Some(member.since + hold),
                 Status::Leaving | Status::Left => continue,
             };
             deciders += 1;
-            holders.push(Holder {
-                id,
-                zone: member.info.zone.clone(),
-                until,
-            });
+            holders.push(Holder { id, zone: member.info.zone.clone(), until });
         }
         Holders { holders, deciders }
     }
@@ -65,9 +58,7 @@
     /// Returns how many of the units below `units` belong to the member `id`.
     pub fn held(&self, now: Instant, target: &Target, units: Unit, id: Id) -> usize {
         let has_zone = self.present(now).any(|holder| holder.zone == target.zone);
-        (0..units)
-            .filter(|unit| self.holder(now, target, *unit, has_zone) == Some(id))
-            .count()
+        (0..units).filter(|unit| self.holder(now, target, *unit, has_zone) == Some(id)).count()
     }
 
     fn holder(&self, now: Instant, target: &Target, unit: Unit, has_zone: bool) -> Option<Id> {
@@ -79,8 +70,6 @@
     }
 
     fn present(&self, now: Instant) -> impl Iterator<Item = &Holder> {
-        self.holders
-            .iter()
-            .filter(move |holder| holder.until.is_none_or(|until| now < until))
+        self.holders.iter().filter(move |holder| holder.until.is_none_or(|until| now < until))
     }
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -26,10 +26,7 @@
     /// let client = Client::new(base, Timeouts::default());
     /// ```
     pub fn new(base: Url, timeouts: Timeouts) -> Client {
-        Client {
-            base,
-            fetch: Fetch::new(timeouts, MAXIMUM_RESPONSE),
-        }
+        Client { base, fetch: Fetch::new(timeouts, MAXIMUM_RESPONSE) }
     }
 
     async fn watch<T>(&self, list: &str, index: Index, wait: Duration) -> Result<T>
--- a/src/platform/endpoint.rs
+++ b/src/platform/endpoint.rs
@@ -46,9 +46,7 @@
 impl Endpoint {
     /// Creates a reader.
     pub fn new(timeouts: Timeouts) -> Endpoint {
-        Endpoint {
-            fetch: Fetch::new(timeouts, MAXIMUM_RESPONSE),
-        }
+        Endpoint { fetch: Fetch::new(timeouts, MAXIMUM_RESPONSE) }
     }
 
     /// Reads a health endpoint.
@@ -60,10 +58,7 @@
         match self.fetch.status(url).await? {
             StatusCode::OK => Ok(Health::Healthy),
             StatusCode::SERVICE_UNAVAILABLE => Ok(Health::Unhealthy),
-            status => Err(Error::Status {
-                url: url.into(),
-                status,
-            }),
+            status => Err(Error::Status { url: url.into(), status }),
         }
     }
 
--- a/src/platform/fetch.rs
+++ b/src/platform/fetch.rs
@@ -30,11 +30,7 @@
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(1)
             .build(connector);
-        Fetch {
-            client,
-            timeouts,
-            limit,
-        }
+        Fetch { client, timeouts, limit }
     }
 
     /// Returns the response of `url`, whose server may wait up to `wait` before it responds.
@@ -64,10 +60,7 @@
         let after = wait + self.timeouts.connect + self.timeouts.read;
         match tokio::time::timeout(after, call).await {
             Ok(result) => result,
-            Err(_) => Err(Error::Timeout {
-                url: url.into(),
-                after,
-            }),
+            Err(_) => Err(Error::Timeout { url: url.into(), after }),
         }
     }
 
--- a/src/platform/schedule.rs
+++ b/src/platform/schedule.rs
@@ -59,12 +59,7 @@
 impl Schedule {
     /// Creates a schedule whose first call may start at once; `seed` sets the jitter.
     pub fn new(pace: Pace, seed: u64, now: Instant) -> Schedule {
-        Schedule {
-            pace,
-            random: Pcg64::seed_from_u64(seed),
-            next: now,
-            failures: 0,
-        }
+        Schedule { pace, random: Pcg64::seed_from_u64(seed), next: now, failures: 0 }
     }
 
     /// Returns when the next call may start.
--- a/src/platform/timeouts.rs
+++ b/src/platform/timeouts.rs
@@ -12,9 +12,6 @@
 
 impl Default for Timeouts {
     fn default() -> Timeouts {
-        Timeouts {
-            connect: Duration::from_secs(1),
-            read: Duration::from_secs(5),
-        }
+        Timeouts { connect: Duration::from_secs(1), read: Duration::from_secs(5) }
     }
 }
--- a/src/platform/vms.rs
+++ b/src/platform/vms.rs
@@ -29,16 +29,9 @@
 impl From<Raw> for Vms {
     fn from(raw: Raw) -> Vms {
         let entries = raw.vms.len();
-        let vms: Vec<Vm> = raw
-            .vms
-            .into_iter()
-            .filter_map(|entry| serde_json::from_value(entry).ok())
-            .collect();
-        Vms {
-            index: raw.index,
-            malformed: entries - vms.len(),
-            vms,
-        }
+        let vms: Vec<Vm> =
+            raw.vms.into_iter().filter_map(|entry| serde_json::from_value(entry).ok()).collect();
+        Vms { index: raw.index, malformed: entries - vms.len(), vms }
     }
 }
 
--- a/src/route/compiler.rs
+++ b/src/route/compiler.rs
@@ -85,10 +85,8 @@
             let Some(since) = quarantine.until.checked_sub(QUARANTINE) else {
                 continue;
             };
-            let entry = self
-                .released
-                .entry(quarantine.address)
-                .or_insert((quarantine.former, since));
+            let entry =
+                self.released.entry(quarantine.address).or_insert((quarantine.former, since));
             entry.1 = entry.1.max(since);
         }
     }
@@ -96,10 +94,8 @@
     /// Compiles the state.
     pub fn compile(&mut self, now: Instant, state: &State) -> Compilation {
         let mut issues = Vec::new();
-        let mut services: Vec<(Number, &ticket::Service)> = state
-            .services()
-            .filter(|(_, service)| service.state == ServiceState::Active)
-            .collect();
+        let mut services: Vec<(Number, &ticket::Service)> =
+            state.services().filter(|(_, service)| service.state == ServiceState::Active).collect();
         // The lower number keeps an address that two services claim.
         services.sort_unstable_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
         let holders = hold(&services, &mut issues);
@@ -128,17 +124,12 @@
             table.insert(compiled, &owned, targets);
         }
         self.holders = holders;
-        Compilation {
-            table: Arc::new(table),
-            issues,
-            recompile_at: self.next_end(&services),
-        }
+        Compilation { table: Arc::new(table), issues, recompile_at: self.next_end(&services) }
     }
 
     /// Notes the addresses that their service has lost since the last state.
     fn release(&mut self, now: Instant, holders: &HashMap<SocketAddr, Arc<str>>) {
-        self.released
-            .retain(|_, (_, since)| *since + QUARANTINE > now);
+        self.released.retain(|_, (_, since)| *since + QUARANTINE > now);
         for (address, former) in &self.holders {
             if holders.get(address) != Some(former) {
                 self.released.insert(*address, (former.clone(), now));
@@ -147,9 +138,7 @@
     }
 
     fn is_quarantined(&self, address: SocketAddr, service: &Arc<str>) -> bool {
-        self.released
-            .get(&address)
-            .is_some_and(|(former, _)| former != service)
+        self.released.get(&address).is_some_and(|(former, _)| former != service)
     }
 
     /// Returns when the first quarantine of an address in use ends.
@@ -176,9 +165,7 @@
     let mut holders: HashMap<SocketAddr, Arc<str>> = HashMap::new();
     for (_, service) in services {
         for target in &service.targets {
-            let holder = holders
-                .entry(target.address)
-                .or_insert_with(|| service.name.clone());
+            let holder = holders.entry(target.address).or_insert_with(|| service.name.clone());
             if *holder != service.name {
                 issues.push(Issue::TargetClash {
                     service: service.name.clone(),
@@ -221,16 +208,9 @@
         return policy.clone();
     }
     if service.policy.is_some() {
-        issues.push(Issue::UnknownPolicy {
-            service: service.name.clone(),
-            policy: name.clone(),
-        });
-    }
-    Policy {
-        name,
-        priority: ticket::Priority::default(),
-        bound: None,
+        issues.push(Issue::UnknownPolicy { service: service.name.clone(), policy: name.clone() });
     }
+    Policy { name, priority: ticket::Priority::default(), bound: None }
 }
 
 /// Compiles the target sets of the kept tickets, newest first.
@@ -239,11 +219,8 @@
 /// generation has, in a zone in service.
 fn generations(state: &State, service: &ticket::Service, targets: &[Target]) -> Vec<Generation> {
     let id = Object::Service(service.name.clone()).id();
-    let reachable: BTreeSet<TargetId> = targets
-        .iter()
-        .filter(|target| target.is_reachable())
-        .map(|target| target.id)
-        .collect();
+    let reachable: BTreeSet<TargetId> =
+        targets.iter().filter(|target| target.is_reachable()).map(|target| target.id).collect();
     let placeable: Vec<(TargetId, u16)> = targets
         .iter()
         .filter(|target| target.is_placeable())
@@ -267,10 +244,7 @@
                 .filter(|(id, _)| reachable.contains(id))
                 .collect()
         };
-        generations.push(Generation {
-            number: item.number,
-            targets,
-        });
+        generations.push(Generation { number: item.number, targets });
     }
     generations
 }
--- a/src/route/generation.rs
+++ b/src/route/generation.rs
@@ -40,9 +40,8 @@
     /// Returns the targets in rendezvous order, the base target first.
     pub fn ranked(&self, fingerprint: Fingerprint) -> Vec<TargetId> {
         let scores = self.targets.iter();
-        let mut scores: Vec<Score> = scores
-            .map(|&(id, weight)| Score::new(id, weight, fingerprint))
-            .collect();
+        let mut scores: Vec<Score> =
+            scores.map(|&(id, weight)| Score::new(id, weight, fingerprint)).collect();
         scores.sort_unstable_by(|a, b| b.cmp(a));
         scores.into_iter().map(|score| score.id).collect()
     }
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -51,13 +51,7 @@
         }
         for mut target in targets {
             target.service = index;
-            self.sources.insert(
-                Source {
-                    address: target.address,
-                    service: index,
-                },
-                target.id,
-            );
+            self.sources.insert(Source { address: target.address, service: index }, target.id);
             self.ids.insert(target.id, self.targets.len() as u32);
             self.targets.push(target);
         }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -22,11 +22,7 @@
 }
 
 fn problem(path: &[Step], message: String, help: &str) -> Problem {
-    Problem {
-        path: path.to_vec(),
-        message,
-        help: help.to_owned(),
-    }
+    Problem { path: path.to_vec(), message, help: help.to_owned() }
 }
 
 fn name(field: &'static str, text: &str) -> Check {
@@ -72,11 +68,7 @@
 }
 
 fn addresses(settings: &Settings) -> Check {
-    let udp = [
-        ("data", settings.data),
-        ("fabric", settings.fabric),
-        ("peer", settings.peer),
-    ];
+    let udp = [("data", settings.data), ("fabric", settings.fabric), ("peer", settings.peer)];
     let tcp = [("admin", settings.admin), ("metrics", settings.metrics)];
     for (field, address) in udp.into_iter().chain(tcp) {
         usable(field, address)?;
@@ -100,10 +92,7 @@
         );
     }
     if address.port() == 0 {
-        return refuse(
-            format!("address {address} has port 0"),
-            "name a port from 1 to 65535",
-        );
+        return refuse(format!("address {address} has port 0"), "name a port from 1 to 65535");
     }
     Ok(())
 }
@@ -162,12 +151,7 @@
     let limits = &settings.limits;
     let control = &settings.control;
     let whole: [(&[Step], u32, RangeInclusive<u32>, &str); 8] = [
-        (
-            &[Field("limits"), Field("owned_flows")],
-            limits.owned_flows,
-            1_000..=20_000_000,
-            "flows",
-        ),
+        (&[Field("limits"), Field("owned_flows")], limits.owned_flows, 1_000..=20_000_000, "flows"),
         (
             &[Field("limits"), Field("cached_flows")],
             limits.cached_flows,
@@ -186,12 +170,7 @@
             1..=10_000_000,
             "flows a second",
         ),
-        (
-            &[Field("drain_seconds")],
-            settings.drain_seconds,
-            0..=3_600,
-            "seconds",
-        ),
+        (&[Field("drain_seconds")], settings.drain_seconds, 0..=3_600, "seconds"),
         (
             &[Field("control"), Field("bytes_per_second")],
             control.bytes_per_second,
@@ -220,12 +199,7 @@
         0.000_001..=1.0,
         "of the new flows",
     )?;
-    figure(
-        &[Field("trace"), Field("ratio")],
-        settings.trace.ratio,
-        0.0..=1.0,
-        "of the packets",
-    )
+    figure(&[Field("trace"), Field("ratio")], settings.trace.ratio, 0.0..=1.0, "of the packets")
 }
 
 fn figure<T>(path: &[Step], value: T, range: RangeInclusive<T>, unit: &str) -> Check
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -16,9 +16,6 @@
 
 impl Default for Control {
     fn default() -> Control {
-        Control {
-            bytes_per_second: 2048,
-            burst_bytes: 64 * 1024,
-        }
+        Control { bytes_per_second: 2048, burst_bytes: 64 * 1024 }
     }
 }
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -54,10 +54,7 @@
     #[serde(default)]
     pub control: Control,
     /// The rate at which a leaving daemon copies flows, in bytes a second.
-    #[serde(
-        default = "default_handover_bytes_per_second",
-        deserialize_with = "strict"
-    )]
+    #[serde(default = "default_handover_bytes_per_second", deserialize_with = "strict")]
     pub handover_bytes_per_second: u32,
     /// The log.
     #[serde(default)]
@@ -75,10 +72,8 @@
     /// Returns [`Error::Read`] if the file cannot be read, and the errors of
     /// [`Settings::parse`].
     pub fn load(path: &Path) -> Result<Settings> {
-        let text = fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
+        let text = fs::read_to_string(path)
+            .map_err(|source| Error::Read { path: path.to_owned(), source })?;
         Settings::parse(&path.display().to_string(), &text)
     }
 
@@ -90,16 +85,11 @@
     /// the place of the first problem.
     pub fn parse(source_name: &str, text: &str) -> Result<Settings> {
         if text.len() > MAXIMUM_BYTES {
-            return Err(Error::Long {
-                source_name: source_name.to_owned(),
-                bytes: text.len(),
-            });
+            return Err(Error::Long { source_name: source_name.to_owned(), bytes: text.len() });
         }
         let settings: Settings = serde_json5::from_str(text)
             .map_err(|error| locate::syntax_error(source_name, text, &error))?;
-        settings
-            .validate()
-            .map_err(|problem| locate::problem(source_name, text, problem))?;
+        settings.validate().map_err(|problem| locate::problem(source_name, text, problem))?;
         Ok(settings)
     }
 
--- a/src/settings/locate.rs
+++ b/src/settings/locate.rs
@@ -68,11 +68,7 @@
 
 /// Returns the offset in bytes of a line and a column in characters, both from 1.
 fn offset(text: &str, line: usize, column: usize) -> usize {
-    let start: usize = text
-        .split_inclusive('\n')
-        .take(line.saturating_sub(1))
-        .map(str::len)
-        .sum();
+    let start: usize = text.split_inclusive('\n').take(line.saturating_sub(1)).map(str::len).sum();
     text[start..]
         .char_indices()
         .nth(column.saturating_sub(1))
@@ -90,9 +86,9 @@
             .find(|(_, c)| *c == first || *c == '\n')
             .map(|(index, c)| if c == first { index + 1 } else { index }),
         '{' | '[' => Some(1),
-        _ => chars
-            .find(|(_, c)| c.is_whitespace() || ",:{}[]".contains(*c))
-            .map(|(index, _)| index),
+        _ => {
+            chars.find(|(_, c)| c.is_whitespace() || ",:{}[]".contains(*c)).map(|(index, _)| index)
+        }
     };
     end.unwrap_or(text.len())
 }
@@ -103,10 +99,9 @@
         return (1, 1);
     };
     match (Finder { path }).deserialize(&mut deserializer) {
-        Err(serde_json5::Error::Message {
-            location: Some(location),
-            ..
-        }) => (location.line, location.column),
+        Err(serde_json5::Error::Message { location: Some(location), .. }) => {
+            (location.line, location.column)
+        }
         _ => (1, 1),
     }
 }
--- a/src/settings/mask.rs
+++ b/src/settings/mask.rs
@@ -25,12 +25,7 @@
             continue;
         }
         let is_separator = |c: &char| c.is_whitespace() || matches!(c, '"' | '\'' | ':');
-        let begin = start
-            + 3
-            + text[start + 3..]
-                .iter()
-                .take_while(|c| is_separator(c))
-                .count();
+        let begin = start + 3 + text[start + 3..].iter().take_while(|c| is_separator(c)).count();
         if !text[start + 3..begin].contains(&':') {
             continue;
         }
--- a/src/settings/secret.rs
+++ b/src/settings/secret.rs
@@ -63,9 +63,7 @@
         for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
             *byte = pair
                 .iter()
-                .try_fold(0, |byte, digit| {
-                    Some(byte << 4 | char::from(*digit).to_digit(16)? as u8)
-                })
+                .try_fold(0, |byte, digit| Some(byte << 4 | char::from(*digit).to_digit(16)? as u8))
                 .ok_or_else(|| {
                     E::custom(format_args!(
                         "key has a character that is not a hex digit, expected {digits} hex digits"
@@ -86,7 +84,5 @@
 
 fn not_a_string<E: Error, const N: usize>() -> E {
     let digits = 2 * N;
-    E::custom(format_args!(
-        "key is a number, expected {digits} hex digits in quotes"
-    ))
+    E::custom(format_args!("key is a number, expected {digits} hex digits in quotes"))
 }
--- a/src/spread/assembly.rs
+++ b/src/spread/assembly.rs
@@ -116,9 +116,7 @@
                 continue;
             }
             assembly.asked_at = now;
-            let missing = (0..)
-                .zip(&assembly.parts)
-                .filter(|(_, part)| part.is_none());
+            let missing = (0..).zip(&assembly.parts).filter(|(_, part)| part.is_none());
             let parts = missing.map(|(index, _)| index).take(MAX_MISSING).collect();
             wants.push((assembly.from, Want { blob: *blob, parts }));
         }
@@ -154,13 +152,7 @@
     (0..count)
         .zip(bytes.chunks(PART_BYTES))
         .filter(|(index, _)| wanted.is_empty() || wanted.contains(index))
-        .map(|(index, bytes)| Part {
-            blob,
-            hash,
-            index,
-            count,
-            bytes: bytes.to_vec(),
-        })
+        .map(|(index, bytes)| Part { blob, hash, index, count, bytes: bytes.to_vec() })
         .collect()
 }
 
--- a/src/spread/confirmation.rs
+++ b/src/spread/confirmation.rs
@@ -35,11 +35,7 @@
     }
 
     pub(super) fn is_over(&self, now: Instant) -> bool {
-        let limit = if self.responders.is_empty() {
-            NO_ANSWER
-        } else {
-            NOT_FETCHED
-        };
+        let limit = if self.responders.is_empty() { NO_ANSWER } else { NOT_FETCHED };
         self.done || now.saturating_duration_since(self.started_at) >= limit
     }
 }
--- a/src/spread/peers.rs
+++ b/src/spread/peers.rs
@@ -22,10 +22,7 @@
         self.refreshed_at = Some(now);
         self.ids.clear();
         let reachable = |status| matches!(status, Status::Alive | Status::Leaving);
-        let others = || {
-            view.iter()
-                .filter(|(id, member)| *id != own && reachable(member.status))
-        };
+        let others = || view.iter().filter(|(id, member)| *id != own && reachable(member.status));
         let near = others().filter(|(_, member)| member.info.zone == *zone);
         self.ids.extend(near.map(|(id, _)| id));
         self.near = self.ids.len();
--- a/src/spread/spreader.rs
+++ b/src/spread/spreader.rs
@@ -140,8 +140,7 @@
         if now >= self.next_entropy {
             self.next_entropy = now + self.config.entropy_interval;
             if let Some(to) = self.peers.any(&mut self.rng) {
-                self.queue
-                    .push(Lane::Background, to, Message::Digest(state.summary()));
+                self.queue.push(Lane::Background, to, Message::Digest(state.summary()));
             }
         }
         self.ask_again(now, state, out);
@@ -163,19 +162,10 @@
             Message::Part(part) => self.on_part(now, from, part, state, out),
             Message::Digest(summary) => self.compare(from, summary, state),
             Message::Buckets(hashes) => self.on_buckets(from, &hashes, state),
-            Message::Listing {
-                from: first,
-                to: last,
-                digests,
-            } => {
+            Message::Listing { from: first, to: last, digests } => {
                 self.on_listing(from, first, last, &digests, state);
             }
-            Message::History {
-                summary,
-                applied,
-                refused,
-                reply,
-            } => {
+            Message::History { summary, applied, refused, reply } => {
                 self.on_history(from, summary, (applied, refused), reply, state, out);
             }
             Message::Confirm { sequence, summary } => {
@@ -261,13 +251,7 @@
             return;
         }
         self.next_gossip = now + self.config.gossip_interval;
-        let numbers: Vec<Number> = self
-            .rumors
-            .keys()
-            .rev()
-            .take(MAX_ANNOUNCED)
-            .copied()
-            .collect();
+        let numbers: Vec<Number> = self.rumors.keys().rev().take(MAX_ANNOUNCED).copied().collect();
         let fanout = self.announce(&numbers);
         for number in numbers {
             if let Some(left) = self.rumors.get_mut(&number) {
@@ -281,8 +265,7 @@
     fn announce(&mut self, numbers: &[Number]) -> usize {
         let chosen = self.peers.choose(&mut self.rng, self.config.fanout);
         for to in &chosen {
-            self.queue
-                .push(Lane::Urgent, *to, Message::Announce(numbers.to_vec()));
+            self.queue.push(Lane::Urgent, *to, Message::Announce(numbers.to_vec()));
         }
         chosen.len()
     }
@@ -301,11 +284,7 @@
         let members = self.peers.len() + 1;
         // 2·log2(n), rounded up.
         let times = 2 * (usize::BITS - members.leading_zeros()) as usize;
-        let sent = if self.rumors.len() < MAX_ANNOUNCED {
-            self.announce(&[number])
-        } else {
-            0
-        };
+        let sent = if self.rumors.len() < MAX_ANNOUNCED { self.announce(&[number]) } else { 0 };
         if self.rumors.is_empty() {
             self.next_gossip = now + self.config.gossip_interval;
         }
@@ -340,12 +319,7 @@
             if self.pending.len() >= MAX_PENDING {
                 break;
             }
-            let pending = Pending {
-                sources: vec![from],
-                asked_at: now,
-                tries: 0,
-                manifest: None,
-            };
+            let pending = Pending { sources: vec![from], asked_at: now, tries: 0, manifest: None };
             self.pending.insert(number, pending);
             wants.push(want(Blob::Ticket(number)));
         }
@@ -356,10 +330,7 @@
     fn request(&mut self, to: member::Id, wants: Vec<Want>) {
         for chunk in wants.chunks(MAX_WANTS) {
             let message = Message::Request(chunk.to_vec());
-            if chunk
-                .iter()
-                .all(|want| matches!(want.blob, Blob::Object(_)))
-            {
+            if chunk.iter().all(|want| matches!(want.blob, Blob::Object(_))) {
                 self.queue.push(Lane::Background, to, message);
             } else {
                 self.queue.push(Lane::Urgent, to, message);
@@ -584,10 +555,8 @@
             }
         }
         wanted.extend(theirs.keys().filter(|id| state.get(**id).is_none()));
-        let wants = wanted
-            .into_iter()
-            .filter(|id| !self.is_expected(*id))
-            .map(|id| want(Blob::Object(id)));
+        let wants =
+            wanted.into_iter().filter(|id| !self.is_expected(*id)).map(|id| want(Blob::Object(id)));
         let wants = wants.collect();
         self.request(from, wants);
     }
@@ -607,11 +576,7 @@
             self.send_object(to, Blob::Object(digest.id), &[], state);
             return;
         }
-        let message = Message::Listing {
-            from: digest.id,
-            to: digest.id,
-            digests: vec![digest],
-        };
+        let message = Message::Listing { from: digest.id, to: digest.id, digests: vec![digest] };
         self.queue.push(Lane::Background, to, message);
     }
 
@@ -619,12 +584,7 @@
         let history = state.history();
         let applied = self.some(&history.applied, MAX_RANGES);
         let refused = self.some(&history.refused, MAX_RANGES / 4);
-        let message = Message::History {
-            summary: state.summary(),
-            applied,
-            refused,
-            reply,
-        };
+        let message = Message::History { summary: state.summary(), applied, refused, reply };
         self.queue.push(Lane::Background, to, message);
     }
 
@@ -635,9 +595,7 @@
         }
         let skip = self.rng.random_range(0..ranges.len() - count / 2);
         let newest = ranges.iter().rev().take(count / 2);
-        newest
-            .chain(ranges.iter().skip(skip).take(count / 2))
-            .collect()
+        newest.chain(ranges.iter().skip(skip).take(count / 2)).collect()
     }
 
     fn on_history(
@@ -751,11 +709,7 @@
     }
     while let Some(chunk) = chunks.next() {
         let last = chunk.last().map_or(*ids.end(), |digest| digest.id);
-        let to = if chunks.peek().is_some() {
-            last
-        } else {
-            *ids.end()
-        };
+        let to = if chunks.peek().is_some() { last } else { *ids.end() };
         let digests = chunk.to_vec();
         messages.push(Message::Listing { from, to, digests });
         from = to.saturating_add(1);
--- a/src/telemetry/exporter.rs
+++ b/src/telemetry/exporter.rs
@@ -38,11 +38,7 @@
         dropped: Arc<AtomicU64>,
     ) -> Exporter {
         let bytes_left = bytes;
-        Exporter {
-            daemon,
-            output: Mutex::new(Output { writer, bytes_left }),
-            dropped,
-        }
+        Exporter { daemon, output: Mutex::new(Output { writer, bytes_left }), dropped }
     }
 
     fn write(&self, batch: &[SpanData]) -> io::Result<()> {
@@ -66,8 +62,7 @@
 
 impl SpanExporter for Exporter {
     async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
-        self.write(&batch)
-            .map_err(|error| OTelSdkError::InternalFailure(error.to_string()))
+        self.write(&batch).map_err(|error| OTelSdkError::InternalFailure(error.to_string()))
     }
 }
 
--- a/src/telemetry/instrument.rs
+++ b/src/telemetry/instrument.rs
@@ -32,22 +32,12 @@
 impl Instrument {
     /// Describes a counter.
     pub const fn counter(name: &'static str, description: &'static str) -> Instrument {
-        Instrument {
-            name,
-            kind: Kind::Counter,
-            description,
-            series: SERIES,
-        }
+        Instrument { name, kind: Kind::Counter, description, series: SERIES }
     }
 
     /// Describes a gauge.
     pub const fn gauge(name: &'static str, description: &'static str) -> Instrument {
-        Instrument {
-            name,
-            kind: Kind::Gauge,
-            description,
-            series: SERIES,
-        }
+        Instrument { name, kind: Kind::Gauge, description, series: SERIES }
     }
 
     /// Allows `series` attribute sets instead of 100.
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -42,10 +42,7 @@
     ///
     /// Returns [`Error::Open`] if the log file cannot be opened again; the old level then stays.
     pub fn set_level(&mut self, level: Level) -> Result<()> {
-        let settings = Log {
-            level,
-            ..self.settings.clone()
-        };
+        let settings = Log { level, ..self.settings.clone() };
         self.handle.set_config(config(&settings)?);
         self.settings = settings;
         Ok(())
@@ -59,10 +56,7 @@
 
 impl std::fmt::Debug for Logs {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter
-            .debug_struct("Logs")
-            .field("settings", &self.settings)
-            .finish_non_exhaustive()
+        formatter.debug_struct("Logs").field("settings", &self.settings).finish_non_exhaustive()
     }
 }
 
@@ -74,21 +68,13 @@
     let append: Box<dyn Append> = match &settings.file {
         Some(path) => {
             let file = FileAppender::builder().encoder(encoder).build(path);
-            Box::new(file.map_err(|source| Error::Open {
-                path: path.clone(),
-                source,
-            })?)
+            Box::new(file.map_err(|source| Error::Open { path: path.clone(), source })?)
+        }
+        None => {
+            Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
         }
-        None => Box::new(
-            ConsoleAppender::builder()
-                .target(Target::Stderr)
-                .encoder(encoder)
-                .build(),
-        ),
     };
-    let root = Root::builder()
-        .appender(APPENDER)
-        .build(LevelFilter::from(settings.level));
+    let root = Root::builder().appender(APPENDER).build(LevelFilter::from(settings.level));
     let appender = Appender::builder().build(APPENDER, append);
     Ok(Config::builder().appender(appender).build(root)?)
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -68,10 +68,7 @@
             .with_reader(exporter)
             .with_view(move |instrument: &metrics::Instrument| {
                 let series = lock(&instruments).get(instrument.name())?.series;
-                Stream::builder()
-                    .with_cardinality_limit(series)
-                    .build()
-                    .ok()
+                Stream::builder().with_cardinality_limit(series).build().ok()
             })
             .build();
         let meter = provider.meter("banyanwharf");
@@ -141,9 +138,7 @@
         let snapshots = Arc::clone(&self.inner.snapshots);
         let observe = move |observer: &dyn AsyncInstrument<u64>| {
             for (labels, value) in sums(&snapshots, instrument) {
-                let labels = labels
-                    .into_iter()
-                    .map(|(name, text)| KeyValue::new(name, text));
+                let labels = labels.into_iter().map(|(name, text)| KeyValue::new(name, text));
                 observer.observe(value, &labels.collect::<Vec<_>>());
             }
         };
--- a/src/telemetry/server.rs
+++ b/src/telemetry/server.rs
@@ -74,10 +74,7 @@
             }
             Err(error) => {
                 log::error!("metrics could not be encoded: {error}");
-                text(
-                    StatusCode::INTERNAL_SERVER_ERROR,
-                    "metrics could not be encoded\n",
-                )
+                text(StatusCode::INTERNAL_SERVER_ERROR, "metrics could not be encoded\n")
             }
         },
         "/healthz" if metrics.is_ready() => text(StatusCode::OK, "ready\n"),
--- a/src/telemetry/tracing.rs
+++ b/src/telemetry/tracing.rs
@@ -55,10 +55,8 @@
         let writer: Box<dyn Write + Send> = match &settings.output {
             Output::Stderr => Box::new(io::stderr()),
             Output::File(path) => {
-                let file = File::create(path).map_err(|source| Error::Open {
-                    path: path.clone(),
-                    source,
-                })?;
+                let file = File::create(path)
+                    .map_err(|source| Error::Open { path: path.clone(), source })?;
                 Box::new(BufWriter::new(file))
             }
         };
@@ -68,9 +66,7 @@
             .with_max_queue_size(MAXIMUM_QUEUE)
             .with_scheduled_delay(DELAY)
             .build();
-        let processor = BatchSpanProcessor::builder(exporter)
-            .with_batch_config(config)
-            .build();
+        let processor = BatchSpanProcessor::builder(exporter).with_batch_config(config).build();
         // `start` has already decided which packets are sampled.
         let provider = SdkTracerProvider::builder()
             .with_sampler(Sampler::AlwaysOn)
@@ -131,9 +127,6 @@
 
 impl fmt::Debug for Tracing {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter
-            .debug_struct("Tracing")
-            .field("ratio", &self.ratio)
-            .finish_non_exhaustive()
+        formatter.debug_struct("Tracing").field("ratio", &self.ratio).finish_non_exhaustive()
     }
 }
--- a/src/ticket/content.rs
+++ b/src/ticket/content.rs
@@ -27,10 +27,7 @@
 impl Ticket {
     /// Returns the objects that the ticket changes.
     pub fn objects(&self) -> impl Iterator<Item = Object> {
-        let services = self
-            .services
-            .iter()
-            .map(|s| Object::Service(s.name.clone()));
+        let services = self.services.iter().map(|s| Object::Service(s.name.clone()));
         let zones = self.zones.iter().map(|z| Object::Zone(z.name.clone()));
         let policies = self.policies.iter().map(|p| Object::Policy(p.name.clone()));
         services.chain(zones).chain(policies)
--- a/src/ticket/parse.rs
+++ b/src/ticket/parse.rs
@@ -117,9 +117,8 @@
 
 /// Finds the field that a message names. The parser reports the start of its object only.
 fn field_span(text: &str, start: usize, message: &str) -> Option<SourceSpan> {
-    let names_field = ["unknown field", "duplicate field"]
-        .iter()
-        .any(|prefix| message.starts_with(prefix));
+    let names_field =
+        ["unknown field", "duplicate field"].iter().any(|prefix| message.starts_with(prefix));
     let field = message.split('`').nth(1).filter(|_| names_field)?;
     find_quoted(text, text.floor_char_boundary(start.min(text.len())), field)
 }
--- a/src/ticket/ranges.rs
+++ b/src/ticket/ranges.rs
@@ -32,10 +32,7 @@
 
     /// Returns whether `number` is in the set.
     pub fn contains(&self, number: Number) -> bool {
-        self.ends
-            .range(..=number)
-            .next_back()
-            .is_some_and(|(_, end)| *end >= number)
+        self.ends.range(..=number).next_back().is_some_and(|(_, end)| *end >= number)
     }
 
     /// Returns the highest number that may have been forgotten to limit the memory.
--- a/src/ticket/refusal.rs
+++ b/src/ticket/refusal.rs
@@ -32,10 +32,7 @@
     /// The ticket was refused before. A refused number stays refused, so that a ticket does not
     /// come into force long after its operators saw the refusal.
     #[error("ticket {number} was refused before")]
-    #[diagnostic(
-        code(ticket::refused),
-        help("publish the corrected change under a new number")
-    )]
+    #[diagnostic(code(ticket::refused), help("publish the corrected change under a new number"))]
     Again {
         /// The ticket's number.
         number: Number,
--- a/src/ticket/state.rs
+++ b/src/ticket/state.rs
@@ -175,10 +175,7 @@
 
     /// Returns the whole state.
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot {
-            items: self.items().cloned().collect(),
-            history: self.history.clone(),
-        }
+        Snapshot { items: self.items().cloned().collect(), history: self.history.clone() }
     }
 
     /// Notes that the ticket `number` is in force, because all its objects have this or a
@@ -225,10 +222,7 @@
 
     /// Returns the items in force.
     pub fn newest(&self) -> impl Iterator<Item = &Item> {
-        self.objects
-            .values()
-            .filter_map(|versions| versions.first())
-            .map(|version| &version.item)
+        self.objects.values().filter_map(|versions| versions.first()).map(|version| &version.item)
     }
 
     /// Returns the services in force, also removed ones, with their numbers.
@@ -249,9 +243,7 @@
 
     /// Returns the names of the zones that are out of service.
     pub fn zones_out(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.zones()
-            .filter(|zone| zone.state == ZoneState::Out)
-            .map(|zone| &zone.name)
+        self.zones().filter(|zone| zone.state == ZoneState::Out).map(|zone| &zone.name)
     }
 
     /// Returns the policy `name`.
@@ -274,10 +266,7 @@
 
     /// Returns the hashes that show whether two states are equal.
     pub fn summary(&self) -> Summary {
-        Summary {
-            root: digest::root(&self.buckets),
-            history: self.history_digest,
-        }
+        Summary { root: digest::root(&self.buckets), history: self.history_digest }
     }
 
     /// Returns the hash of each bucket of objects.
@@ -319,10 +308,7 @@
         let items: Vec<Item> = services
             .chain(zones)
             .chain(policies)
-            .map(|content| Item {
-                number,
-                content: Arc::new(content),
-            })
+            .map(|content| Item { number, content: Arc::new(content) })
             .collect();
         self.check_repetition(number, &items)?;
         if self.history.is_refused(number) {
@@ -387,9 +373,7 @@
         };
         let versions = self.objects.entry(id).or_default();
         let before = digest::of(id, versions);
-        let same = versions
-            .iter()
-            .position(|other| other.item.number == version.item.number);
+        let same = versions.iter().position(|other| other.item.number == version.item.number);
         match same {
             Some(index) if versions[index].hash == version.hash => return,
             Some(index) => {
@@ -471,19 +455,7 @@
     let since = owner.number;
     let owner = owner.object();
     match claim {
-        Claim::Address(address) => Refusal::Address {
-            number,
-            object,
-            address,
-            owner,
-            since,
-        },
-        Claim::Target(address) => Refusal::Target {
-            number,
-            object,
-            address,
-            owner,
-            since,
-        },
+        Claim::Address(address) => Refusal::Address { number, object, address, owner, since },
+        Claim::Target(address) => Refusal::Target { number, object, address, owner, since },
     }
 }
--- a/src/ticket/target.rs
+++ b/src/ticket/target.rs
@@ -60,8 +60,7 @@
 
     /// Returns how long a draining target keeps its flows.
     pub fn drain(&self) -> Option<Duration> {
-        self.drain_seconds
-            .map(|seconds| Duration::from_secs(u64::from(seconds)))
+        self.drain_seconds.map(|seconds| Duration::from_secs(u64::from(seconds)))
     }
 }
 
--- a/src/ticket/validate.rs
+++ b/src/ticket/validate.rs
@@ -127,10 +127,8 @@
         }
         let mut names = HashSet::new();
         for target in &service.targets {
-            let place = Place::Target {
-                service: service.name.clone(),
-                target: target.name.clone(),
-            };
+            let place =
+                Place::Target { service: service.name.clone(), target: target.name.clone() };
             check_target(&place, target, zones)?;
             if !names.insert(&target.name) {
                 let fault = Fault::DuplicateName(target.name.clone());
@@ -153,13 +151,7 @@
     range(place, "slots", target.slots, 1, MAX_SLOTS)?;
     range(place, "connections", target.connections, 1, MAX_CONNECTIONS)?;
     range(place, "cold_slots", target.cold_slots, 1, target.slots)?;
-    range(
-        place,
-        "ramp_seconds",
-        target.ramp_seconds,
-        0,
-        MAX_RAMP_SECONDS,
-    )?;
+    range(place, "ramp_seconds", target.ramp_seconds, 0, MAX_RAMP_SECONDS)?;
     if let Some(drain) = target.drain_seconds {
         range(place, "drain_seconds", drain, 0, MAX_DRAIN_SECONDS)?;
     }
@@ -256,11 +248,7 @@
 }
 
 fn invalid(place: Place, field: &'static str, fault: Fault) -> Invalid {
-    Invalid {
-        place,
-        field,
-        fault,
-    }
+    Invalid { place, field, fault }
 }
 
 /// A number that an error message can show.
--- a/src/util/bucket.rs
+++ b/src/util/bucket.rs
@@ -12,12 +12,7 @@
 impl TokenBucket {
     /// Creates a full bucket.
     pub(crate) fn new(rate: f64, burst: f64, now: Instant) -> TokenBucket {
-        TokenBucket {
-            rate,
-            burst,
-            tokens: burst,
-            refilled_at: now,
-        }
+        TokenBucket { rate, burst, tokens: burst, refilled_at: now }
     }
 
     /// Takes `amount` tokens if there are as many.
@@ -43,9 +38,7 @@
     }
 
     fn refill(&mut self, now: Instant) {
-        let elapsed = now
-            .saturating_duration_since(self.refilled_at)
-            .as_secs_f64();
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
         self.tokens = (self.tokens + elapsed * self.rate).min(self.burst);
         self.refilled_at = self.refilled_at.max(now);
     }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -32,16 +32,10 @@
     pub fn decode(bytes: &'a [u8], keyring: &Keyring) -> Result<Frame<'a>> {
         let minimum = HEADER_BYTES + TAG_BYTES;
         if bytes.len() < minimum {
-            return Err(Error::Short {
-                length: bytes.len(),
-                minimum,
-            });
+            return Err(Error::Short { length: bytes.len(), minimum });
         }
         if bytes[0] != VERSION {
-            return Err(Error::Version {
-                found: bytes[0],
-                expected: VERSION,
-            });
+            return Err(Error::Version { found: bytes[0], expected: VERSION });
         }
         let (signed, tag) = bytes.split_at(bytes.len() - TAG_BYTES);
         keyring.verify(bytes[1], signed, tag)?;
@@ -49,11 +43,7 @@
         let mut sender = [0; 8];
         sender.copy_from_slice(&header[2..]);
         let (body, packet) = postcard::take_from_bytes(rest)?;
-        Ok(Frame {
-            sender: member::Id::from_le_bytes(sender),
-            body,
-            packet,
-        })
+        Ok(Frame { sender: member::Id::from_le_bytes(sender), body, packet })
     }
 
     /// Appends the encoded frame to `buffer`, so that the frames of a batch can share one.
@@ -85,10 +75,7 @@
         buffer.extend_from_slice(&tag);
         let length = buffer.len() - start;
         if length > MAX_FRAME_BYTES {
-            return Err(Error::Long {
-                length,
-                maximum: MAX_FRAME_BYTES,
-            });
+            return Err(Error::Long { length, maximum: MAX_FRAME_BYTES });
         }
         Ok(())
     }
--- a/src/wire/keyring.rs
+++ b/src/wire/keyring.rs
@@ -45,20 +45,15 @@
     pub(super) fn tag(&self, number: KeyNumber, bytes: &[u8]) -> Result<[u8; TAG_BYTES]> {
         let key = self.keys.get(&number).ok_or(Error::UnknownKey(number))?;
         let mut tag = [0; TAG_BYTES];
-        blake3::Hasher::new_keyed(key)
-            .update(bytes)
-            .finalize_xof()
-            .fill(&mut tag);
+        blake3::Hasher::new_keyed(key).update(bytes).finalize_xof().fill(&mut tag);
         Ok(tag)
     }
 
     /// Checks the tag of `bytes` under the key `number` in constant time.
     pub(super) fn verify(&self, number: KeyNumber, bytes: &[u8], tag: &[u8]) -> Result<()> {
         let expected = self.tag(number, bytes)?;
-        let difference = expected
-            .iter()
-            .zip(tag)
-            .fold(0, |difference, (a, b)| difference | (a ^ b));
+        let difference =
+            expected.iter().zip(tag).fold(0, |difference, (a, b)| difference | (a ^ b));
         if difference != 0 || tag.len() != TAG_BYTES {
             return Err(Error::Tag(number));
         }
--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -156,11 +156,7 @@
             finishing: false,
         };
         let task = tokio::spawn(engine.run(packets, receiver));
-        Self {
-            commands,
-            record,
-            _task: Guard(task.abort_handle()),
-        }
+        Self { commands, record, _task: Guard(task.abort_handle()) }
     }
 
     /// Opens flows evenly over a period. They are closed at the end of their life, or by
@@ -173,9 +169,7 @@
     /// Announces which targets are out of service from now on. Flows that they have or accept until
     /// the next announcement count as given up when they break, then or later.
     pub fn take_out(&self, targets: impl IntoIterator<Item = String>) {
-        let _ = self
-            .commands
-            .send(Command::Out(targets.into_iter().collect()));
+        let _ = self.commands.send(Command::Out(targets.into_iter().collect()));
     }
 
     /// Sends a last request on each flow within `period` and closes the flow after the response.
@@ -374,10 +368,7 @@
         if flow.phase == Phase::Closed && flow.connection.state() == State::Closed {
             return self.timers.set(number, None);
         }
-        let next = [flow.connection.next(now), flow.next]
-            .into_iter()
-            .flatten()
-            .min();
+        let next = [flow.connection.next(now), flow.next].into_iter().flatten().min();
         self.timers.set(number, next);
         self.flows.insert(number, flow);
     }
@@ -513,9 +504,6 @@
 impl Flow {
     /// Notes whether the target was taken out of service while the flow is open.
     fn mark(&mut self, out: &HashSet<String>) {
-        self.out |= self
-            .target
-            .as_ref()
-            .is_some_and(|target| out.contains(target));
+        self.out |= self.target.as_ref().is_some_and(|target| out.contains(target));
     }
 }
--- a/testkit/src/fabric.rs
+++ b/testkit/src/fabric.rs
@@ -104,10 +104,7 @@
             }),
         });
         let task = tokio::spawn(receive(shared.clone()));
-        Ok(Self {
-            shared,
-            _task: Arc::new(Guard(task.abort_handle())),
-        })
+        Ok(Self { shared, _task: Arc::new(Guard(task.abort_handle())) })
     }
 
     /// Returns the address to which daemons send packets for callers.
@@ -170,20 +167,14 @@
     let flow = Segment::parse(packet).map(|segment| (segment.source, segment.destination));
     let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one(flow);
     let addresses = daemons.get();
-    addresses
-        .get((hash % addresses.len().max(1) as u64) as usize)
-        .copied()
+    addresses.get((hash % addresses.len().max(1) as u64) as usize).copied()
 }
 
 /// Passes a packet on, now or later, or drops it.
 fn pass(shared: &Arc<Shared>, way: Way, packet: Vec<u8>) {
     let delay = {
         let mut state = lock(&shared.state);
-        let Impairment {
-            loss,
-            delay,
-            jitter,
-        } = state.impairment;
+        let Impairment { loss, delay, jitter } = state.impairment;
         if loss > 0.0 && state.random.random_bool(loss.clamp(0.0, 1.0)) {
             state.record.lost += 1;
             return;
--- a/testkit/src/http.rs
+++ b/testkit/src/http.rs
@@ -44,10 +44,7 @@
         let listener = TcpListener::from_std(listener)?;
         let address = listener.local_addr()?;
         let task = tokio::spawn(accept(listener, Arc::new(handler)));
-        Ok(Self {
-            address,
-            _task: Guard(task.abort_handle()),
-        })
+        Ok(Self { address, _task: Guard(task.abort_handle()) })
     }
 }
 
@@ -69,9 +66,7 @@
         });
         connections.spawn(async move {
             // A failed connection is the client's to notice.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
     }
 }
@@ -113,10 +108,9 @@
     let mut headers = [httparse::EMPTY_HEADER; 16];
     let mut response = httparse::Response::new(&mut headers);
     match response.parse(&bytes) {
-        Ok(httparse::Status::Complete(start)) => Ok((
-            response.code.ok_or_else(invalid)?,
-            serde_json::from_slice(&bytes[start..])?,
-        )),
+        Ok(httparse::Status::Complete(start)) => {
+            Ok((response.code.ok_or_else(invalid)?, serde_json::from_slice(&bytes[start..])?))
+        }
         _ => Err(invalid()),
     }
 }
--- a/testkit/src/message.rs
+++ b/testkit/src/message.rs
@@ -26,10 +26,7 @@
         let httparse::Status::Complete(length) = request.parse(bytes)? else {
             return Ok(None);
         };
-        let size = request
-            .path
-            .and_then(|path| path.get(1..))
-            .and_then(|path| path.parse().ok());
+        let size = request.path.and_then(|path| path.get(1..)).and_then(|path| path.parse().ok());
         let id = header(request.headers, "X-Id").and_then(|id| id.parse().ok());
         match (id, size) {
             (Some(id), Some(size)) => Ok(Some((Self { id, size }, length))),
@@ -50,13 +47,7 @@
 
 impl Response {
     pub(crate) fn encode(&self) -> Vec<u8> {
-        let Self {
-            status,
-            id,
-            service,
-            target,
-            body,
-        } = self;
+        let Self { status, id, service, target, body } = self;
         let mut bytes = format!(
             "HTTP/1.1 {status} -\r\nX-Id: {id}\r\nX-Service: {service}\r\nX-Target: {target}\r\n\
              Content-Length: {}\r\n\r\n",
@@ -75,11 +66,7 @@
             return Ok(None);
         };
         let text = |name| header(response.headers, name).ok_or(httparse::Error::HeaderName);
-        let number = |name| {
-            text(name)?
-                .parse::<u64>()
-                .map_err(|_| httparse::Error::HeaderValue)
-        };
+        let number = |name| text(name)?.parse::<u64>().map_err(|_| httparse::Error::HeaderValue);
         let end = start + number("Content-Length")? as usize;
         let Some(body) = bytes.get(start..end) else {
             return Ok(None);
@@ -97,9 +84,7 @@
 
 /// Returns the body of the response to request `id`.
 pub(crate) fn body(id: u64, size: usize) -> Vec<u8> {
-    (0..size as u64)
-        .map(|position| mix(id ^ (position << 32)) as u8)
-        .collect()
+    (0..size as u64).map(|position| mix(id ^ (position << 32)) as u8).collect()
 }
 
 fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
--- a/testkit/src/platform.rs
+++ b/testkit/src/platform.rs
@@ -104,10 +104,7 @@
     ///
     /// Returns the error of binding the listener.
     pub fn start() -> io::Result<Self> {
-        let shared = Arc::new(Shared {
-            state: Mutex::default(),
-            changed: watch::Sender::new(()),
-        });
+        let shared = Arc::new(Shared { state: Mutex::default(), changed: watch::Sender::new(()) });
         let handler = shared.clone();
         let server = Server::start((Ipv4Addr::LOCALHOST, 0).into(), move |uri| {
             handle(handler.clone(), uri)
@@ -213,28 +210,18 @@
     let stale = state.mode == Mode::Stale;
     let index = parameter(uri, "index").unwrap_or(0);
     if uri.starts_with("/v1/tickets") {
-        let count = if stale {
-            state.snapshot.0
-        } else {
-            state.tickets.len()
-        };
+        let count = if stale { state.snapshot.0 } else { state.tickets.len() };
         return respond_tickets(&state.tickets[..count], index);
     }
     if !uri.starts_with("/v1/vms") {
         return (Reply::Json(404, Value::Null), true);
     }
-    let (vms, own) = if stale {
-        (&state.snapshot.1, state.snapshot.2)
-    } else {
-        (&state.vms, state.vms_index)
-    };
+    let (vms, own) =
+        if stale { (&state.snapshot.1, state.snapshot.2) } else { (&state.vms, state.vms_index) };
     if index > own {
         return (Reply::Json(410, Value::Null), true);
     }
-    (
-        Reply::Json(200, json!({"index": own, "vms": vms})),
-        index < own,
-    )
+    (Reply::Json(200, json!({"index": own, "vms": vms})), index < own)
 }
 
 fn respond_tickets(tickets: &[Value], index: u64) -> (Reply, bool) {
--- a/testkit/src/probe.rs
+++ b/testkit/src/probe.rs
@@ -93,29 +93,17 @@
     /// Starts a probe.
     pub fn start(config: ProbeConfig, fabric: &Fabric) -> Self {
         let packets = fabric.register(&config.addresses);
-        let shared = Arc::new(Shared {
-            config,
-            fabric: fabric.clone(),
-            state: Mutex::default(),
-        });
+        let shared = Arc::new(Shared { config, fabric: fabric.clone(), state: Mutex::default() });
         let task = tokio::spawn(run(shared.clone(), packets));
-        Self {
-            shared,
-            _task: Guard(task.abort_handle()),
-        }
+        Self { shared, _task: Guard(task.abort_handle()) }
     }
 
     /// Sends a SYN for flow `number`, which must not be in use.
     pub fn open(&self, number: usize) {
         let mut syn = self.shared.segment(number, 0);
         syn.syn = true;
-        let flow = Flow {
-            phase: Phase::Opening,
-            target: None,
-            sequence: 0,
-            received: 0,
-            sent: None,
-        };
+        let flow =
+            Flow { phase: Phase::Opening, target: None, sequence: 0, received: 0, sent: None };
         lock(&self.shared.state).flows.insert(number, flow);
         self.shared.send(number, syn);
     }
@@ -179,9 +167,7 @@
             flow.sequence = sequence.wrapping_add(segment.length());
             flow.sent = Some((segment, 1));
         }
-        state
-            .unanswered
-            .push_back((Instant::now(), number, sequence));
+        state.unanswered.push_back((Instant::now(), number, sequence));
         drop(state);
         self.fabric.send(packet);
     }
@@ -207,9 +193,7 @@
             flows.remove(&number);
             return;
         }
-        let Some((sent, _)) = flow
-            .sent
-            .take_if(|_| segment.acknowledgment == Some(flow.sequence))
+        let Some((sent, _)) = flow.sent.take_if(|_| segment.acknowledgment == Some(flow.sequence))
         else {
             return;
         };
@@ -236,11 +220,7 @@
     fn resend(&self, now: Instant) {
         let mut packets = Vec::new();
         let mut state = lock(&self.state);
-        let State {
-            flows,
-            unanswered,
-            record,
-        } = &mut *state;
+        let State { flows, unanswered, record } = &mut *state;
         while let Some((at, number, sequence)) = unanswered.front().copied() {
             if at + self.config.resend > now {
                 break;
@@ -249,10 +229,8 @@
             let Some(flow) = flows.get_mut(&number) else {
                 continue;
             };
-            let Some((segment, attempts)) = flow
-                .sent
-                .as_mut()
-                .filter(|(segment, _)| segment.sequence == sequence)
+            let Some((segment, attempts)) =
+                flow.sent.as_mut().filter(|(segment, _)| segment.sequence == sequence)
             else {
                 continue;
             };
--- a/testkit/src/responder.rs
+++ b/testkit/src/responder.rs
@@ -61,11 +61,7 @@
             record: Arc::clone(&record),
         };
         let task = tokio::spawn(engine.run());
-        Ok(Self {
-            address,
-            record,
-            _task: Guard(task.abort_handle()),
-        })
+        Ok(Self { address, record, _task: Guard(task.abort_handle()) })
     }
 
     /// Returns the address for encapsulated packets.
@@ -136,11 +132,7 @@
         }
         // The acknowledged number stands in for the send state, so a resent segment gets the
         // same answer.
-        let sequence = if segment.syn {
-            0
-        } else {
-            segment.acknowledgment?
-        };
+        let sequence = if segment.syn { 0 } else { segment.acknowledgment? };
         let mut answer = Segment::new(segment.destination, segment.source, sequence);
         answer.acknowledgment = Some(segment.sequence.wrapping_add(segment.length()));
         answer.syn = segment.syn;
--- a/testkit/src/scenario.rs
+++ b/testkit/src/scenario.rs
@@ -173,19 +173,10 @@
             ("responses were truncated", self.truncated > 0),
             ("requests ran twice", self.executed_twice > 0),
             ("refusals were false", self.false_refusals > 0),
-            (
-                "a zone out of service received packets",
-                self.zone_packets_after_grace > 0,
-            ),
-            (
-                "a draining target received new flows",
-                self.drained_target_new_flows_after_grace > 0,
-            ),
+            ("a zone out of service received packets", self.zone_packets_after_grace > 0),
+            ("a draining target received new flows", self.drained_target_new_flows_after_grace > 0),
         ];
-        checks
-            .into_iter()
-            .filter_map(|(text, violated)| violated.then_some(text))
-            .collect()
+        checks.into_iter().filter_map(|(text, violated)| violated.then_some(text)).collect()
     }
 }
 
@@ -275,10 +266,7 @@
 
     /// Publishes a service with all its targets.
     pub fn publish_service(&mut self, service: &str) {
-        let targets = self
-            .targets
-            .iter()
-            .filter(|target| target.config().service == service);
+        let targets = self.targets.iter().filter(|target| target.config().service == service);
         let targets = targets.map(|target| {
             let mut target = target.describe();
             if self.draining.contains(&*target.name) {
@@ -289,10 +277,7 @@
         let service = Service {
             name: service.into(),
             state: ServiceState::Active,
-            addresses: vec![Address {
-                protocol: Protocol::Tcp,
-                address: service_address(service),
-            }],
+            addresses: vec![Address { protocol: Protocol::Tcp, address: service_address(service) }],
             targets: targets.collect(),
             policy: None,
         };
@@ -383,11 +368,7 @@
     pub fn open(&self, count: usize, period: Duration, life: Option<Duration>) {
         let callers = self.callers.len();
         for (index, caller) in self.callers.iter().enumerate() {
-            caller.open(
-                count / callers + usize::from(index < count % callers),
-                period,
-                life,
-            );
+            caller.open(count / callers + usize::from(index < count % callers), period, life);
         }
     }
 
@@ -406,18 +387,12 @@
     /// Returns the open flows of the busiest target over the mean of its service.
     pub fn imbalance(&self) -> f64 {
         let of = |service: &str| {
-            let targets = self
-                .targets
-                .iter()
-                .filter(|t| t.config().service == service);
+            let targets = self.targets.iter().filter(|t| t.config().service == service);
             let open: Vec<usize> = targets.map(|t| t.read(|record| record.open)).collect();
             let mean = open.iter().sum::<usize>() as f64 / open.len() as f64;
             open.into_iter().max().unwrap_or(0) as f64 / mean.max(1.0)
         };
-        SERVICES
-            .iter()
-            .map(|(service, _)| of(service))
-            .fold(0.0, f64::max)
+        SERVICES.iter().map(|(service, _)| of(service)).fold(0.0, f64::max)
     }
 
     /// Returns the control bytes per daemon and second of the daemons that run.
@@ -547,11 +522,7 @@
 
     fn admit(&mut self, config: DaemonConfig, daemon: C::Daemon) {
         let started = Instant::now();
-        self.members.push(Member {
-            config,
-            daemon,
-            started,
-        });
+        self.members.push(Member { config, daemon, started });
         self.update_fabric();
     }
 
@@ -641,11 +612,7 @@
         let last = record.flows.last().map(|(at, _)| *at);
         in_force = in_force.max(last.map_or(Duration::ZERO, |at| at - drained_at));
     });
-    for target in world
-        .targets
-        .iter()
-        .filter(|target| target.config().zone == zone)
-    {
+    for target in world.targets.iter().filter(|target| target.config().zone == zone) {
         target.read(|record| {
             let late = record.packets_between(out_at + grace, back_at);
             report.zone_packets_after_grace += late.values().sum::<u64>();
--- a/testkit/src/segment.rs
+++ b/testkit/src/segment.rs
@@ -73,12 +73,7 @@
             }
             (from, to) => panic!("no packet from {from} to {to}: IP versions differ"),
         };
-        let mut tcp = ip.tcp(
-            self.source.port(),
-            self.destination.port(),
-            self.sequence,
-            65_000,
-        );
+        let mut tcp = ip.tcp(self.source.port(), self.destination.port(), self.sequence, 65_000);
         if let Some(number) = self.acknowledgment {
             tcp = tcp.ack(number);
         }
@@ -92,8 +87,7 @@
             tcp = tcp.rst();
         }
         let mut packet = Vec::with_capacity(tcp.size(self.payload.len()));
-        tcp.write_to_vec(&mut packet, &self.payload)
-            .expect("payload fits into an IP packet");
+        tcp.write_to_vec(&mut packet, &self.payload).expect("payload fits into an IP packet");
         packet
     }
 
@@ -104,11 +98,7 @@
 
     /// Returns the RST that answers this segment.
     pub fn reset(&self) -> Self {
-        let mut reset = Self::new(
-            self.destination,
-            self.source,
-            self.acknowledgment.unwrap_or(0),
-        );
+        let mut reset = Self::new(self.destination, self.source, self.acknowledgment.unwrap_or(0));
         reset.rst = true;
         if self.acknowledgment.is_none() {
             reset.acknowledgment = Some(self.sequence.wrapping_add(self.length()));
@@ -120,13 +110,11 @@
 /// Returns source and destination address of an IP packet.
 pub(crate) fn addresses(packet: &[u8]) -> Option<(IpAddr, IpAddr)> {
     match IpSlice::from_slice(packet).ok()? {
-        IpSlice::Ipv4(ip) => Some((
-            ip.header().source_addr().into(),
-            ip.header().destination_addr().into(),
-        )),
-        IpSlice::Ipv6(ip) => Some((
-            ip.header().source_addr().into(),
-            ip.header().destination_addr().into(),
-        )),
+        IpSlice::Ipv4(ip) => {
+            Some((ip.header().source_addr().into(), ip.header().destination_addr().into()))
+        }
+        IpSlice::Ipv6(ip) => {
+            Some((ip.header().source_addr().into(), ip.header().destination_addr().into()))
+        }
     }
 }
--- a/testkit/src/stack.rs
+++ b/testkit/src/stack.rs
@@ -80,13 +80,7 @@
         socket.set_nagle_enabled(false);
         let mut sockets = SocketSet::new(Vec::with_capacity(1));
         let handle = sockets.add(socket);
-        Self {
-            interface,
-            sockets,
-            handle,
-            queues,
-            timeout,
-        }
+        Self { interface, sockets, handle, queues, timeout }
     }
 
     /// Hands an IP packet to the stack.
@@ -97,8 +91,7 @@
     /// Runs the stack and returns the packets to send.
     pub(crate) fn poll(&mut self, now: Instant) -> VecDeque<Vec<u8>> {
         self.update_timeout();
-        self.interface
-            .poll(stack_time(now), &mut self.queues, &mut self.sockets);
+        self.interface.poll(stack_time(now), &mut self.queues, &mut self.sockets);
         std::mem::take(&mut self.queues.sent)
     }
 
--- a/testkit/src/target.rs
+++ b/testkit/src/target.rs
@@ -148,10 +148,7 @@
     /// Returns the number of connections accepted in a period.
     pub fn flows_between(&self, from: Instant, to: Instant) -> usize {
         let period = from..to;
-        self.flows
-            .iter()
-            .filter(|(at, _)| period.contains(at))
-            .count()
+        self.flows.iter().filter(|(at, _)| period.contains(at)).count()
     }
 
     /// Returns the most connections accepted in a second of the target's clock.
@@ -237,13 +234,7 @@
         })?;
         let engine = Engine::new(config.clone(), socket, shared.clone(), now);
         let task = tokio::spawn(engine.run());
-        Ok(Self {
-            config,
-            address,
-            shared,
-            http,
-            _task: Guard(task.abort_handle()),
-        })
+        Ok(Self { config, address, shared, http, _task: Guard(task.abort_handle()) })
     }
 
     /// Returns the target's settings.
@@ -415,10 +406,7 @@
             return false;
         };
         let bucket = record.bucket(now);
-        *record
-            .timeline
-            .entry((bucket, segment.destination))
-            .or_default() += 1;
+        *record.timeline.entry((bucket, segment.destination)).or_default() += 1;
         record.seen.insert(segment.source);
         if !self.config.addresses.contains(&segment.destination) {
             record.misdelivered += 1;
@@ -506,11 +494,7 @@
         if cold {
             lock(&self.shared).record.over_cold += 1;
         }
-        let limit = if cold {
-            self.config.cold_queue
-        } else {
-            self.config.queue
-        };
+        let limit = if cold { self.config.cold_queue } else { self.config.queue };
         if self.queue.len() < limit {
             return self.queue.push_back((key, request));
         }
--- a/testkit/src/util.rs
+++ b/testkit/src/util.rs
@@ -25,11 +25,7 @@
 
 /// Binds a UDP socket with large buffers.
 pub(crate) fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::DGRAM,
-        Some(Protocol::UDP),
-    )?;
+    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
     // The kernel may grant less; that only makes losses likelier.
     let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
     let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
@@ -102,10 +98,7 @@
 
 impl<K: Copy + Eq + Hash + Ord> Timers<K> {
     pub(crate) fn new() -> Self {
-        Self {
-            heap: BinaryHeap::new(),
-            scheduled: HashMap::new(),
-        }
+        Self { heap: BinaryHeap::new(), scheduled: HashMap::new() }
     }
 
     /// Replaces the wake-up of `key`.
--- a/testkit/tests/endpoints.rs
+++ b/testkit/tests/endpoints.rs
@@ -25,11 +25,7 @@
     let mut buffer = [0; 2048];
     for turn in 0.. {
         let (length, from) = socket.recv_from(&mut buffer).await.unwrap();
-        let to = if from == fabric {
-            targets[turn % targets.len()]
-        } else {
-            fabric
-        };
+        let to = if from == fabric { targets[turn % targets.len()] } else { fabric };
         socket.send_to(&buffer[..length], to).await.unwrap();
     }
 }
@@ -75,11 +71,7 @@
     daemons.set([forwarder(&fabric, vec![target.address()]).await]);
     let caller = Caller::start(caller(2), &fabric);
     caller.open(150, Duration::from_millis(500), None);
-    caller.open(
-        100,
-        Duration::from_secs(1),
-        Some(Duration::from_millis(300)),
-    );
+    caller.open(100, Duration::from_secs(1), Some(Duration::from_millis(300)));
     // Silence longer than the stack's timeout breaks no flow.
     let mut silent = caller_config(3, Ipv4Addr::new(10, 1, 0, 2).into());
     silent.silent = 1.0;
@@ -100,23 +92,13 @@
     caller.begin_finish(Duration::from_millis(500));
     caller.closed().await;
     let seen = caller.record();
-    assert_eq!(
-        (seen.opened, seen.closed, seen.open),
-        (250, 250, 0),
-        "{seen:?}"
-    );
+    assert_eq!((seen.opened, seen.closed, seen.open), (250, 250, 0), "{seen:?}");
     assert!(seen.broken.is_empty(), "{seen:?}");
-    assert_eq!(
-        (seen.crossed, seen.truncated, seen.reset_closing),
-        (0, 0, 0)
-    );
+    assert_eq!((seen.crossed, seen.truncated, seen.reset_closing), (0, 0, 0));
     assert_eq!(seen.requests, seen.answered);
     let record = target.record();
     assert_eq!(record.flows.len(), 260);
-    assert_eq!(
-        record.executed.len() as u64,
-        seen.requests + silent.record().requests
-    );
+    assert_eq!(record.executed.len() as u64, seen.requests + silent.record().requests);
     assert_eq!((record.executed_twice(), record.misdelivered), (0, 0));
     assert!(record.peak_busy <= 4);
 }
@@ -147,11 +129,7 @@
     caller.begin_finish(Duration::from_millis(100));
     caller.closed().await;
     let record = caller.record();
-    assert_eq!(
-        record.broken.len() + record.given_up as usize,
-        50,
-        "{record:?}"
-    );
+    assert_eq!(record.broken.len() + record.given_up as usize, 50, "{record:?}");
     // A flow without a response does not know that its target was taken out.
     let unknown = |flow: &Broken| flow.cause == Cause::Reset || flow.target.is_none();
     assert!(record.broken.iter().all(unknown), "{record:?}");
@@ -287,15 +265,7 @@
     }
     wait_for("answered", || probe.record().answered == 4000).await;
     let record = probe.record();
-    assert_eq!(
-        (
-            record.moved,
-            record.crossed,
-            record.broken,
-            record.unanswered
-        ),
-        (0, 0, 0, 0)
-    );
+    assert_eq!((record.moved, record.crossed, record.broken, record.unanswered), (0, 0, 0, 0));
     for number in 0..1000 {
         assert!(probe.close(number));
     }
--- a/testkit/tests/platform.rs
+++ b/testkit/tests/platform.rs
@@ -16,16 +16,10 @@
 async fn pages_watches_and_counts() {
     let platform = Platform::start().unwrap();
     let empty = read(&platform, "/v1/tickets?index=0&wait_ms=0").await;
-    assert_eq!(
-        empty,
-        Some((200, json!({"index": 0, "tickets": [], "more": false})))
-    );
+    assert_eq!(empty, Some((200, json!({"index": 0, "tickets": [], "more": false}))));
     platform.publish(&json!({"number": 7}));
     assert_eq!(platform.publish(&json!({"number": 3})), 2);
-    let all = read(&platform, "/v1/tickets?index=0&wait_ms=9000")
-        .await
-        .unwrap()
-        .1;
+    let all = read(&platform, "/v1/tickets?index=0&wait_ms=9000").await.unwrap().1;
     assert_eq!(all["tickets"], json!([{"number": 7}, {"number": 3}]));
     assert_eq!(read(&platform, "/v1/tickets?index=3").await.unwrap().0, 410);
 
@@ -48,10 +42,7 @@
         state: "live".into(),
     };
     platform.set_vms(vec![vm.clone()]);
-    let vms = read(&platform, "/v1/vms?index=0&wait_ms=9000")
-        .await
-        .unwrap()
-        .1;
+    let vms = read(&platform, "/v1/vms?index=0&wait_ms=9000").await.unwrap().1;
     assert_eq!(vms, json!({"index": 1, "vms": [vm]}));
 }
 
--- a/testkit/tests/scenario.rs
+++ b/testkit/tests/scenario.rs
@@ -46,8 +46,7 @@
             };
             let targets: Vec<&Target> = service.targets.iter().filter(active).collect();
             self.turn += 1;
-            self.flows
-                .insert(key, targets[self.turn % targets.len()].clone());
+            self.flows.insert(key, targets[self.turn % targets.len()].clone());
         }
         if let Some(out) = &self.out {
             self.flows.retain(|_, target| target.zone != *out);
@@ -79,10 +78,7 @@
         let mut segment = Segment::parse(packet).unwrap();
         if misdeliver.is_some_and(|every| count % every == 0) {
             let table = table.lock().unwrap();
-            let other = table
-                .services
-                .keys()
-                .find(|key| **key != segment.destination);
+            let other = table.services.keys().find(|key| **key != segment.destination);
             segment.syn = true;
             segment.destination = *other.unwrap();
         }
@@ -101,10 +97,7 @@
 /// Reads all tickets again and again.
 async fn watch(config: DaemonConfig, table: Arc<Mutex<Table>>, last: Option<u64>) {
     loop {
-        let page = get(&format!("{}/v1/tickets?index=0", config.platform))
-            .await
-            .unwrap()
-            .1;
+        let page = get(&format!("{}/v1/tickets?index=0", config.platform)).await.unwrap().1;
         let mut tickets: Vec<Ticket> = serde_json::from_value(page["tickets"].clone()).unwrap();
         tickets.retain(|ticket| last.is_none_or(|last| ticket.number <= last));
         table.lock().unwrap().learn(tickets);
@@ -156,34 +149,17 @@
     let progress = |text: &str| println!("{:>6.1} s: {text}", start.elapsed().as_secs_f64());
     let report = run(Ideal::default(), plan(), progress).await.unwrap();
     println!("{}", serde_json::to_string(&report).unwrap());
-    assert!(
-        report.violations().is_empty(),
-        "{:?}: {report:?}",
-        report.violations()
-    );
-    assert!(
-        report.requests <= report.answered + report.given_up_with_zone,
-        "{report:?}"
-    );
-    assert!(
-        report.flows > 500 && report.given_up_with_zone > 0,
-        "{report:?}"
-    );
-    assert!(
-        report.cold_target_flows > 0 && report.refused == 0,
-        "{report:?}"
-    );
+    assert!(report.violations().is_empty(), "{:?}: {report:?}", report.violations());
+    assert!(report.requests <= report.answered + report.given_up_with_zone, "{report:?}");
+    assert!(report.flows > 500 && report.given_up_with_zone > 0, "{report:?}");
+    assert!(report.cold_target_flows > 0 && report.refused == 0, "{report:?}");
     assert!(report.imbalance_max_over_mean < 1.5, "{report:?}");
 }
 
 /// Proves that each violation can be reported.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_faulty_cluster_is_reported() {
-    let cluster = Ideal {
-        last_ticket: Some(2),
-        misdeliver: Some(500),
-        ..Ideal::default()
-    };
+    let cluster = Ideal { last_ticket: Some(2), misdeliver: Some(500), ..Ideal::default() };
     let report = run(cluster, plan(), |_| {}).await.unwrap();
     let violations = report.violations();
     println!("{violations:?} {report:?}");
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -17,10 +17,7 @@
 }
 
 fn flows() -> Flows {
-    Flows {
-        owned: 12,
-        ..Flows::default()
-    }
+    Flows { owned: 12, ..Flows::default() }
 }
 
 /// Starts a server whose node answers some requests and drops the others.
@@ -50,20 +47,12 @@
     let timeout = Duration::from_secs(20);
     let client = connect(server.address(), timeout).expect("a client");
     assert_eq!(client.flows().await.expect("an answer"), flows());
-    assert_eq!(
-        client.member_snapshot().await.expect("an answer"),
-        json!([1, 2])
-    );
-    let error = client
-        .state_snapshot()
-        .await
-        .expect_err("the node drops it");
+    assert_eq!(client.member_snapshot().await.expect("an answer"), json!([1, 2]));
+    let error = client.state_snapshot().await.expect_err("the node drops it");
     assert!(error.to_string().contains("does not answer"), "{error}");
 
     let (sender, receiver) = channel();
-    let busy = Server::start(local(), sender.clone())
-        .await
-        .expect("a free port");
+    let busy = Server::start(local(), sender.clone()).await.expect("a free port");
     let other = Server::start(busy.address(), sender).await;
     assert!(matches!(other, Err(Error::Bind { .. })));
     let client = connect(busy.address(), timeout).expect("a client");
@@ -72,9 +61,7 @@
     assert!(error.to_string().contains("busy or stopping"), "{error}");
     let address = busy.address();
     busy.stop().await;
-    Server::start(address, channel().0)
-        .await
-        .expect("the port is free again");
+    Server::start(address, channel().0).await.expect("the port is free again");
 }
 
 /// Guards against oversized requests, batches and unknown methods that cost the daemon work.
@@ -101,17 +88,9 @@
             .expect("a request");
         let response = client.request(request).await.expect("a response");
         let found = response.status().as_u16();
-        let bytes = response
-            .into_body()
-            .collect()
-            .await
-            .expect("a body")
-            .to_bytes();
+        let bytes = response.into_body().collect().await.expect("a body").to_bytes();
         let text = String::from_utf8_lossy(&bytes);
-        assert!(
-            found == status && text.contains(part),
-            "{body:.40}: {found} {text}"
-        );
+        assert!(found == status && text.contains(part), "{body:.40}: {found} {text}");
     }
 }
 
@@ -127,12 +106,7 @@
     let call = r#"{"jsonrpc":"2.0","id":1,"method":"flows"}"#;
     let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: 41";
     let mut open = Vec::new();
-    for sent in [
-        "",
-        &head[..30],
-        &format!("{head}\r\n\r\n{{"),
-        &format!("{head}\r\n\r\n{call}"),
-    ] {
+    for sent in ["", &head[..30], &format!("{head}\r\n\r\n{{"), &format!("{head}\r\n\r\n{call}")] {
         let stream = TcpStream::connect(server.address()).await;
         let mut stream = stream.expect("it listens");
         stream.write_all(sent.as_bytes()).await.expect("it reads");
@@ -141,9 +115,6 @@
     let client = connect(server.address(), Duration::from_secs(60)).expect("a client");
     assert_eq!(client.flows().await.expect("an answer"), flows());
     let mut response = String::new();
-    open[3]
-        .read_to_string(&mut response)
-        .await
-        .expect("it responds");
+    open[3].read_to_string(&mut response).await.expect("it responds");
     assert!(response.contains("\"owned\":12"), "{response}");
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -16,9 +16,7 @@
         id,
         name: Arc::from(format!("target-{id}")),
         service: 0,
-        address: format!("127.0.0.1:{}", 20_000 + id)
-            .parse()
-            .expect("the address is valid"),
+        address: format!("127.0.0.1:{}", 20_000 + id).parse().expect("the address is valid"),
         zone: Arc::from(zone),
         zone_out: false,
         state: TargetState::Active,
@@ -36,23 +34,12 @@
 
 /// Returns a table with one service at 198.51.100.1:80.
 pub(crate) fn table(targets: Vec<Target>, priority: Priority) -> Table {
-    let placeable = targets
-        .iter()
-        .filter(|t| t.is_placeable())
-        .map(|t| (t.id, t.weight))
-        .collect();
+    let placeable = targets.iter().filter(|t| t.is_placeable()).map(|t| (t.id, t.weight)).collect();
     let service = Service {
         name: Arc::from("turnos"),
-        policy: Policy {
-            name: Arc::from("default"),
-            priority,
-            bound: None,
-        },
+        policy: Policy { name: Arc::from("default"), priority, bound: None },
         targets: targets.iter().map(|target| target.id).collect(),
-        generations: vec![Generation {
-            number: 1,
-            targets: placeable,
-        }],
+        generations: vec![Generation { number: 1, targets: placeable }],
     };
     let address = "198.51.100.1:80".parse().expect("the address is valid");
     let mut table = Table::new();
--- a/tests/detectors/mod.rs
+++ b/tests/detectors/mod.rs
@@ -147,16 +147,11 @@
     }
 
     pub(crate) fn detector(&self, index: usize) -> &Detector {
-        self.daemons[index]
-            .detector
-            .as_ref()
-            .expect("the daemon runs")
+        self.daemons[index].detector.as_ref().expect("the daemon runs")
     }
 
     pub(crate) fn running(&self) -> Vec<usize> {
-        (0..self.daemons.len())
-            .filter(|index| self.daemons[*index].detector.is_some())
-            .collect()
+        (0..self.daemons.len()).filter(|index| self.daemons[*index].detector.is_some()).collect()
     }
 
     /// Starts a daemon at a new port. It knows the platform's list of all daemons.
@@ -255,10 +250,7 @@
             self.daemons[index].detector = None;
             return;
         }
-        self.push(
-            self.now + self.daemons[index].tick,
-            What::Tick(index, starts),
-        );
+        self.push(self.now + self.daemons[index].tick, What::Tick(index, starts));
     }
 
     fn deliver(&mut self, index: usize, from: Id, address: SocketAddr, message: Message) {
@@ -284,11 +276,7 @@
         }
         for output in out {
             match output {
-                Output::Send {
-                    to,
-                    address,
-                    message,
-                } => self.transmit(index, to, address, message),
+                Output::Send { to, address, message } => self.transmit(index, to, address, message),
                 Output::ViewChanged => {
                     let view = self.detector(index).view();
                     let published = view.iter().map(|(id, m)| (id, m.status)).collect();
@@ -306,15 +294,9 @@
 
     fn transmit(&mut self, from: usize, to: Id, address: SocketAddr, message: Message) {
         let sender = self.id(from);
-        let frame = Frame {
-            sender,
-            body: Body::Member(message),
-            packet: &[],
-        };
+        let frame = Frame { sender, body: Body::Member(message), packet: &[] };
         self.buffer.clear();
-        frame
-            .encode(&self.keyring, &mut self.buffer)
-            .expect("the frame is short");
+        frame.encode(&self.keyring, &mut self.buffer).expect("the frame is short");
         let length = self.buffer.len();
         let Body::Member(message) = frame.body else {
             return;
