Do not reset flows of a target that is in quarantine

Quarantines end at different times in different daemons, because each daemon counts from when it learned of the ticket. A daemon that was late answered packets of flows that another daemon had placed with a reset. It now drops them and the caller retransmits.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -335,9 +335,14 @@
                 .get(&id)
                 .is_some_and(|since| now.saturating_duration_since(*since) > drain)
         });
-        if target.service != service || !target.is_reachable() || overdue {
+        if target.service != service || target.zone_out || overdue {
             return Standing::Gone;
         }
+        // Quarantines end at different times in different daemons, so another daemon may have
+        // placed the flow already.
+        if target.quarantined {
+            return Standing::Unheard;
+        }
         Standing::Usable
     }
 
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -267,3 +267,17 @@
     assert!(fleet.findings.terminated > 5, "{:?}", fleet.findings);
     assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
 }
+
+/// Guards against resets by a daemon whose quarantine of a target lasts longer than in others.
+#[test]
+fn quarantine_resets_no_flow() {
+    let mut fleet = settled(200);
+    for quarantined in [true, false] {
+        fleet.services[0].targets.iter_mut().for_each(|target| target.quarantined = quarantined);
+        fleet.publish(Duration::from_secs(1));
+        fleet.run(Duration::from_secs(5));
+    }
+    fleet.run(Duration::from_secs(200));
+    assert_eq!(fleet.findings.terminated, 0);
+    assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+}
