--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod coordinator;
 mod daemon;
 mod error;
+mod handoff;
 mod inbox;
 mod join;
 mod members;
--- a/src/node/tickets.rs
+++ b/src/node/tickets.rs
@@ -10,10 +10,16 @@
 
 use crate::{
     member::Id,
-    node::{command::Command, coordinator, peers::Sender, shared::Shared},
-    route::Compiler,
+    node::{
+        command::Command,
+        coordinator,
+        handoff::{Handoff, Remaining},
+        peers::Sender,
+        shared::Shared,
+    },
+    route::{Compiler, QUARANTINE},
     spread::{Action, Message, Spreader},
-    ticket::{self, Content, Item, Number, Snapshot, State, ZoneState},
+    ticket::{self, Content, Item, Number, State, ZoneState},
     wire::Body,
 };
 
@@ -38,11 +44,11 @@
     /// The platform has published these tickets.
     Published(Vec<Arc<str>>),
     /// Another member's state has arrived.
-    Merge(Snapshot),
+    Merge(Handoff),
     /// The process was paused, so the state must be confirmed.
     Confirm,
     /// Returns the state for a joiner.
-    Snapshot(RpcReplyPort<Snapshot>),
+    Snapshot(RpcReplyPort<Handoff>),
     /// Returns what the API shows of the tickets.
     Summary(RpcReplyPort<Summary>),
 }
@@ -135,8 +141,11 @@
                 spreader.on_message(now, from, message, state, &mut self.actions);
             }
             Request::Published(texts) => self.publish(now, &texts),
-            Request::Merge(snapshot) => {
-                let merged = state.merge_snapshot(now, snapshot);
+            Request::Merge(handoff) => {
+                let quarantines = handoff.quarantines.into_iter();
+                let quarantines = quarantines.map(|left| left.quarantine(now, QUARANTINE));
+                self.compiler.adopt(quarantines.collect());
+                let merged = state.merge_snapshot(now, handoff.snapshot);
                 for invalid in &merged.invalid {
                     warn!("snapshot of another member has an invalid object: {invalid}");
                 }
@@ -147,7 +156,10 @@
                 self.is_confirming = true;
             }
             Request::Snapshot(reply) => {
-                let _ = reply.send(state.snapshot());
+                let quarantines = self.compiler.quarantines(now);
+                let left = quarantines.iter().map(|quarantine| Remaining::new(now, quarantine));
+                let handoff = Handoff { snapshot: state.snapshot(), quarantines: left.collect() };
+                let _ = reply.send(handoff);
             }
             Request::Summary(reply) => {
                 let _ = reply.send(self.summary());
