--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -56,6 +56,7 @@
         contacts: Vec::new(),
         flow_key: Secret::from([0x5a; 16]),
         keys: vec![Key { number: 1, key: Secret::from([0xa5; 32]) }],
+        sign_with: None,
         limits: Limits::default(),
         drain_seconds: 2,
         control: Default::default(),
--- a/src/node/coordinator.rs
+++ b/src/node/coordinator.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use log::{info, warn};
+use log::warn;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::mpsc;
 
@@ -81,7 +81,6 @@
         match request {
             Request::Link(links) => self.links = Some(*links),
             Request::Joined => {
-                info!("first state is complete");
                 self.is_joined = true;
                 self.resume().await;
             }
@@ -103,6 +102,7 @@
             gap.as_millis()
         );
         let Some(links) = &self.links else { return };
+        self.shared.is_ready.send_replace(false);
         self.is_view_confirmed = links.members.cast(members::Request::Confirm).is_err();
         self.is_state_confirmed = links.tickets.cast(tickets::Request::Confirm).is_err();
     }
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -1,6 +1,6 @@
 use std::{
     net::{SocketAddr, UdpSocket},
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     thread::JoinHandle,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -171,6 +171,7 @@
     /// drain time is over, and says that it has left.
     pub async fn stop(mut self) {
         info!("daemon {} leaves", self.info.name);
+        self.shared.is_leaving.store(true, Ordering::Relaxed);
         let begun = Instant::now();
         let drain = Duration::from_secs(u64::from(self.settings.drain_seconds));
         let _ = self.links.members.cast(members::Request::Leave);
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -6,7 +6,7 @@
 
 use log::{info, warn};
 use ractor::ActorRef;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     admin::{self, ApiClient as _},
@@ -18,6 +18,13 @@
 /// A daemon serves after this time with what it has.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long one call to the platform may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The pauses between two attempts; each is twice the one before.
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+const MAX_PAUSE: Duration = Duration::from_secs(15);
+
 /// How long one peer may take to send its snapshots.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -39,47 +46,66 @@
 impl<P: Platform> Joiner<P> {
     /// Fetches the first state and lets the daemon serve.
     ///
-    /// The newest of peers and platform counts. Without either, the daemon serves with what it has
-    /// and learns the rest when a peer or the platform can be reached.
+    /// The newest of peers and platform counts. Without either, the daemon serves with what it
+    /// has after [`JOIN_TIMEOUT`] and goes on trying.
     pub(super) async fn run(self) {
         let start = Instant::now();
-        if timeout(JOIN_TIMEOUT, self.fetch()).await.is_err() {
-            warn!("first state is not complete after {} s", JOIN_TIMEOUT.as_secs());
-        }
-        info!("joined after {} ms", start.elapsed().as_millis());
+        let mut fetch = std::pin::pin!(self.fetch());
+        let is_complete = timeout(JOIN_TIMEOUT, &mut fetch).await.is_ok();
         // Requests of one sender arrive in order, so the state is merged before forwarding starts.
         let _ = self.members.cast(members::Request::Joined);
         let _ = self.coordinator.cast(coordinator::Request::Joined);
+        if !is_complete {
+            warn!("no first state after {} s; serving without", JOIN_TIMEOUT.as_secs());
+            fetch.await;
+        }
+        info!("first state is complete after {} ms", start.elapsed().as_millis());
     }
 
+    /// Tries until a peer or the platform has answered.
     async fn fetch(&self) {
-        let mut addresses = self.contacts.clone();
-        match self.platform.vms(0, Duration::ZERO).await {
-            Ok(vms) => {
-                let infos: Vec<Info> = vms.vms.iter().map(watch::info).collect();
-                addresses.extend(self.nearest_first(&infos));
-                let _ = self.members.cast(members::Request::Contacts(infos));
+        let mut pause = FIRST_PAUSE;
+        while !self.try_fetch().await {
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        }
+        self.wait_for_routes().await;
+    }
+
+    /// Asks the contacts, then the daemons on the platform's list, then the platform itself.
+    ///
+    /// The contacts come first, since a platform that hangs would use up the time to join.
+    async fn try_fetch(&self) -> bool {
+        let mut answers = self.fetch_from_peers(&self.contacts, PEERS).await;
+        if answers < PEERS {
+            match timeout(PLATFORM_TIMEOUT, self.platform.vms(0, Duration::ZERO)).await {
+                Ok(Ok(vms)) => {
+                    let infos: Vec<Info> = vms.vms.iter().map(watch::info).collect();
+                    let addresses = self.nearest_first(&infos);
+                    let _ = self.members.cast(members::Request::Contacts(infos));
+                    answers += self.fetch_from_peers(&addresses, PEERS - answers).await;
+                }
+                Ok(Err(error)) => warn!("list of VMs could not be read: {error}"),
+                Err(_) => warn!("list of VMs could not be read in time"),
             }
-            Err(error) => warn!("list of VMs could not be read: {error}"),
         }
+        answers > 0 || self.fetch_from_platform().await
+    }
+
+    /// Fetches the states of at most `wanted` peers and returns how many answered.
+    async fn fetch_from_peers(&self, addresses: &[SocketAddr], wanted: usize) -> usize {
         let mut answers = 0;
         for address in addresses {
-            if address == self.own.admin {
+            if *address == self.own.admin || answers == wanted {
                 continue;
             }
-            match timeout(PEER_TIMEOUT, self.fetch_from(address)).await {
+            match timeout(PEER_TIMEOUT, self.fetch_from(*address)).await {
                 Ok(Ok(())) => answers += 1,
                 Ok(Err(error)) => warn!("{address} did not send its state: {error}"),
                 Err(_) => warn!("{address} did not send its state in time"),
             }
-            if answers == PEERS {
-                break;
-            }
-        }
-        if answers == 0 {
-            self.fetch_from_platform().await;
         }
-        self.wait_for_routes().await;
+        answers
     }
 
     /// Returns the admin addresses of other daemons, those of the own zone and region first.
@@ -105,20 +131,25 @@
         Ok(())
     }
 
-    async fn fetch_from_platform(&self) {
+    /// Reads all tickets and returns whether the platform has answered.
+    async fn fetch_from_platform(&self) -> bool {
         let mut index = 0;
         loop {
-            match self.platform.tickets(index, Duration::ZERO).await {
-                Ok(tickets) => {
+            match timeout(PLATFORM_TIMEOUT, self.platform.tickets(index, Duration::ZERO)).await {
+                Ok(Ok(tickets)) => {
                     index = tickets.index;
                     let _ = self.tickets.cast(tickets::Request::Published(tickets.tickets));
                     if !tickets.more {
-                        return;
+                        return true;
                     }
                 }
-                Err(error) => {
+                Ok(Err(error)) => {
                     warn!("tickets could not be read: {error}");
-                    return;
+                    return false;
+                }
+                Err(_) => {
+                    warn!("tickets could not be read in time");
+                    return false;
                 }
             }
         }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,4 +1,7 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use crate::{
     member::Status,
@@ -37,7 +40,8 @@
     let mut period = tokio::time::interval(PERIOD);
     loop {
         period.tick().await;
-        metrics.set_ready(*shared.is_ready.borrow());
+        let is_leaving = shared.is_leaving.load(Ordering::Relaxed);
+        metrics.set_ready(*shared.is_ready.borrow() && !is_leaving);
         metrics.publish("packets", packets(&shared.counters.load()));
         metrics.publish("control", control(&shared, &sender));
     }
@@ -106,6 +110,7 @@
     snapshot.set_plain(SERVICES, routes.services().len() as u64);
     snapshot.set_plain(TARGETS, routes.targets().count() as u64);
     snapshot.set_plain(READER, u64::from(*shared.is_reader.borrow()));
-    snapshot.set_plain(PLATFORM_FAILURES, shared.platform.load().failures.into());
+    let failures = if *shared.is_reader.borrow() { shared.platform.load().failures } else { 0 };
+    snapshot.set_plain(PLATFORM_FAILURES, failures.into());
     snapshot
 }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::{HashMap, HashSet},
-    sync::Arc,
+    sync::{Arc, atomic::AtomicBool},
 };
 
 use arc_swap::ArcSwap;
@@ -33,6 +33,8 @@
     /// Whether the daemon forwards, published by the actor
     /// [`Coordinator`](super::coordinator::Coordinator).
     pub(super) is_ready: watch::Sender<bool>,
+    /// Whether the daemon is about to stop, set by [`Node::stop`](super::Node::stop).
+    pub(super) is_leaving: AtomicBool,
     /// The counters of the packet loop.
     pub(super) counters: Arc<ArcSwap<LoopCounters>>,
     /// Whether this daemon reads the platform, published by the actor `Tickets`.
@@ -49,6 +51,7 @@
             classes: ArcSwap::default(),
             platform: ArcSwap::default(),
             is_ready: watch::Sender::new(false),
+            is_leaving: AtomicBool::new(false),
             counters: Arc::default(),
             is_reader: watch::Sender::new(false),
         }
--- a/src/node/tickets.rs
+++ b/src/node/tickets.rs
@@ -189,7 +189,7 @@
         for text in texts {
             match ticket::parse("platform", text) {
                 Ok(ticket) => tickets.push(ticket),
-                Err(error) => self.refuse(None, error.to_string().into()),
+                Err(error) => self.refuse(number(text), error.to_string().into()),
             }
         }
         let Arguments { spreader, state, .. } = &mut self.arguments;
@@ -272,3 +272,8 @@
         }
     }
 }
+
+/// Returns the number of a ticket that may be invalid otherwise.
+fn number(text: &str) -> Option<Number> {
+    serde_json::from_str::<serde_json::Value>(text).ok()?.get("number")?.as_u64()
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -144,6 +144,12 @@
             ));
         }
     }
+    if let Some(number) = settings.sign_with
+        && !numbers.contains(&number)
+    {
+        let message = format!("key {number} is not in the list of keys");
+        return Err(problem(&[Field("sign_with")], message, "name one of the keys"));
+    }
     Ok(())
 }
 
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -44,6 +44,10 @@
     pub flow_key: Secret<16>,
     /// The keys that authenticate frames between daemons.
     pub keys: Vec<Key>,
+    /// The number of the key that signs frames; the highest if absent. While a new key is being
+    /// added to all daemons, the old one must sign.
+    #[serde(default)]
+    pub sign_with: Option<wire::KeyNumber>,
     /// The sizes of tables and the rates of callers.
     #[serde(default)]
     pub limits: Limits,
@@ -106,9 +110,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`wire::Error::NoKey`] if `keys` is empty, which [`Settings::validate`] refuses.
+    /// Returns [`wire::Error::NoKey`] if `keys` is empty and [`wire::Error::UnknownKey`] if
+    /// `sign_with` is not in it, which [`Settings::validate`] refuses.
     pub fn keyring(&self) -> wire::Result<Keyring> {
-        Keyring::new(self.keys.iter().map(|key| (key.number, *key.key.bytes())))
+        let keys = self.keys.iter().map(|key| (key.number, *key.key.bytes()));
+        let keyring = Keyring::new(keys)?;
+        match self.sign_with {
+            Some(number) => keyring.sign_with(number),
+            None => Ok(keyring),
+        }
     }
 }
 
--- a/src/wire/keyring.rs
+++ b/src/wire/keyring.rs
@@ -8,13 +8,15 @@
 /// The length of the authentication tag at the end of a frame in bytes.
 pub const TAG_BYTES: usize = 16;
 
-/// The keys that authenticate frames. The highest number signs; all verify.
+/// The keys that authenticate frames. One signs; all verify.
 ///
-/// Keys rotate by adding a higher number to every daemon and then removing the old one.
+/// Keys rotate in three rolling restarts: the new key is added everywhere while the old one
+/// still signs, then the new key signs, then the old key is removed. A daemon that signed with
+/// a key which others lack would be cut off.
 #[derive(Clone)]
 pub struct Keyring {
     keys: BTreeMap<KeyNumber, [u8; 32]>,
-    newest: KeyNumber,
+    signing: KeyNumber,
 }
 
 impl Keyring {
@@ -32,13 +34,26 @@
     /// ```
     pub fn new(keys: impl IntoIterator<Item = (KeyNumber, [u8; 32])>) -> Result<Keyring> {
         let keys: BTreeMap<_, _> = keys.into_iter().collect();
-        let newest = *keys.keys().next_back().ok_or(Error::NoKey)?;
-        Ok(Keyring { keys, newest })
+        let signing = *keys.keys().next_back().ok_or(Error::NoKey)?;
+        Ok(Keyring { keys, signing })
+    }
+
+    /// Signs with the key `number` instead of the highest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::UnknownKey`] if the key ring has no such key.
+    pub fn sign_with(mut self, number: KeyNumber) -> Result<Keyring> {
+        if !self.keys.contains_key(&number) {
+            return Err(Error::UnknownKey(number));
+        }
+        self.signing = number;
+        Ok(self)
     }
 
     /// Returns the number of the key that signs.
-    pub(super) fn newest(&self) -> KeyNumber {
-        self.newest
+    pub(super) fn signing(&self) -> KeyNumber {
+        self.signing
     }
 
     /// Returns the tag of `bytes` under the key `number`.
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -123,6 +123,8 @@
     let located = refusal(&second);
     assert_eq!(located.message, "keys[1].number: key number 1 is used twice");
     assert_eq!(&second[located.span.offset()..][..1], "1");
+    let unknown = refusal(&text.replace("\"keys\": [", "\"sign_with\": 9, \"keys\": ["));
+    assert_eq!(unknown.message, "sign_with: key 9 is not in the list of keys");
     let none = text.replace(&format!("{{ \"number\": 1, \"key\": \"{key}\" }},"), "");
     assert!(refusal(&none).message.contains("keys: list of keys is empty"));
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -58,3 +58,22 @@
     assert_eq!(Frame::decode(&buffer[..middle], &keyring(1)).expect("a frame"), frame(first));
     assert_eq!(Frame::decode(&buffer[middle..], &keyring(1)).expect("a frame"), frame(second));
 }
+
+/// Guards against a rotation that cuts off a daemon: a new key must not sign before all have it.
+#[test]
+fn keys_rotate_in_three_steps() {
+    let keys = [(1, [1; 32]), (2, [2; 32])];
+    let [old, new] = [keyring(1), keyring(2)];
+    let both = Keyring::new(keys).expect("keys are given");
+    let first = both.clone().sign_with(1).expect("the key is in the ring");
+    assert!(matches!(both.clone().sign_with(3), Err(Error::UnknownKey(3))));
+    // Pairs of daemons that meet during the restarts of one step.
+    for (a, b) in [(&old, &first), (&first, &both), (&both, &new)] {
+        for (from, to) in [(a, b), (b, a)] {
+            let frame = Frame { sender: 1, body: Body::Copied { sequence: 1 }, packet: &[] };
+            let mut buffer = Vec::new();
+            frame.encode(from, &mut buffer).expect("the frame is short");
+            assert!(Frame::decode(&buffer, to).is_ok());
+        }
+    }
+}
