--- /dev/null
+++ b/src/spread/spreader/announcing.rs
@@ -0,0 +1,207 @@
+//! Announcements of new tickets.
+//!
+//! A ticket must be in force everywhere within seconds, which comparisons with one random member
+//! at a time do not reach. A member that brings a ticket in force therefore announces it to
+//! random members, and these fetch it from one that announced it.
+
+use std::time::Instant;
+
+use crate::{
+    member,
+    spread::{
+        Action, Blob, Message, Want,
+        queue::Lane,
+        spreader::{Spreader, want},
+    },
+    ticket::{Number, ObjectId, State},
+};
+
+/// The ticket numbers in one announcement; with 10 bytes each they fit in a message.
+const MAX_ANNOUNCED: usize = 64;
+
+/// Announced tickets that are being fetched.
+const MAX_PENDING: usize = 256;
+
+/// The objects that one retry asks for.
+const MAX_RETRIED: usize = 32;
+
+/// After this number of retries a ticket is left to the comparison of states.
+const MAX_TRIES: u32 = 8;
+
+/// The longest time between two retries, in retry intervals.
+const MAX_BACKOFF: u32 = 8;
+
+/// Members that announced a ticket and can be asked for it.
+const MAX_SOURCES: usize = 3;
+
+/// The tickets whose lists of objects are kept for members that ask for them.
+///
+/// A ticket is announced for a few seconds only; 512 tickets are half a day.
+const MAX_MANIFESTS: usize = 512;
+
+/// A ticket that was announced and is not in force here yet.
+#[derive(Debug)]
+pub(super) struct Pending {
+    sources: Vec<member::Id>,
+    asked_at: Instant,
+    tries: u32,
+    /// The objects that the ticket changed.
+    pub(super) manifest: Option<Vec<ObjectId>>,
+}
+
+impl Spreader {
+    /// Announces new tickets once a round.
+    pub(super) fn gossip(&mut self, now: Instant) {
+        if now < self.next_gossip || self.rumors.is_empty() {
+            return;
+        }
+        self.next_gossip = now + self.config.gossip_interval;
+        let numbers: Vec<Number> = self.rumors.keys().rev().take(MAX_ANNOUNCED).copied().collect();
+        let fanout = self.announce(&numbers);
+        for number in numbers {
+            if let Some(left) = self.rumors.get_mut(&number) {
+                *left = left.saturating_sub(fanout.max(1));
+            }
+        }
+        self.rumors.retain(|_, left| *left > 0);
+    }
+
+    /// Sends an announcement to random members and returns their number.
+    fn announce(&mut self, numbers: &[Number]) -> usize {
+        let chosen = self.peers.choose(&mut self.rng, self.config.fanout);
+        for to in &chosen {
+            self.queue.push(Lane::Urgent, *to, Message::Announce(numbers.to_vec()));
+        }
+        chosen.len()
+    }
+
+    /// Notes that a ticket is in force and announces it at once.
+    pub(super) fn in_force(
+        &mut self,
+        now: Instant,
+        number: Number,
+        manifest: Vec<ObjectId>,
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::InForce(number));
+        self.pending.remove(&number);
+        self.keep_manifest(number, manifest);
+        let members = self.peers.len() + 1;
+        // 2·log2(n), rounded up.
+        let times = 2 * (usize::BITS - members.leading_zeros()) as usize;
+        let sent = if self.rumors.len() < MAX_ANNOUNCED { self.announce(&[number]) } else { 0 };
+        if self.rumors.is_empty() {
+            self.next_gossip = now + self.config.gossip_interval;
+        }
+        if times > sent {
+            self.rumors.insert(number, times - sent);
+        }
+        while self.rumors.len() > MAX_ANNOUNCED {
+            self.rumors.pop_first();
+        }
+    }
+
+    pub(super) fn keep_manifest(&mut self, number: Number, manifest: Vec<ObjectId>) {
+        self.manifests.insert(number, manifest);
+        while self.manifests.len() > MAX_MANIFESTS {
+            self.manifests.pop_first();
+        }
+    }
+
+    pub(super) fn on_announce(
+        &mut self,
+        now: Instant,
+        from: member::Id,
+        numbers: Vec<Number>,
+        state: &State,
+    ) {
+        let mut wants = Vec::new();
+        for number in numbers.into_iter().take(MAX_ANNOUNCED) {
+            let history = state.history();
+            if history.is_applied(number) || number <= history.applied.forgotten() {
+                continue;
+            }
+            if let Some(pending) = self.pending.get_mut(&number) {
+                if pending.sources.len() < MAX_SOURCES && !pending.sources.contains(&from) {
+                    pending.sources.push(from);
+                }
+                continue;
+            }
+            if self.pending.len() >= MAX_PENDING {
+                break;
+            }
+            let pending = Pending { sources: vec![from], asked_at: now, tries: 0, manifest: None };
+            self.pending.insert(number, pending);
+            wants.push(want(Blob::Ticket(number)));
+        }
+        self.request(from, wants);
+    }
+
+    /// Repeats the requests that got no response.
+    pub(super) fn retry(&mut self, now: Instant, state: &State) {
+        let retry = self.config.retry_interval;
+        for (from, want) in self.assemblies.tick(now, retry) {
+            self.request(from, vec![want]);
+        }
+        let mut requests = Vec::new();
+        for (number, pending) in &mut self.pending {
+            if pending.asked_at + retry * MAX_BACKOFF.min(1 << pending.tries) > now {
+                continue;
+            }
+            pending.asked_at = now;
+            // A large object that is on its way is no reason to give up.
+            let arriving =
+                |manifest: &Vec<_>| manifest.iter().any(|id| self.assemblies.contains(*id));
+            if !pending.manifest.as_ref().is_some_and(arriving) {
+                pending.tries += 1;
+            }
+            let source = pending.sources[pending.tries as usize % pending.sources.len()];
+            let wants: Vec<Want> = match &pending.manifest {
+                None => vec![want(Blob::Ticket(*number))],
+                Some(manifest) => lacking(*number, manifest, state)
+                    .filter(|id| !self.assemblies.contains(*id))
+                    .map(Blob::Newest)
+                    .take(MAX_RETRIED)
+                    .map(want)
+                    .collect(),
+            };
+            requests.push((source, wants));
+        }
+        for (source, wants) in requests {
+            self.request(source, wants);
+        }
+        self.pending.retain(|_, pending| pending.tries < MAX_TRIES);
+    }
+
+    /// Brings the pending tickets in force whose objects are all there.
+    pub(super) fn complete(&mut self, now: Instant, state: &mut State, out: &mut Vec<Action>) {
+        let complete: Vec<Number> = self
+            .pending
+            .iter()
+            .filter(|(number, pending)| {
+                let manifest = pending.manifest.as_ref();
+                state.history().is_applied(**number)
+                    || manifest.is_some_and(|m| lacking(**number, m, state).next().is_none())
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in complete {
+            let pending = self.pending.remove(&number);
+            if let Some(manifest) = pending.and_then(|pending| pending.manifest)
+                && state.mark_applied(number)
+            {
+                self.in_force(now, number, manifest, out);
+            }
+        }
+    }
+}
+
+/// Returns the objects of a ticket that the state has only with lower numbers.
+fn lacking<'a>(
+    number: Number,
+    manifest: &'a [ObjectId],
+    state: &'a State,
+) -> impl Iterator<Item = ObjectId> + 'a {
+    let lacks = move |id: &ObjectId| state.get(*id).is_none_or(|item| item.number < number);
+    manifest.iter().copied().filter(lacks)
+}
--- /dev/null
+++ b/src/spread/spreader/comparing.rs
@@ -0,0 +1,189 @@
+//! Comparison of the state with a random member's.
+//!
+//! It repairs what announcements missed. Members with equal states exchange one digest; others
+//! go from hashes of buckets to digests of objects, so the cost depends on the differences and
+//! not on the size of the state.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use rand::RngExt as _;
+
+use crate::{
+    member,
+    spread::{
+        Action, Blob, Message,
+        message::PART_BYTES,
+        queue::Lane,
+        spreader::{Spreader, want},
+    },
+    ticket::{BUCKETS, Digest, History, Item, ObjectId, Range, Ranges, State, Summary},
+};
+
+/// The digests in one listing; with 25 bytes each they fit.
+const MAX_DIGESTS: usize = 40;
+
+/// The ranges in one part of the history; with 20 bytes each they fit.
+const MAX_RANGES: usize = 40;
+
+/// The buckets that one comparison goes into. More would let two members with many differences
+/// use up their budgets at once; the next comparison follows after a second.
+const MAX_COMPARED: usize = 8;
+
+impl Spreader {
+    /// After a difference was found there may be more.
+    pub(super) fn compare_soon(&mut self, now: Instant) {
+        let soon = now + self.config.gossip_interval;
+        self.next_entropy = self.next_entropy.min(soon);
+    }
+
+    /// Answers a digest that differs.
+    pub(super) fn compare(&mut self, from: member::Id, summary: Summary, state: &State) {
+        let own = state.summary();
+        if summary.root != own.root {
+            self.queue.push(Lane::Background, from, buckets(state));
+        } else if summary.history != own.history {
+            self.send_history(from, false, state);
+        }
+    }
+
+    pub(super) fn on_buckets(&mut self, from: member::Id, hashes: &[u32], state: &State) {
+        if hashes.len() != BUCKETS {
+            self.counters.malformed += 1;
+            return;
+        }
+        let own = state.buckets();
+        let first = self.rng.random_range(0..BUCKETS);
+        let different: Vec<usize> = (0..BUCKETS)
+            .map(|index| (first + index) % BUCKETS)
+            .filter(|index| own[*index] as u32 != hashes[*index])
+            .take(MAX_COMPARED)
+            .collect();
+        for bucket in different {
+            for message in listings(bucket, state) {
+                self.queue.push(Lane::Background, from, message);
+            }
+        }
+    }
+
+    pub(super) fn on_listing(
+        &mut self,
+        from: member::Id,
+        first: ObjectId,
+        last: ObjectId,
+        digests: &[Digest],
+        state: &State,
+    ) {
+        let theirs: BTreeMap<ObjectId, Digest> = digests.iter().map(|d| (d.id, *d)).collect();
+        let own = state.digests_between(first, last);
+        let mut wanted = Vec::new();
+        for digest in &own {
+            let other = theirs.get(&digest.id);
+            if other == Some(digest) {
+                continue;
+            }
+            let number = other.map_or(0, |other| other.number);
+            if number >= digest.number {
+                wanted.push(digest.id);
+            }
+            // A listing of one object may be an offer. Answering it with an offer of the same
+            // number would go on without end.
+            if number < digest.number || (number == digest.number && first < last) {
+                self.offer(from, *digest, state);
+            }
+        }
+        wanted.extend(theirs.keys().filter(|id| state.get(**id).is_none()));
+        let wants =
+            wanted.into_iter().filter(|id| !self.is_expected(*id)).map(|id| want(Blob::Object(id)));
+        let wants = wants.collect();
+        self.request(from, wants);
+    }
+
+    /// Returns whether the object is being fetched for an announced ticket.
+    fn is_expected(&self, id: ObjectId) -> bool {
+        let mut manifests = self.pending.values().filter_map(|p| p.manifest.as_ref());
+        self.assemblies.contains(id) || manifests.any(|manifest| manifest.contains(&id))
+    }
+
+    /// Sends an object that a member lacks, or only its digest if the object is large and the
+    /// member may be getting it already.
+    fn offer(&mut self, to: member::Id, digest: Digest, state: &State) {
+        let versions: Vec<&Item> = state.versions(digest.id).collect();
+        let size = postcard::experimental::serialized_size(&versions).unwrap_or(0);
+        if size <= PART_BYTES {
+            self.send_object(to, Blob::Object(digest.id), &[], state);
+            return;
+        }
+        let message = Message::Listing { from: digest.id, to: digest.id, digests: vec![digest] };
+        self.queue.push(Lane::Background, to, message);
+    }
+
+    fn send_history(&mut self, to: member::Id, reply: bool, state: &State) {
+        let history = state.history();
+        let applied = self.some(&history.applied, MAX_RANGES);
+        let refused = self.some(&history.refused, MAX_RANGES / 4);
+        let message = Message::History { summary: state.summary(), applied, refused, reply };
+        self.queue.push(Lane::Background, to, message);
+    }
+
+    /// Returns the newest ranges and, if there are more, as many at a random place.
+    fn some(&mut self, ranges: &Ranges, count: usize) -> Vec<Range> {
+        if ranges.len() <= count {
+            return ranges.iter().collect();
+        }
+        let skip = self.rng.random_range(0..ranges.len() - count / 2);
+        let newest = ranges.iter().rev().take(count / 2);
+        newest.chain(ranges.iter().skip(skip).take(count / 2)).collect()
+    }
+
+    pub(super) fn on_history(
+        &mut self,
+        from: member::Id,
+        summary: Summary,
+        (applied, refused): (Vec<Range>, Vec<Range>),
+        reply: bool,
+        state: &mut State,
+        out: &mut Vec<Action>,
+    ) {
+        let same = summary.root == state.summary().root;
+        let history = History {
+            applied: if same { applied } else { Vec::new() }.into(),
+            refused: refused.into(),
+        };
+        let before = state.history().applied.clone();
+        state.merge_history(&history);
+        // Only the highest number is reported; `State::history` has all.
+        if let Some(last) = history.applied.last()
+            && !before.contains(last)
+        {
+            out.push(Action::InForce(last));
+        }
+        if !reply && same && state.summary().history != summary.history {
+            self.send_history(from, true, state);
+        }
+    }
+}
+
+pub(super) fn buckets(state: &State) -> Message {
+    Message::Buckets(state.buckets().iter().map(|hash| *hash as u32).collect())
+}
+
+/// Lists a bucket in messages that together cover all its ids.
+fn listings(bucket: usize, state: &State) -> Vec<Message> {
+    let ids = State::bucket_ids(bucket);
+    let digests = state.digests_between(*ids.start(), *ids.end());
+    let mut messages = Vec::new();
+    let mut from = *ids.start();
+    let mut chunks = digests.chunks(MAX_DIGESTS).peekable();
+    if chunks.peek().is_none() {
+        let (to, digests) = (*ids.end(), Vec::new());
+        return vec![Message::Listing { from, to, digests }];
+    }
+    while let Some(chunk) = chunks.next() {
+        let last = chunk.last().map_or(*ids.end(), |digest| digest.id);
+        let to = if chunks.peek().is_some() { last } else { *ids.end() };
+        let digests = chunk.to_vec();
+        messages.push(Message::Listing { from, to, digests });
+        from = to.saturating_add(1);
+    }
+    messages
+}
