Split the ranking and the failure detector by concern

The choice of owners for one hash slot moves out of the ranking, which follows the changes of the view. The piggybacked updates and the departure move out of the detector's dispatch. No statement has changed.

--- a/src/member/detector/mod.rs
+++ b/src/member/detector/mod.rs
@@ -4,34 +4,28 @@
 //! [`Detector::on_message`], so that one place builds messages.
 
 mod apply;
+mod farewell;
+mod piggyback;
 mod probe;
 mod sync;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     net::SocketAddr,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
-use postcard::ser_flavors::Size;
-use rand::{
-    RngExt, SeedableRng,
-    seq::{IteratorRandom, SliceRandom},
-};
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
     member::{
         Config, Counters, Id, Incarnation, Info, Member, Message, Output, Status, Update, View,
-        buckets::Buckets, rumors::Rumors,
+        buckets::Buckets, detector::farewell::Farewell, rumors::Rumors,
     },
     util::TokenBucket,
 };
 
-/// The most bytes of a message besides its updates.
-const MESSAGE_HEADER_BYTES: usize = 16;
-
 /// A member that lost contact and came back is not believed about failures for this long.
 ///
 /// When a partition ends, the other side still reports this side's members as failed.
@@ -40,12 +34,6 @@
 /// How many claims of failures may wait to be verified.
 const MAX_CLAIMS: usize = 256;
 
-/// How long the departure of the local member is repeated at most.
-const FAREWELL: Duration = Duration::from_secs(2);
-
-/// How many members must have acknowledged the departure.
-const FAREWELL_ACKS: usize = 3;
-
 /// How often an update is sent that only raises an incarnation.
 ///
 /// Few members need it: those that have heard of the refuted claim pass it on as a change of
@@ -62,15 +50,6 @@
     remind_at: Option<Instant>,
 }
 
-/// The departure of the local member.
-#[derive(Debug)]
-struct Farewell {
-    until: Instant,
-    next: Instant,
-    sequences: Vec<u32>,
-    acks: HashSet<Id>,
-}
-
 /// A failure detector in the manner of SWIM: pings, indirect pings, suspicion, and updates
 /// piggybacked on these messages.
 ///
@@ -299,12 +278,7 @@
     pub fn left(&mut self, now: Instant) {
         if self.is_running() {
             self.set_own(now, Status::Left, self.incarnation(), false);
-            self.farewell = Some(Farewell {
-                until: now + FAREWELL,
-                next: now,
-                sequences: Vec::new(),
-                acks: HashSet::new(),
-            });
+            self.farewell = Some(Farewell::new(now));
         }
     }
 
@@ -381,65 +355,6 @@
         self.next_probe = self.next_probe.max(now);
     }
 
-    /// Returns how often an update is sent: 3·log2(n), at least 6.
-    fn send_limit(&self) -> u32 {
-        let members = (self.order.len() + 1).max(4) as f64;
-        (3.0 * members.log2()).ceil() as u32
-    }
-
-    /// Returns what is known about `id`, with its description if `with_info` is set.
-    fn update_about(&self, id: Id, with_info: bool) -> Option<Update> {
-        let member = self.view.get(id)?;
-        Some(Update {
-            id,
-            incarnation: member.incarnation,
-            status: member.status,
-            check: member.info.check(),
-            info: with_info.then(|| Arc::new(member.info.clone())),
-        })
-    }
-
-    /// Returns what the member `id` has to know at once: that it is taken for dead, or who the
-    /// local member is.
-    fn news_for(&self, id: Id) -> Option<Update> {
-        match self.view.get(id).map(|member| member.status) {
-            Some(Status::Alive | Status::Leaving) => None,
-            Some(_) => self.update_about(id, false),
-            None => self.update_about(self.own, true),
-        }
-    }
-
-    /// Completes `updates` with queued ones up to the limits of a message.
-    fn piggyback(&mut self, mut updates: Vec<Update>) -> Vec<Update> {
-        updates.truncate(self.config.max_updates);
-        let limit = self.config.max_bytes - MESSAGE_HEADER_BYTES;
-        let mut bytes: usize = updates.iter().map(size).sum();
-        let mut sent = Vec::new();
-        // Looks a little beyond the first that does not fit, for smaller ones.
-        for (id, with_info) in self.rumors.iter().take(2 * self.config.max_updates) {
-            if updates.len() >= self.config.max_updates {
-                break;
-            }
-            if updates.iter().any(|update| update.id == id) {
-                continue;
-            }
-            let Some(update) = self.update_about(id, with_info) else {
-                sent.push((id, 0));
-                continue;
-            };
-            let size = size(&update);
-            if bytes + size <= limit {
-                bytes += size;
-                sent.push((id, self.send_limit()));
-                updates.push(update);
-            }
-        }
-        for (id, limit) in sent {
-            self.rumors.sent(id, limit);
-        }
-        updates
-    }
-
     fn send(&self, peer: Peer, message: Message, out: &mut Vec<Output>) {
         out.push(Output::Send { to: peer.id, address: peer.address, message });
     }
@@ -470,39 +385,6 @@
         ids.into_iter().filter_map(|id| self.peer(id)).collect()
     }
 
-    fn tick_farewell(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let Some(farewell) = &self.farewell else {
-            return;
-        };
-        let enough = FAREWELL_ACKS.min(self.order.len());
-        if farewell.acks.len() >= enough || now >= farewell.until {
-            self.farewell = None;
-            return;
-        }
-        if now < farewell.next {
-            return;
-        }
-        let mut peers = self.random_peers(FAREWELL_ACKS, self.own);
-        if peers.len() < FAREWELL_ACKS {
-            // A suspect may only have paused and then reads this message.
-            let others = self.order.iter().filter_map(|id| {
-                let address = self.view.get(*id)?.info.peer;
-                Some(Peer { id: *id, address })
-            });
-            peers.extend(others.sample(&mut self.rng, FAREWELL_ACKS));
-        }
-        for peer in peers {
-            let sequence = self.next_sequence();
-            let updates = self.update_about(self.own, false).into_iter().collect();
-            let updates = self.piggyback(updates);
-            self.send(peer, Message::Ping { sequence, updates }, out);
-            if let Some(farewell) = &mut self.farewell {
-                farewell.sequences.push(sequence);
-                farewell.next = now + Duration::from_millis(200);
-            }
-        }
-    }
-
     /// Forgets members that failed or left long ago.
     fn tick_housekeeping(&mut self, now: Instant) {
         if now < self.next_housekeeping {
@@ -557,8 +439,3 @@
     id: Id,
     address: SocketAddr,
 }
-
-/// Returns the encoded size of `update` in bytes.
-fn size(update: &Update) -> usize {
-    postcard::serialize_with_flavor(update, Size::default()).unwrap_or(usize::MAX / 16)
-}
--- /dev/null
+++ b/src/member/detector/piggyback.rs
@@ -0,0 +1,79 @@
+//! Updates piggybacked on the detector's messages.
+//!
+//! Updates cost no message of their own, so the rate of messages does not grow with the number
+//! of changes. A message is bounded, and the updates sent least often go first.
+
+use std::sync::Arc;
+
+use postcard::ser_flavors::Size;
+
+use crate::member::{Detector, Id, Status, Update};
+
+/// The most bytes of a message besides its updates.
+pub(super) const MESSAGE_HEADER_BYTES: usize = 16;
+
+impl Detector {
+    /// Returns how often an update is sent: 3·log2(n), at least 6.
+    pub(super) fn send_limit(&self) -> u32 {
+        let members = (self.order.len() + 1).max(4) as f64;
+        (3.0 * members.log2()).ceil() as u32
+    }
+
+    /// Returns what is known about `id`, with its description if `with_info` is set.
+    pub(super) fn update_about(&self, id: Id, with_info: bool) -> Option<Update> {
+        let member = self.view.get(id)?;
+        Some(Update {
+            id,
+            incarnation: member.incarnation,
+            status: member.status,
+            check: member.info.check(),
+            info: with_info.then(|| Arc::new(member.info.clone())),
+        })
+    }
+
+    /// Returns what the member `id` has to know at once: that it is taken for dead, or who the
+    /// local member is.
+    pub(super) fn news_for(&self, id: Id) -> Option<Update> {
+        match self.view.get(id).map(|member| member.status) {
+            Some(Status::Alive | Status::Leaving) => None,
+            Some(_) => self.update_about(id, false),
+            None => self.update_about(self.own, true),
+        }
+    }
+
+    /// Completes `updates` with queued ones up to the limits of a message.
+    pub(super) fn piggyback(&mut self, mut updates: Vec<Update>) -> Vec<Update> {
+        updates.truncate(self.config.max_updates);
+        let limit = self.config.max_bytes - MESSAGE_HEADER_BYTES;
+        let mut bytes: usize = updates.iter().map(size).sum();
+        let mut sent = Vec::new();
+        // Looks a little beyond the first that does not fit, for smaller ones.
+        for (id, with_info) in self.rumors.iter().take(2 * self.config.max_updates) {
+            if updates.len() >= self.config.max_updates {
+                break;
+            }
+            if updates.iter().any(|update| update.id == id) {
+                continue;
+            }
+            let Some(update) = self.update_about(id, with_info) else {
+                sent.push((id, 0));
+                continue;
+            };
+            let size = size(&update);
+            if bytes + size <= limit {
+                bytes += size;
+                sent.push((id, self.send_limit()));
+                updates.push(update);
+            }
+        }
+        for (id, limit) in sent {
+            self.rumors.sent(id, limit);
+        }
+        updates
+    }
+}
+
+/// Returns the encoded size of `update` in bytes.
+pub(super) fn size(update: &Update) -> usize {
+    postcard::serialize_with_flavor(update, Size::default()).unwrap_or(usize::MAX / 16)
+}
--- a/src/member/detector/sync.rs
+++ b/src/member/detector/sync.rs
@@ -5,7 +5,11 @@
 
 use rand::seq::SliceRandom;
 
-use super::{Detector, Peer, apply::Verdict, size};
+use super::{
+    Detector, Peer,
+    apply::Verdict,
+    piggyback::{MESSAGE_HEADER_BYTES, size},
+};
 use crate::member::{
     Entry, Id, Message, Output, Status, Update,
     buckets::{BUCKETS, Buckets},
@@ -302,7 +306,7 @@
         mut wanted: Vec<Id>,
         out: &mut Vec<Output>,
     ) {
-        let limit = self.config.max_bytes - super::MESSAGE_HEADER_BYTES;
+        let limit = self.config.max_bytes - MESSAGE_HEADER_BYTES;
         let mut bytes = 10 * wanted.len();
         let mut messages = 0;
         let mut batch = Vec::new();
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod output;
 mod owners;
+mod ranked;
 mod ranking;
 mod rumors;
 mod snapshot;
--- a/src/member/ranking.rs
+++ b/src/member/ranking.rs
@@ -6,8 +6,10 @@
 
 use crate::{
     flow::{SLOTS, Slot},
-    member::{Id, Owners, Status, View},
-    util,
+    member::{
+        Id, Owners, Status, View,
+        ranked::{Ranked, ZoneIndex},
+    },
 };
 
 /// How long former owners are kept.
@@ -16,9 +18,6 @@
 /// How many former owners of a hash slot are kept. Each costs a query for an unknown flow.
 const MAX_FORMER: usize = 6;
 
-/// The index of a zone in [`Ranking::zones`].
-type ZoneIndex = u16;
-
 /// The members that can be owners, in the order of their ids.
 type Candidates = Vec<(Id, ZoneIndex)>;
 
@@ -29,14 +28,6 @@
     until: Instant,
 }
 
-/// The owners of a hash slot with their zones.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Ranked {
-    owners: Owners,
-    primary_zone: ZoneIndex,
-    secondary_zone: ZoneIndex,
-}
-
 /// The owners of every hash slot under one view.
 ///
 /// The owners under the views of the last 10 minutes are kept as *former* owners, which may
@@ -282,7 +273,7 @@
     }
 
     fn rank_all(&self) -> Vec<Option<Ranked>> {
-        (0..SLOTS).map(|slot| rank(slot, &self.candidates)).collect()
+        (0..SLOTS).map(|slot| Ranked::of(slot, &self.candidates)).collect()
     }
 
     /// Ranks again the hash slots that `lost` owned, then those that `gained` take.
@@ -294,13 +285,13 @@
             for (slot, ranked) in (0..SLOTS).zip(&mut slots) {
                 let affected = ranked.is_some_and(|ranked| ranked.owners.iter().any(is_lost));
                 if affected {
-                    *ranked = rank(slot, &kept);
+                    *ranked = Ranked::of(slot, &kept);
                 }
             }
         }
         for (slot, ranked) in (0..SLOTS).zip(&mut slots) {
             for (id, zone) in gained {
-                *ranked = Some(add(slot, *ranked, *id, *zone));
+                *ranked = Some(Ranked::with(*ranked, slot, *id, *zone));
             }
         }
         slots
@@ -358,79 +349,3 @@
     }
     only
 }
-
-/// Returns a member's rank for a hash slot; the highest is the primary owner.
-fn weight(slot: Slot, id: Id) -> (u64, Id) {
-    (util::score(u64::from(slot), id), id)
-}
-
-/// Ranks all candidates for a hash slot.
-fn rank(slot: Slot, candidates: &[(Id, ZoneIndex)]) -> Option<Ranked> {
-    let mut best: Option<((u64, Id), ZoneIndex)> = None;
-    // The best in a zone other than that of `best`, and the second in any zone.
-    let mut other: Option<((u64, Id), ZoneIndex)> = None;
-    let mut second: Option<((u64, Id), ZoneIndex)> = None;
-    for (id, zone) in candidates {
-        let new = (weight(slot, *id), *zone);
-        match best {
-            Some(old) if old.0 > new.0 => {
-                if second.is_none_or(|second| second.0 < new.0) {
-                    second = Some(new);
-                }
-                if old.1 != new.1 && other.is_none_or(|other| other.0 < new.0) {
-                    other = Some(new);
-                }
-            }
-            _ => {
-                // The former best is above all others, so it is the best of its zone.
-                if best.is_some_and(|old| old.1 != new.1) {
-                    other = best;
-                }
-                second = best;
-                best = Some(new);
-            }
-        }
-    }
-    let (primary, primary_zone) = best?;
-    let secondary = other.or(second);
-    Some(Ranked {
-        owners: Owners { primary: primary.1, secondary: secondary.map(|(weight, _)| weight.1) },
-        primary_zone,
-        secondary_zone: secondary.map_or(primary_zone, |(_, zone)| zone),
-    })
-}
-
-/// Adds a candidate to the owners of a hash slot.
-fn add(slot: Slot, ranked: Option<Ranked>, id: Id, zone: ZoneIndex) -> Ranked {
-    let Some(ranked) = ranked else {
-        return Ranked {
-            owners: Owners { primary: id, secondary: None },
-            primary_zone: zone,
-            secondary_zone: zone,
-        };
-    };
-    let Owners { primary, secondary } = ranked.owners;
-    let new = weight(slot, id);
-    if new > weight(slot, primary) {
-        // The old primary owner is the best of all others, but it may be in the same zone.
-        let keeps = zone == ranked.primary_zone && ranked.secondary_zone != zone;
-        let (secondary, secondary_zone) = match secondary {
-            Some(old) if keeps => (old, ranked.secondary_zone),
-            _ => (primary, ranked.primary_zone),
-        };
-        return Ranked {
-            owners: Owners { primary: id, secondary: Some(secondary) },
-            primary_zone: zone,
-            secondary_zone,
-        };
-    }
-    let takes = secondary.is_none_or(|old| {
-        let new = (zone != ranked.primary_zone, new);
-        let old = (ranked.secondary_zone != ranked.primary_zone, weight(slot, old));
-        new > old
-    });
-    if !takes {
-        return ranked;
-    }
-    Ranked { owners: Owners { primary, secondary: Some(id) }, secondary_zone: zone, ..ranked }
-}
