Split the ticket state into merging, checks and claims

The claims on addresses become a type with its own insert and remove, and each result type has a file. State gets an example that shows that the order of arrival does not matter.

--- a/src/ticket/digest.rs
+++ b/src/ticket/digest.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ticket::{Number, ObjectId, state::Version},
+    ticket::{Number, ObjectId, version::Version},
     util,
 };
 
--- a/src/ticket/mod.rs
+++ b/src/ticket/mod.rs
@@ -4,29 +4,36 @@
 //! members. The merged state must not depend on that. Each object therefore
 //! carries the number of the ticket that set it, and the higher number wins.
 
+mod applied;
 mod content;
 mod digest;
 mod history;
 mod invalid;
+mod merged;
 mod object;
 mod parse;
 mod ranges;
 mod refusal;
 mod service;
+mod snapshot;
 mod state;
 mod target;
 mod validate;
+mod version;
 
+pub use applied::Applied;
 pub use content::{Policy, Priority, Ticket, Zone, ZoneState};
 pub use digest::{BUCKETS, Digest, Summary};
 pub use history::History;
 pub use invalid::{Fault, Invalid, Place};
+pub use merged::Merged;
 pub use object::{Content, Item, Object, ObjectId};
 pub use parse::{Error, parse};
 pub use ranges::{Range, Ranges};
 pub use refusal::Refusal;
 pub use service::{Address, Service, ServiceState};
-pub use state::{Applied, GENERATIONS, Merged, Snapshot, State};
+pub use snapshot::Snapshot;
+pub use state::{GENERATIONS, State};
 pub use target::{Target, TargetState};
 
 use crate::util;
--- /dev/null
+++ b/src/ticket/snapshot.rs
@@ -0,0 +1,13 @@
+use serde::{Deserialize, Serialize};
+
+use crate::ticket::{History, Item};
+
+/// The whole state, for a member that joins.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Snapshot {
+    /// All versions of all objects.
+    pub items: Vec<Item>,
+    /// The numbers in force and refused.
+    pub history: History,
+}
--- /dev/null
+++ b/src/ticket/state/check.rs
@@ -0,0 +1,94 @@
+//! Checks of a ticket against the state.
+//!
+//! Only the readers of the platform check tickets, because the result depends on the order of
+//! arrival. Merging must not depend on it and uses none of this.
+
+use std::sync::Arc;
+
+use crate::ticket::{
+    Content, Item, Number, ObjectId, Refusal, State, Ticket,
+    state::claims::{self, Claim},
+};
+
+impl State {
+    /// Checks a ticket against the state and splits it into items.
+    pub(super) fn check(&self, ticket: Ticket) -> Result<Vec<Item>, Refusal> {
+        let number = ticket.number;
+        ticket.validate(self.zones.as_deref()).map_err(|invalid| {
+            let invalid = Box::new(invalid);
+            Refusal::Invalid { number, invalid }
+        })?;
+        let services = ticket.services.into_iter().map(Content::Service);
+        let zones = ticket.zones.into_iter().map(Content::Zone);
+        let policies = ticket.policies.into_iter().map(Content::Policy);
+        let items: Vec<Item> = services
+            .chain(zones)
+            .chain(policies)
+            .map(|content| Item { number, content: Arc::new(content) })
+            .collect();
+        self.check_repetition(number, &items)?;
+        if self.history.is_refused(number) {
+            return Err(Refusal::Again { number });
+        }
+        if !self.history.is_applied(number) {
+            self.check_claims(number, &items)?;
+        }
+        Ok(items)
+    }
+
+    fn check_repetition(&self, number: Number, items: &[Item]) -> Result<(), Refusal> {
+        let applied = self.history.is_applied(number);
+        for item in items {
+            let object = item.object();
+            let mut versions = self.versions(object.id());
+            let same = versions.find(|version| version.number <= number);
+            let repeated = match same {
+                Some(version) if version.number == number => version.content != item.content,
+                // The ticket in force under this number did not set the object.
+                _ => {
+                    let newest = self.get(object.id());
+                    applied && newest.is_none_or(|newest| newest.number < number)
+                }
+            };
+            if repeated {
+                return Err(Refusal::Repeated { number, object });
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that no other service has an address that the items claim.
+    ///
+    /// The other services count as they were under the highest number below the ticket's. A
+    /// reader that starts again reads old tickets after newer state came from its peers, and
+    /// must decide as the first reader did.
+    fn check_claims(&self, number: Number, items: &[Item]) -> Result<(), Refusal> {
+        let replaced: Vec<ObjectId> = items.iter().map(|item| item.object().id()).collect();
+        for item in items {
+            for claim in claims::of(item) {
+                let owners = self.claims.services(claim);
+                let owner = owners
+                    .iter()
+                    .filter(|owner| !replaced.contains(owner))
+                    .filter_map(|owner| self.versions(*owner).find(|v| v.number < number))
+                    .find(|owner| claims::of(owner).contains(&claim));
+                if let Some(owner) = owner {
+                    return Err(clash(claim, item, owner));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns the refusal of `item`, which claims what the item `owner` has.
+fn clash(claim: Claim, item: &Item, owner: &Item) -> Refusal {
+    let number = item.number;
+    let object = item.object();
+    let since = owner.number;
+    let owner = owner.object();
+    match claim {
+        Claim::Address(address) => Refusal::Address { number, object, address, owner, since },
+        Claim::Target(address) => Refusal::Target { number, object, address, owner, since },
+    }
+}
--- /dev/null
+++ b/src/ticket/state/claims.rs
@@ -0,0 +1,56 @@
+use std::{collections::HashMap, net::SocketAddr};
+
+use crate::ticket::{Address, Content, Item, ObjectId, ServiceState};
+
+/// A resource that at most one active service may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum Claim {
+    Address(Address),
+    Target(SocketAddr),
+}
+
+/// The services that claim a resource, once for each kept version that does.
+///
+/// Without this index, each ticket would be compared with every target of every service.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Claims(HashMap<Claim, Vec<ObjectId>>);
+
+impl Claims {
+    /// Returns the services that claim a resource.
+    pub(super) fn services(&self, claim: Claim) -> &[ObjectId] {
+        self.0.get(&claim).map_or(&[], Vec::as_slice)
+    }
+
+    /// Adds the claims of a version of the object `id`.
+    pub(super) fn insert(&mut self, id: ObjectId, item: &Item) {
+        for claim in of(item) {
+            self.0.entry(claim).or_default().push(id);
+        }
+    }
+
+    /// Removes the claims of a version of the object `id`.
+    pub(super) fn remove(&mut self, id: ObjectId, item: &Item) {
+        for claim in of(item) {
+            let Some(services) = self.0.get_mut(&claim) else { continue };
+            if let Some(index) = services.iter().position(|service| *service == id) {
+                services.swap_remove(index);
+            }
+            if services.is_empty() {
+                self.0.remove(&claim);
+            }
+        }
+    }
+}
+
+/// Returns the resources that an item claims.
+pub(super) fn of(item: &Item) -> Vec<Claim> {
+    let Content::Service(service) = &*item.content else {
+        return Vec::new();
+    };
+    if service.state == ServiceState::Removed {
+        return Vec::new();
+    }
+    let addresses = service.addresses.iter().copied().map(Claim::Address);
+    let targets = service.targets.iter().map(|t| Claim::Target(t.address));
+    addresses.chain(targets).collect()
+}
--- a/src/ticket/state.rs
+++ b/src/ticket/state/mod.rs
@@ -1,90 +1,19 @@
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    ops::RangeInclusive,
-    sync::Arc,
-    time::Instant,
-};
+//! The merged state of all tickets.
+
+mod check;
+mod claims;
 
-use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, ops::RangeInclusive, sync::Arc, time::Instant};
 
-use crate::{
-    ticket::{
-        Address, BUCKETS, Content, Digest, History, Invalid, Item, Number, Object, ObjectId,
-        Policy, Refusal, Service, ServiceState, Summary, Ticket, Zone, ZoneState, digest,
-    },
-    util,
+use crate::ticket::{
+    Applied, BUCKETS, Content, Digest, History, Item, Merged, Number, Object, ObjectId, Policy,
+    Refusal, Service, Snapshot, Summary, Ticket, Zone, ZoneState, digest, state::claims::Claims,
+    version::Version,
 };
 
 /// The number of tickets whose target sets are kept for each service.
 pub const GENERATIONS: usize = 4;
 
-/// What a ticket that was not refused has changed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Applied {
-    /// The ticket is newly in force.
-    New {
-        /// The objects whose content in force has changed. Objects that a higher number set
-        /// before are left out.
-        changed: Vec<Object>,
-    },
-    /// The ticket was in force before.
-    Known,
-}
-
-/// What merged items have changed.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Merged {
-    /// The objects whose content in force has changed.
-    pub changed: Vec<Object>,
-    /// Whether anything was new, also an older generation.
-    pub new: bool,
-    /// The items that did not validate and were left out.
-    pub invalid: Vec<Invalid>,
-    /// The number of items that repeat a number with other content.
-    pub conflicts: usize,
-}
-
-/// The whole state, for a member that joins.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
-pub struct Snapshot {
-    /// All versions of all objects.
-    pub items: Vec<Item>,
-    /// The numbers in force and refused.
-    pub history: History,
-}
-
-/// One version of an object.
-#[derive(Debug, Clone)]
-pub(super) struct Version {
-    pub(super) item: Item,
-    /// The hash of the encoded content.
-    pub(super) hash: u64,
-}
-
-impl Version {
-    fn new(item: Item) -> Version {
-        // Encoding into a vector fails for no type of a ticket.
-        let bytes = postcard::to_stdvec(&*item.content).unwrap_or_default();
-        let hash = util::hash_bytes(&[&bytes]);
-        Version { item, hash }
-    }
-
-    /// The order in which versions win. The hash only decides between two contents under one
-    /// number, so that all daemons choose the same one.
-    fn rank(&self) -> (Number, u64) {
-        (self.item.number, self.hash)
-    }
-}
-
-/// A resource that at most one active service may have.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Claim {
-    Address(Address),
-    Target(SocketAddr),
-}
-
 /// The state that results from all tickets, whatever the order in which they arrive.
 ///
 /// # Merging
@@ -98,12 +27,28 @@
 /// an address of another active service. If two readers decide differently, the content of the
 /// accepted ticket is merged everywhere, and [`route::Compiler`](crate::route::Compiler) leaves
 /// the address with the service that has the lower number, which is the same in all daemons.
+///
+/// ```
+/// use std::time::Instant;
+/// use banyanwharf::ticket::{Applied, State, parse};
+///
+/// let now = Instant::now();
+/// let mut state = State::new(None);
+/// for (number, zone) in [(8, "in"), (7, "out")] {
+///     let text = format!(
+///         r#"{{ "number": {number}, "zones": [{{ "name": "prado", "state": "{zone}" }}] }}"#
+///     );
+///     let applied = state.apply(now, parse("ticket", &text)?).expect("no ticket clashes");
+///     assert!(matches!(applied, Applied::New { .. }));
+/// }
+/// assert_eq!(state.zones_out().count(), 0, "the higher number wins");
+/// # Ok::<(), banyanwharf::ticket::Error>(())
+/// ```
 #[derive(Debug, Clone)]
 pub struct State {
     zones: Option<Arc<[Arc<str>]>>,
     objects: BTreeMap<ObjectId, Vec<Version>>,
-    /// The services that claim a resource, once for each kept version that does.
-    claims: HashMap<Claim, Vec<ObjectId>>,
+    claims: Claims,
     buckets: [u64; BUCKETS],
     history: History,
     history_digest: u64,
@@ -116,7 +61,7 @@
         State {
             zones,
             objects: BTreeMap::new(),
-            claims: HashMap::new(),
+            claims: Claims::default(),
             buckets: [0; BUCKETS],
             history: History::default(),
             history_digest: History::default().digest(),
@@ -295,75 +240,6 @@
         digest::of(id, self.objects.get(&id)?)
     }
 
-    /// Checks a ticket against the state and splits it into items.
-    fn check(&self, ticket: Ticket) -> Result<Vec<Item>, Refusal> {
-        let number = ticket.number;
-        ticket.validate(self.zones.as_deref()).map_err(|invalid| {
-            let invalid = Box::new(invalid);
-            Refusal::Invalid { number, invalid }
-        })?;
-        let services = ticket.services.into_iter().map(Content::Service);
-        let zones = ticket.zones.into_iter().map(Content::Zone);
-        let policies = ticket.policies.into_iter().map(Content::Policy);
-        let items: Vec<Item> = services
-            .chain(zones)
-            .chain(policies)
-            .map(|content| Item { number, content: Arc::new(content) })
-            .collect();
-        self.check_repetition(number, &items)?;
-        if self.history.is_refused(number) {
-            return Err(Refusal::Again { number });
-        }
-        if !self.history.is_applied(number) {
-            self.check_claims(number, &items)?;
-        }
-        Ok(items)
-    }
-
-    fn check_repetition(&self, number: Number, items: &[Item]) -> Result<(), Refusal> {
-        let applied = self.history.is_applied(number);
-        for item in items {
-            let object = item.object();
-            let mut versions = self.versions(object.id());
-            let same = versions.find(|version| version.number <= number);
-            let repeated = match same {
-                Some(version) if version.number == number => version.content != item.content,
-                // The ticket in force under this number did not set the object.
-                _ => {
-                    let newest = self.get(object.id());
-                    applied && newest.is_none_or(|newest| newest.number < number)
-                }
-            };
-            if repeated {
-                return Err(Refusal::Repeated { number, object });
-            }
-        }
-        Ok(())
-    }
-
-    /// Checks that no other service has an address that the items claim.
-    ///
-    /// The other services count as they were under the highest number below the ticket's. A
-    /// reader that starts again reads old tickets after newer state came from its peers, and
-    /// must decide as the first reader did.
-    fn check_claims(&self, number: Number, items: &[Item]) -> Result<(), Refusal> {
-        let replaced: Vec<ObjectId> = items.iter().map(|item| item.object().id()).collect();
-        for item in items {
-            for claim in claims(item) {
-                let owners = self.claims.get(&claim).map_or(&[][..], Vec::as_slice);
-                let owner = owners
-                    .iter()
-                    .filter(|owner| !replaced.contains(owner))
-                    .filter_map(|owner| self.versions(*owner).find(|v| v.number < number))
-                    .find(|owner| claims(owner).contains(&claim));
-                if let Some(owner) = owner {
-                    return Err(clash(claim, item, owner));
-                }
-            }
-        }
-        Ok(())
-    }
-
     fn insert(&mut self, version: Version, merged: &mut Merged) {
         let object = version.item.object();
         let id = object.id();
@@ -381,8 +257,8 @@
                 if versions[index].hash > version.hash {
                     return;
                 }
-                unclaim(&mut self.claims, id, &versions[index].item);
-                claim(&mut self.claims, id, &version.item);
+                self.claims.remove(id, &versions[index].item);
+                self.claims.insert(id, &version.item);
                 if index == 0 {
                     merged.changed.push(object);
                 }
@@ -396,10 +272,10 @@
                 if index == 0 {
                     merged.changed.push(object);
                 }
-                claim(&mut self.claims, id, &version.item);
+                self.claims.insert(id, &version.item);
                 versions.insert(index, version);
                 for forgotten in versions.drain(limit.min(versions.len())..) {
-                    unclaim(&mut self.claims, id, &forgotten.item);
+                    self.claims.remove(id, &forgotten.item);
                 }
             }
         }
@@ -417,45 +293,3 @@
         State::new(None)
     }
 }
-
-fn claims(item: &Item) -> Vec<Claim> {
-    let Content::Service(service) = &*item.content else {
-        return Vec::new();
-    };
-    if service.state == ServiceState::Removed {
-        return Vec::new();
-    }
-    let addresses = service.addresses.iter().copied().map(Claim::Address);
-    let targets = service.targets.iter().map(|t| Claim::Target(t.address));
-    addresses.chain(targets).collect()
-}
-
-fn claim(all: &mut HashMap<Claim, Vec<ObjectId>>, id: ObjectId, item: &Item) {
-    for claim in claims(item) {
-        all.entry(claim).or_default().push(id);
-    }
-}
-
-fn unclaim(all: &mut HashMap<Claim, Vec<ObjectId>>, id: ObjectId, item: &Item) {
-    for claim in claims(item) {
-        if let Some(owners) = all.get_mut(&claim) {
-            if let Some(index) = owners.iter().position(|owner| *owner == id) {
-                owners.swap_remove(index);
-            }
-            if owners.is_empty() {
-                all.remove(&claim);
-            }
-        }
-    }
-}
-
-fn clash(claim: Claim, item: &Item, owner: &Item) -> Refusal {
-    let number = item.number;
-    let object = item.object();
-    let since = owner.number;
-    let owner = owner.object();
-    match claim {
-        Claim::Address(address) => Refusal::Address { number, object, address, owner, since },
-        Claim::Target(address) => Refusal::Target { number, object, address, owner, since },
-    }
-}
