--- a/src/forward/copying.rs
+++ b/src/forward/copying.rs
@@ -5,7 +5,6 @@
     forward::{
         Action, Forwarder,
         copier::{Batch, Job},
-        history::members,
     },
     member::{self, Ranking},
     wire::{Body, Record},
@@ -48,7 +47,7 @@
             let (Some(before), Some(after)) = (previous.owners(slot), ranking.owners(slot)) else {
                 continue;
             };
-            let survives = members(&after).any(|id| before.contains(id));
+            let survives = after.iter().any(|id| before.contains(id));
             // Earlier pairs, without the one that this change has replaced.
             let earlier = self.history.former(slot).split_last();
             let earlier = earlier.map_or(&[][..], |(_, earlier)| earlier);
@@ -59,7 +58,7 @@
                 false => earlier.iter().any(|pair| pair.owners.contains(self.id)),
             };
             if sends || self.is_leaving() {
-                for id in members(&after).filter(|id| !before.contains(*id)) {
+                for id in after.iter().filter(|id| !before.contains(*id)) {
                     self.copier.add(id, slot);
                 }
             }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -2,32 +2,24 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use crate::{
-    flow::{Cache, Entry, Fingerprint, Hasher, Key, Mark, SLOTS, State, Table},
+    flow::{Cache, Fingerprint, Hasher, Key, Mark, SLOTS, Table},
     forward::{
-        Action, Cause, Config, Counters, Explanation, Mode, Standing, copier::Copier,
-        history::History, inquiry::Inquiry, packet::Packet,
+        Action, Cause, Config, Counters, Explanation, Mode, copier::Copier, history::History,
+        inquiry::Inquiry, packet::Packet,
     },
     load::Observation,
     member::{self, Owners, Ranking},
     packet,
     place::Placer,
-    route::{self, ServiceIndex},
+    route,
     ticket::{TargetId, TargetState},
     wire::{Body, Trace},
 };
 
-/// The number of buckets that a tick looks at for expired flows.
-///
-/// With a tick of 10 ms, a table with 2^20 buckets is passed in 10 s.
-const SWEEP_BUCKETS: usize = 1024;
-
-/// The time between two prunings of the history of owners.
-const PRUNE_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Observations that wait to be taken. More say nothing new about a target.
 const MAX_OBSERVATIONS: usize = 1024;
 
@@ -54,12 +46,12 @@
     pub(super) counters: Counters,
     pub(super) retries: f64,
     /// When each draining target was first seen to drain.
-    draining: HashMap<TargetId, Instant>,
+    pub(super) draining: HashMap<TargetId, Instant>,
     /// When a member was last seen to fail.
     pub(super) failure: Option<Instant>,
     /// The targets that a ticket removed.
-    removed: HashMap<TargetId, Instant>,
-    pruned: Instant,
+    pub(super) removed: HashMap<TargetId, Instant>,
+    pub(super) pruned: Instant,
     /// What was seen of targets since the last call of [`Forwarder::take_observations`].
     observations: Vec<(TargetId, Observation)>,
     suspended: bool,
@@ -172,19 +164,19 @@
             Ok(summary) => summary,
             Err(error) => return self.drop(error.into(), actions),
         };
+        let packet = |key: Key, service| Packet {
+            bytes,
+            summary,
+            fingerprint: self.hasher.fingerprint(&key),
+            service,
+            sender: None,
+            hops_left: None,
+            trace,
+            held: false,
+        };
         let protocol = summary.protocol;
         if let Some(service) = self.routes.service_at(protocol, summary.destination) {
-            let fingerprint = self.hasher.fingerprint(&summary.request_key());
-            let packet = Packet {
-                bytes,
-                summary,
-                fingerprint,
-                service,
-                sender: None,
-                hops_left: None,
-                trace,
-                held: false,
-            };
+            let packet = packet(summary.request_key(), service);
             return self.request(now, &packet, actions);
         }
         let Some(service) = self.routes.service_at(protocol, summary.source) else {
@@ -193,16 +185,7 @@
         let Some(target) = self.routes.target_at(service, from) else {
             return self.drop(Cause::UnexpectedSender, actions);
         };
-        let packet = Packet {
-            bytes,
-            summary,
-            fingerprint: self.hasher.fingerprint(&summary.return_key()),
-            service,
-            sender: None,
-            hops_left: None,
-            trace,
-            held: false,
-        };
+        let packet = packet(summary.return_key(), service);
         self.returned(now, &packet, target, actions);
     }
 
@@ -321,39 +304,6 @@
         }
     }
 
-    /// Returns what is known about a target of a service.
-    pub(super) fn standing(&self, now: Instant, service: ServiceIndex, id: TargetId) -> Standing {
-        let Some(target) = self.routes.target(id) else {
-            let removed = self.removed.contains_key(&id) || self.was_in_generation(service, id);
-            return match removed {
-                true => Standing::Gone,
-                false => Standing::Unheard,
-            };
-        };
-        let overdue = target.drain.is_some_and(|drain| {
-            self.draining
-                .get(&id)
-                .is_some_and(|since| now.saturating_duration_since(*since) > drain)
-        });
-        if target.service != service || !target.is_reachable() || overdue {
-            return Standing::Gone;
-        }
-        Standing::Usable
-    }
-
-    fn was_in_generation(&self, service: ServiceIndex, id: TargetId) -> bool {
-        self.routes.service(service).is_some_and(|service| {
-            service
-                .generations
-                .iter()
-                .any(|generation| generation.targets.iter().any(|(target, _)| *target == id))
-        })
-    }
-
-    pub(super) fn is_placeable(&self, id: TargetId) -> bool {
-        self.routes.target(id).is_some_and(|target| target.is_placeable())
-    }
-
     /// Returns the owners of the packet's flow.
     pub(super) fn owners(&self, packet: &Packet<'_>) -> Option<Owners> {
         self.ranking.owners(packet.fingerprint.slot())
@@ -368,51 +318,6 @@
         }
     }
 
-    /// Stores a record and keeps the placer's counts.
-    pub(super) fn store(&mut self, now: Instant, entry: &Entry) {
-        let counts = |entry: &Entry| entry.has(Mark::Placed) && entry.state != State::Closed;
-        let before = self.table.peek(now, entry.fingerprint).filter(counts);
-        let after = Some(entry).filter(|entry| counts(entry));
-        if before.map(|entry| entry.target) != after.map(|entry| entry.target) {
-            if let Some(before) = before {
-                self.placer.closed(before.target);
-            }
-            if let Some(after) = after {
-                self.placer.opened(after.target);
-            }
-        }
-        if let Some(evicted) = self.table.put(now, entry) {
-            self.counters.evicted += 1;
-            if counts(&evicted) {
-                self.placer.closed(evicted.target);
-            }
-        }
-    }
-
-    fn expire(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.pruned) >= PRUNE_INTERVAL {
-            self.pruned = now;
-            self.history.prune(now, self.config.history);
-        }
-        let (placer, ranking, id) = (&mut self.placer, &self.ranking, self.id);
-        let owners_mode = self.config.mode == Mode::Owners;
-        let history = self.config.history;
-        // A member that is no owner does not hear of the end of a flow. Records of a flow that
-        // a new owner got before its view changed are not idle yet.
-        let stale = |entry: &Entry| {
-            let slot = entry.fingerprint.slot();
-            owners_mode
-                && Table::TICK * u32::from(entry.idle) > history
-                && ranking.owners(slot).is_some_and(|owners| !owners.contains(id))
-        };
-        self.table.expire(now, SWEEP_BUCKETS, stale, |entry| {
-            if entry.has(Mark::Placed) && entry.state != State::Closed {
-                placer.closed(entry.target);
-            }
-        });
-        self.cache.expire(now, SWEEP_BUCKETS);
-    }
-
     /// Adds to the retry budget for a new flow.
     pub(super) fn earn_retry(&mut self) {
         self.retries = (self.retries + self.config.retry_fraction).min(RETRY_RESERVE.1);
--- a/src/forward/history.rs
+++ b/src/forward/history.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     flow::{SLOTS, Slot},
-    member::{Id, Owners, Ranking},
+    member::{Owners, Ranking},
 };
 
 /// A former pair of owners.
@@ -14,10 +14,15 @@
     pub(super) replaced: Instant,
 }
 
-/// The owners that each hash slot had, as this daemon saw it.
+/// The pairs of owners that each hash slot had, as this daemon saw it.
 ///
 /// A flow's record is at both members of the pair under which it was placed. It is therefore
 /// certain that no record exists if one member of each pair says so.
+///
+/// [`Ranking::former`] cannot serve for this. It has single members without the pair and the
+/// time in which they owned, leaves out those that are owners again, and keeps at most six. With
+/// these, a member that had not yet received the records of its pair would count as proof that
+/// no record exists.
 #[derive(Debug, Clone)]
 pub(super) struct History {
     former: Vec<Vec<Former>>,
@@ -81,8 +86,3 @@
             .is_some_and(|changed| now.saturating_duration_since(changed) < period)
     }
 }
-
-/// Returns the members of a pair.
-pub(super) fn members(owners: &Owners) -> impl Iterator<Item = Id> {
-    [Some(owners.primary), owners.secondary].into_iter().flatten()
-}
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -18,6 +18,7 @@
 mod forwarder;
 mod frames;
 mod history;
+mod holding;
 mod inquiry;
 mod mode;
 mod packet;
--- a/src/forward/standing.rs
+++ b/src/forward/standing.rs
@@ -1,3 +1,7 @@
+use std::time::Instant;
+
+use crate::{forward::Forwarder, route::ServiceIndex, ticket::TargetId};
+
 /// What a forwarder knows about a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Standing {
@@ -8,3 +12,40 @@
     /// No ticket with the target has arrived yet.
     Unheard,
 }
+
+/// The standing of targets. A target that is not in the routes may be gone or may only be
+/// unheard of; the flows of the first are reset, the packets of the second are passed on or dropped.
+impl Forwarder {
+    /// Returns what is known about a target of a service.
+    pub(super) fn standing(&self, now: Instant, service: ServiceIndex, id: TargetId) -> Standing {
+        let Some(target) = self.routes.target(id) else {
+            let removed = self.removed.contains_key(&id) || self.was_in_generation(service, id);
+            return match removed {
+                true => Standing::Gone,
+                false => Standing::Unheard,
+            };
+        };
+        let overdue = target.drain.is_some_and(|drain| {
+            self.draining
+                .get(&id)
+                .is_some_and(|since| now.saturating_duration_since(*since) > drain)
+        });
+        if target.service != service || !target.is_reachable() || overdue {
+            return Standing::Gone;
+        }
+        Standing::Usable
+    }
+
+    fn was_in_generation(&self, service: ServiceIndex, id: TargetId) -> bool {
+        self.routes.service(service).is_some_and(|service| {
+            service
+                .generations
+                .iter()
+                .any(|generation| generation.targets.iter().any(|(target, _)| *target == id))
+        })
+    }
+
+    pub(super) fn is_placeable(&self, id: TargetId) -> bool {
+        self.routes.target(id).is_some_and(|target| target.is_placeable())
+    }
+}
--- a/src/forward/storing.rs
+++ b/src/forward/storing.rs
@@ -2,9 +2,7 @@
 
 use crate::{
     flow::{Entry, Fingerprint, Mark, State},
-    forward::{
-        Action, Cause, Forwarder, Standing, deciding::touched, history::members, packet::Packet,
-    },
+    forward::{Action, Cause, Forwarder, Standing, deciding::touched, packet::Packet},
     member,
     ticket::TargetId,
     wire::{Body, Record, Stage},
@@ -130,7 +128,7 @@
         let Some(owners) = self.ranking.owners(slot).filter(|_| self.is_leaving()) else {
             return;
         };
-        for id in members(&owners).filter(|id| *id != sender && *id != self.id) {
+        for id in owners.iter().filter(|id| *id != sender && *id != self.id) {
             self.copier.add(id, slot);
         }
     }
--- a/src/forward/unknown.rs
+++ b/src/forward/unknown.rs
@@ -8,7 +8,6 @@
     forward::{
         Action, Cause, Forwarder,
         deciding::is_unconfirmed,
-        history::members,
         inquiry::{Held, Inquiry, Kind},
         packet::Packet,
     },
@@ -43,7 +42,7 @@
         let present = self.ranking.owners(slot);
         let pairs = self.history.former(slot).iter().rev();
         let pairs = present.into_iter().chain(pairs.map(|former| former.owners));
-        for id in pairs.flat_map(|owners| members(&owners).collect::<Vec<_>>()) {
+        for id in pairs.flat_map(|owners| owners.iter()) {
             if id != self.id && !holders.contains(&id) && !self.ranking.has_left(id) {
                 holders.push(id);
             }
@@ -74,7 +73,8 @@
         // A pair from before this daemon's start may have followed another pair a moment
         // before, so one member alone may lack the other's records.
         let all_said = |owners: &Owners| {
-            members(owners)
+            owners
+                .iter()
                 .filter(|id| *id != self.id)
                 .all(|id| said(id, None) || !self.ranking.is_present(id))
         };
@@ -84,7 +84,7 @@
         let pairs = former.map(|former| (former.owners, former.formed));
         present.into_iter().chain(pairs).all(|(owners, formed)| {
             let one = owners.contains(self.id)
-                || members(&owners).any(|id| id != self.id && said(id, formed));
+                || owners.iter().any(|id| id != self.id && said(id, formed));
             one && (formed.is_some() || all_said(&owners))
         })
     }
