--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -21,13 +21,16 @@
 
 /// The largest request in bytes; the longest is about 200 bytes.
 const MAXIMUM_REQUEST: u32 = 16 * 1024;
+
 /// The longest time the node may take for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The error code of an answer that did not come in time.
 const TIMEOUT_CODE: i32 = -32001;
+
 /// The error code of a request that the node does not answer.
 const UNANSWERED_CODE: i32 = -32002;
+
 /// The error code of a request that found too many others waiting.
 const BUSY_CODE: i32 = -32003;
 
--- a/src/spread/spreader/announcing.rs
+++ b/src/spread/spreader/announcing.rs
@@ -4,12 +4,13 @@
 //! at a time do not reach. A member that brings a ticket in force therefore announces it to
 //! random members, and these fetch it from one that announced it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::{
     member,
     spread::{
         Action, Blob, Message, Want,
+        assembly::Assemblies,
         queue::Lane,
         spreader::{Spreader, want},
     },
@@ -49,6 +50,39 @@
     pub(super) manifest: Option<Vec<ObjectId>>,
 }
 
+impl Pending {
+    fn is_due(&self, now: Instant, retry: Duration) -> bool {
+        self.asked_at + retry * MAX_BACKOFF.min(1 << self.tries) <= now
+    }
+
+    /// Returns what to ask for next, and the member to ask.
+    fn next_request(
+        &mut self,
+        now: Instant,
+        number: Number,
+        assemblies: &Assemblies,
+        state: &State,
+    ) -> (member::Id, Vec<Want>) {
+        self.asked_at = now;
+        // A large object that is on its way is no reason to give up.
+        let arriving = |manifest: &Vec<_>| manifest.iter().any(|id| assemblies.contains(*id));
+        if !self.manifest.as_ref().is_some_and(arriving) {
+            self.tries += 1;
+        }
+        let source = self.sources[self.tries as usize % self.sources.len()];
+        let wants = match &self.manifest {
+            None => vec![want(Blob::Ticket(number))],
+            Some(manifest) => lacking(number, manifest, state)
+                .filter(|id| !assemblies.contains(*id))
+                .map(Blob::Newest)
+                .take(MAX_RETRIED)
+                .map(want)
+                .collect(),
+        };
+        (source, wants)
+    }
+}
+
 impl Spreader {
     /// Announces new tickets once a round.
     pub(super) fn gossip(&mut self, now: Instant) {
@@ -145,27 +179,9 @@
         }
         let mut requests = Vec::new();
         for (number, pending) in &mut self.pending {
-            if pending.asked_at + retry * MAX_BACKOFF.min(1 << pending.tries) > now {
-                continue;
-            }
-            pending.asked_at = now;
-            // A large object that is on its way is no reason to give up.
-            let arriving =
-                |manifest: &Vec<_>| manifest.iter().any(|id| self.assemblies.contains(*id));
-            if !pending.manifest.as_ref().is_some_and(arriving) {
-                pending.tries += 1;
+            if pending.is_due(now, retry) {
+                requests.push(pending.next_request(now, *number, &self.assemblies, state));
             }
-            let source = pending.sources[pending.tries as usize % pending.sources.len()];
-            let wants: Vec<Want> = match &pending.manifest {
-                None => vec![want(Blob::Ticket(*number))],
-                Some(manifest) => lacking(*number, manifest, state)
-                    .filter(|id| !self.assemblies.contains(*id))
-                    .map(Blob::Newest)
-                    .take(MAX_RETRIED)
-                    .map(want)
-                    .collect(),
-            };
-            requests.push((source, wants));
         }
         for (source, wants) in requests {
             self.request(source, wants);
--- a/src/telemetry/server.rs
+++ b/src/telemetry/server.rs
@@ -18,10 +18,13 @@
 
 /// The largest number of open connections; a scraper needs one.
 const MAXIMUM_CONNECTIONS: usize = 16;
+
 /// The time for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The time that one connection may stay open.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(600);
+
 /// The HTTP server of the metrics. It stops when it is dropped.
 #[derive(Debug)]
 pub struct Server {
--- a/src/telemetry/tracing.rs
+++ b/src/telemetry/tracing.rs
@@ -31,8 +31,10 @@
 /// The largest trace output of one run of a daemon in bytes. VMs have no disk, so a trace file
 /// takes memory.
 const MAXIMUM_BYTES: usize = 16 * 1024 * 1024;
+
 /// The largest number of spans that wait to be written; further ones are dropped.
 const MAXIMUM_QUEUE: usize = 2048;
+
 /// The longest time that a finished span waits.
 const DELAY: Duration = Duration::from_secs(1);
 
