Remove unused and repeated code from the test doubles

An ordered map replaces the hand-made order of events, with the same order of time and number. TargetRecord::peak_flows_per_second had no user. tests/member.rs passes.

--- a/testkit/src/target.rs
+++ b/testkit/src/target.rs
@@ -151,15 +151,6 @@
         self.flows.iter().filter(|(at, _)| period.contains(at)).count()
     }
 
-    /// Returns the most connections accepted in a second of the target's clock.
-    pub fn peak_flows_per_second(&self) -> usize {
-        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
-        for (at, _) in &self.flows {
-            *counts.entry(self.since_start(*at).as_secs()).or_default() += 1;
-        }
-        counts.into_values().max().unwrap_or(0)
-    }
-
     /// Returns the number of requests that ran more than once on this target.
     pub fn executed_twice(&self) -> usize {
         self.executed.values().filter(|count| **count > 1).count()
--- a/tests/detectors/mod.rs
+++ b/tests/detectors/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use std::{
-    collections::BinaryHeap,
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -47,31 +47,11 @@
     }
 }
 
-#[derive(PartialEq, Eq)]
-enum What {
+enum Event {
     Tick(usize, u64),
     Message(usize, Id, SocketAddr, Message),
 }
 
-#[derive(PartialEq, Eq)]
-struct Event {
-    at: Instant,
-    order: u64,
-    what: What,
-}
-
-impl Ord for Event {
-    fn cmp(&self, other: &Event) -> std::cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Event) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
 pub(crate) struct Fleet {
     pub(crate) now: Instant,
     pub(crate) begun: Instant,
@@ -85,7 +65,7 @@
     /// Time spent in the decision code, if it is measured.
     pub(crate) cpu: Duration,
     pub(crate) measure: bool,
-    events: BinaryHeap<Event>,
+    events: BTreeMap<(Instant, u64), Event>,
     order: u64,
     rng: Pcg64Mcg,
     keyring: Keyring,
@@ -116,7 +96,7 @@
             cut: None,
             cpu: Duration::ZERO,
             measure: false,
-            events: BinaryHeap::new(),
+            events: BTreeMap::new(),
             order: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
             keyring: Keyring::new([(1, [7; 32])]).expect("a key is given"),
@@ -171,7 +151,7 @@
         daemon.detector = Some(detector);
         let starts = daemon.starts;
         let phase = TICK.mul_f64(self.rng.random());
-        self.push(self.now + phase, What::Tick(index, starts));
+        self.push(self.now + phase, Event::Tick(index, starts));
     }
 
     /// Gives all daemons the present list of the platform.
@@ -207,14 +187,11 @@
 
     pub(crate) fn run(&mut self, time: Duration) {
         let until = self.now + time;
-        while self.events.peek().is_some_and(|event| event.at <= until) {
-            let Some(event) = self.events.pop() else {
-                break;
-            };
-            self.now = event.at;
-            match event.what {
-                What::Tick(index, starts) => self.tick(index, starts),
-                What::Message(index, from, address, message) => {
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= until) {
+            self.now = entry.key().0;
+            match entry.remove() {
+                Event::Tick(index, starts) => self.tick(index, starts),
+                Event::Message(index, from, address, message) => {
                     let daemon = &mut self.daemons[index];
                     if daemon.paused_until.is_some() {
                         daemon.inbox.push((from, address, message));
@@ -234,7 +211,7 @@
         }
         if let Some(until) = daemon.paused_until {
             if until > self.now {
-                self.push(until, What::Tick(index, starts));
+                self.push(until, Event::Tick(index, starts));
                 return;
             }
             // What waited in the socket is read before the first tick or after it.
@@ -250,7 +227,7 @@
             self.daemons[index].detector = None;
             return;
         }
-        self.push(self.now + self.daemons[index].tick, What::Tick(index, starts));
+        self.push(self.now + self.daemons[index].tick, Event::Tick(index, starts));
     }
 
     fn deliver(&mut self, index: usize, from: Id, address: SocketAddr, message: Message) {
@@ -325,15 +302,14 @@
             }
             let delay = self.max_delay.mul_f64(self.rng.random());
             self.daemons[target].received_bytes += length as u64;
-            let what = What::Message(target, sender, address, message.clone());
-            self.push(self.now + delay, what);
+            let event = Event::Message(target, sender, address, message.clone());
+            self.push(self.now + delay, event);
         }
     }
 
-    fn push(&mut self, at: Instant, what: What) {
+    fn push(&mut self, at: Instant, event: Event) {
         self.order += 1;
-        let order = self.order;
-        self.events.push(Event { at, order, what });
+        self.events.insert((at, self.order), event);
     }
 
     /// Returns the daemons that hold `id` in one of `statuses`, of those that run.
