Make two public names private

flow::Removed was another name for Entry. admin::MAXIMUM_RESPONSE is used by the module's client and server only. tests/flow.rs, tests/forward.rs, tests/admin.rs and tests/telemetry.rs pass.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -38,4 +38,4 @@
 
 /// The largest response in bytes. The state snapshot is the largest: 9,400 targets in up to
 /// 4 generations at about 300 bytes each, 11 MB.
-pub const MAXIMUM_RESPONSE: u32 = 32 * 1024 * 1024;
+pub(crate) const MAXIMUM_RESPONSE: u32 = 32 * 1024 * 1024;
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -20,7 +20,7 @@
 pub use fingerprint::Fingerprint;
 pub use hasher::Hasher;
 pub use key::{Key, Protocol};
-pub use table::{Removed, Table};
+pub use table::Table;
 pub use timeouts::Timeouts;
 
 /// The number of slots that the fingerprints are divided into for ranking owners.
--- a/src/flow/table.rs
+++ b/src/flow/table.rs
@@ -24,9 +24,6 @@
 
 const _: () = assert!(size_of::<Packed>() == 24);
 
-/// A flow that a table no longer holds, or holds as closed.
-pub type Removed = Entry;
-
 /// The flows that a daemon holds as owner.
 #[derive(Debug, Clone)]
 pub struct Table {
@@ -98,7 +95,7 @@
     ///
     /// Panics if the entry changes the target of a live flow whose SYN-ACK was relayed: the
     /// caller may have sent payload to the former target.
-    pub fn put(&mut self, now: Instant, entry: &Entry) -> Option<Removed> {
+    pub fn put(&mut self, now: Instant, entry: &Entry) -> Option<Entry> {
         let seen = self.tick(now).wrapping_sub(entry.idle);
         let target = self.targets.acquire(entry.target);
         let packed = Packed::new(entry, target, seen);
@@ -123,7 +120,7 @@
     }
 
     /// Removes a flow.
-    pub fn remove(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<Removed> {
+    pub fn remove(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<Entry> {
         let held =
             self.entries.find_entry(fingerprint.low(), |packed| packed.is(fingerprint)).ok()?;
         let (packed, _) = held.remove();
@@ -139,7 +136,7 @@
         now: Instant,
         limit: usize,
         stale: impl Fn(&Entry) -> bool,
-        mut removed: impl FnMut(Removed),
+        mut removed: impl FnMut(Entry),
     ) {
         let mut cursor = self.sweep;
         let mut expired = Vec::new();
@@ -213,7 +210,7 @@
     }
 
     /// Evicts the first flow in the order of eviction among a sample of the table.
-    fn evict(&mut self, now: Instant) -> Option<Removed> {
+    fn evict(&mut self, now: Instant) -> Option<Entry> {
         let buckets = self.entries.num_buckets();
         let mut worst: Option<Entry> = None;
         let mut seen = 0;
