--- /dev/null
+++ b/examples/support/flows.rs
@@ -0,0 +1,256 @@
+//! A forwarder that holds a given number of flows, and packets of these flows.
+#![allow(dead_code, unreachable_pub)]
+
+use std::{
+    collections::HashSet,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use banyanwharf::{
+    flow::{Hasher, Key, Protocol},
+    forward::{Action, Config, Forwarder},
+    member::{self, Info, Member, Ranking, Status, View},
+    packet::Flags,
+    place::{self, Placer},
+    route::{Generation, Service, Table, Target},
+    ticket::{Policy, TargetId, TargetState},
+    wire::{Body, Frame, Hop, Stage},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+#[path = "../../tests/forwarders/packets.rs"]
+pub mod packets;
+
+const REGION: &str = "region";
+const TARGETS: u64 = 14;
+
+/// Packets kept for each kind of flow. More would measure the reading of the packets.
+pub const KEPT: usize = 1 << 16;
+
+/// The way of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// The forwarder is the primary owner.
+    Primary,
+    /// The forwarder is the secondary owner.
+    Secondary,
+    /// Other daemons own the flow.
+    Other,
+}
+
+/// A forwarder in a region of four daemons in two zones.
+pub struct Held {
+    pub forwarder: Forwarder,
+    pub now: Instant,
+    pub own: member::Id,
+    pub others: Vec<member::Id>,
+    ranking: Arc<Ranking>,
+    hasher: Hasher,
+    rng: Pcg64Mcg,
+    pub out: Vec<Action>,
+    /// Mid-flow packets of flows that this daemon owns as primary.
+    pub owned: Vec<Vec<u8>>,
+    /// Repeated SYNs of flows that this daemon owns as primary.
+    pub syns: Vec<Vec<u8>>,
+    /// Mid-flow packets of cached flows.
+    pub cached: Vec<Vec<u8>>,
+    /// Return packets of cached flows and the targets' addresses.
+    pub returns: Vec<(SocketAddr, Vec<u8>)>,
+}
+
+impl Held {
+    /// Creates a forwarder without flows.
+    pub fn new(seed: u64) -> Held {
+        let mut now = Instant::now();
+        let mut view = View::new();
+        let mut ids = Vec::new();
+        for at in 0..4 {
+            let info = Info {
+                name: format!("entry-{at}").into(),
+                region: REGION.into(),
+                zone: format!("zone-{}", at % 2).into(),
+                peer: ([127, 0, 0, 1], 1).into(),
+                admin: ([127, 0, 0, 1], 2).into(),
+            };
+            ids.push(info.id());
+            view.insert(Member { info, incarnation: 0, status: Status::Alive, since: now });
+        }
+        let own = ids.remove(0);
+        let hasher = Hasher::new(&[7; 16]);
+        // The limits of new flows have their own tests; here no flow may be refused.
+        let limits = place::Config { new_flows_per_second: u32::MAX, ..Default::default() };
+        let placer = Placer::new(limits, own, seed, now);
+        let config = Config { flows: 1 << 22, cached: 1 << 22, ..Config::default() };
+        let mut forwarder = Forwarder::new(config, own, hasher.clone(), placer, seed, now);
+        let ranking = Arc::new(Ranking::new(&view, REGION, &HashSet::new()));
+        let mut out = Vec::new();
+        forwarder.set_routes(now, Arc::new(routes()), &mut out);
+        forwarder.placer_mut().set_members(&view, REGION);
+        forwarder.set_ranking(now, ranking.clone(), &mut out);
+        // The hash slots have settled.
+        now += Duration::from_secs(20);
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        let (owned, syns, cached, returns) = Default::default();
+        let others = ids;
+        Held {
+            forwarder,
+            now,
+            own,
+            others,
+            ranking,
+            hasher,
+            rng,
+            out,
+            owned,
+            syns,
+            cached,
+            returns,
+        }
+    }
+
+    /// Returns a new random flow and this daemon's role for it.
+    pub fn key(&mut self) -> (Key, Role) {
+        let ip = Ipv4Addr::from(0x6440_0000 | (self.rng.random::<u32>() & 0x3f_ffff));
+        let caller = SocketAddr::new(IpAddr::V4(ip), self.rng.random_range(1024..=u16::MAX));
+        let key = Key { protocol: Protocol::Tcp, caller, service: service() };
+        let owners = self.ranking.owners(self.hasher.fingerprint(&key).slot());
+        let owners = owners.expect("there are members");
+        let role = match owners.primary == self.own {
+            true => Role::Primary,
+            false if owners.secondary == Some(self.own) => Role::Secondary,
+            false => Role::Other,
+        };
+        (key, role)
+    }
+
+    /// Returns a new random flow for which this daemon has `role`.
+    pub fn key_of(&mut self, role: Role) -> Key {
+        loop {
+            let (key, found) = self.key();
+            if found == role {
+                return key;
+            }
+        }
+    }
+
+    /// Opens a flow that this daemon owns as primary, with SYN, SYN-ACK and ACK.
+    pub fn open_owned(&mut self, key: Key) {
+        let syn = request(key, packets::SYN);
+        let (from, ack) = (key.caller, request(key, packets::ACK));
+        self.datagram(from, &syn);
+        let target = self.placed();
+        self.datagram(target, &response(key, packets::SYN_ACK));
+        self.datagram(from, &ack);
+        if self.owned.len() < KEPT {
+            self.owned.push(ack);
+            self.syns.push(syn);
+        }
+    }
+
+    /// Learns a cached flow from a return packet.
+    pub fn open_cached(&mut self, key: Key) {
+        let index = self.rng.random_range(0..TARGETS);
+        let packet = response(key, packets::ACK);
+        self.datagram(address(index), &packet);
+        if self.cached.len() < KEPT {
+            self.cached.push(request(key, packets::ACK));
+            self.returns.push((address(index), packet));
+        }
+    }
+
+    /// Opens `count` flows as primary owner and caches as many others.
+    pub fn fill(&mut self, count: usize) {
+        let (mut owned, mut cached) = (0, 0);
+        while owned < count || cached < count {
+            match self.key() {
+                (key, Role::Primary) if owned < count => {
+                    self.open_owned(key);
+                    owned += 1;
+                }
+                (key, Role::Other) if cached < count => {
+                    self.open_cached(key);
+                    cached += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Passes a datagram to the forwarder and leaves its actions in `out`.
+    pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8]) {
+        self.out.clear();
+        self.forwarder.on_datagram(self.now, from, bytes, None, &mut self.out);
+    }
+
+    /// Passes a packet from another daemon to the forwarder and leaves its actions in `out`.
+    pub fn hop(&mut self, stage: Stage, packet: &[u8]) {
+        self.out.clear();
+        let body = Body::Hop(Hop { stage, hops_left: 3, trace: None });
+        let frame = Frame { sender: self.others[0], body, packet };
+        self.forwarder.on_frame(self.now, &frame, &mut self.out);
+    }
+
+    /// Returns the address of the target in the last actions.
+    fn placed(&self) -> SocketAddr {
+        let target = self.out.iter().find_map(|action| match action {
+            Action::Peer {
+                body: Body::Hop(Hop { stage: Stage::Store { target, .. }, .. }),
+                ..
+            } => Some(*target),
+            _ => None,
+        });
+        address(target.expect("the flow was placed") - 1)
+    }
+}
+
+fn service() -> SocketAddr {
+    ([198, 51, 100, 1], 80).into()
+}
+
+fn address(index: u64) -> SocketAddr {
+    ([10, 1, 0, index as u8 + 1], 6080).into()
+}
+
+fn request(key: Key, flags: Flags) -> Vec<u8> {
+    packets::build(key.protocol, (key.caller, key.service), flags, (1, 1), Some(1))
+}
+
+fn response(key: Key, flags: Flags) -> Vec<u8> {
+    packets::build(key.protocol, (key.service, key.caller), flags, (1, 1), Some(1))
+}
+
+fn routes() -> Table {
+    let target = |index: u64| Target {
+        id: index + 1,
+        name: format!("target-{index}").into(),
+        service: 0,
+        address: address(index),
+        zone: format!("zone-{}", index % 2).into(),
+        zone_out: false,
+        state: TargetState::Active,
+        weight: 100,
+        slots: 4,
+        connections: u32::MAX,
+        cold_slots: 1,
+        ramp: Duration::ZERO,
+        drain: None,
+        health: None,
+        load: None,
+        quarantined: false,
+    };
+    let ids: Vec<TargetId> = (1..=TARGETS).collect();
+    let targets = ids.iter().map(|id| (*id, 100)).collect();
+    let service_entry = Service {
+        name: "turnos".into(),
+        policy: Policy { name: "default".into(), priority: Default::default(), bound: None },
+        targets: ids.clone(),
+        generations: vec![Generation { number: 1, targets }],
+    };
+    let mut table = Table::new();
+    let targets = (0..TARGETS).map(target).collect();
+    table.insert(service_entry, &[(Protocol::Tcp, service())], targets);
+    table
+}
