--- a/examples/slopes_member.rs
+++ b/examples/slopes_member.rs
@@ -5,6 +5,8 @@
 
 #[path = "../tests/detectors/mod.rs"]
 mod detectors;
+#[path = "support/plot.rs"]
+mod plot;
 
 use std::{
     collections::HashSet,
@@ -53,6 +55,9 @@
     /// Where to write the figures as CSV
     #[bpaf(argument("PATH"))]
     csv: Option<PathBuf>,
+    /// Where to draw the figures as SVG
+    #[bpaf(argument("PATH"))]
+    svg: Option<PathBuf>,
 }
 
 const COLUMNS: [&str; 19] = [
@@ -93,7 +98,18 @@
     }
     writeln!(io::stdout(), "seed {}\n{table}", options.seed)?;
     if let Some(path) = &options.csv {
-        fs::write(path, csv)?;
+        fs::write(path, &csv)?;
+    }
+    if let Some(path) = &options.svg {
+        let names = ["sent_bytes_per_s", "cpu_us_per_daemon_s", "crash_failed_max_s"];
+        let lines = plot::lines(&csv, &names);
+        let budgets = [
+            ("2,048 bytes/s", 2048.0),
+            ("3.2% of a core, in us/s", 32_000.0),
+            ("19 s until a change is in force", 19.0),
+        ];
+        plot::write(path, "failure detector", "daemons", &lines, &budgets)
+            .map_err(|error| io::Error::other(error.to_string()))?;
     }
     Ok(())
 }
--- a/examples/slopes_spread.rs
+++ b/examples/slopes_spread.rs
@@ -22,6 +22,8 @@
 use rand_pcg::Pcg64Mcg;
 use spreaders::{Fleet, Network};
 
+#[path = "support/plot.rs"]
+mod plot;
 #[path = "../tests/spreaders/mod.rs"]
 mod spreaders;
 
@@ -55,6 +57,9 @@
     daemons: String,
     /// File for the figures as CSV
     csv: Option<PathBuf>,
+    /// Where to draw the figures as SVG
+    #[bpaf(argument("PATH"))]
+    svg: Option<PathBuf>,
 }
 
 /// The figures of one fleet size.
@@ -285,6 +290,13 @@
         writeln!(csv, "\"{name}\",{value:.3}").expect("writing to a string succeeds");
     }
     println!("{table}");
+    if let Some(path) = arguments.svg {
+        let lines = plot::lines(&csv, &["in_force_max_s", "bytes_busiest_daemon_s", "cpu_share"]);
+        let budgets =
+            [("2,048 bytes/s", 2048.0), ("3.2% of a core", 0.032), ("19 s until in force", 19.0)];
+        plot::write(&path, "dissemination of tickets", "daemons", &lines, &budgets)
+            .expect("the SVG file can be written");
+    }
     if let Some(path) = arguments.csv {
         fs::write(&path, csv).expect("the CSV file can be written");
     }
--- a/examples/support/flows.rs
+++ b/examples/support/flows.rs
@@ -214,7 +214,7 @@
     ([10, 1, 0, index as u8 + 1], 6080).into()
 }
 
-fn request(key: Key, flags: Flags) -> Vec<u8> {
+pub fn request(key: Key, flags: Flags) -> Vec<u8> {
     packets::build(key.protocol, (key.caller, key.service), flags, (1, 1), Some(1))
 }
 
--- /dev/null
+++ b/src/node/baseline.rs
@@ -0,0 +1,35 @@
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+};
+
+use tokio::io::Interest;
+
+use crate::node::{inbox::Inbox, outbox::Outbox};
+
+/// Forwards every datagram unchanged to the targets in turn, with the socket calls of the packet
+/// loop but without any decision.
+///
+/// It is the baseline for the packet rate of a daemon. It runs until the future is dropped.
+///
+/// # Errors
+///
+/// Returns the error if the socket cannot be registered with the runtime or fails.
+pub async fn forward_all(socket: UdpSocket, targets: &[SocketAddr]) -> io::Result<()> {
+    let ready = tokio::net::UdpSocket::from_std(socket.try_clone()?)?;
+    let mut inbox = Inbox::new();
+    let mut outbox = Outbox::new();
+    let mut targets = targets.iter().cycle();
+    loop {
+        ready.readable().await?;
+        let Ok(count) = ready.try_io(Interest::READABLE, || inbox.receive(&socket)) else {
+            continue;
+        };
+        for index in 0..count {
+            if let (Some((_, bytes)), Some(to)) = (inbox.datagram(index), targets.next()) {
+                outbox.push_received(*to, index, 0..bytes.len());
+            }
+        }
+        outbox.flush(&socket, &inbox);
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 //! forwarding whenever the process was paused until the state is confirmed.
 
 mod api;
+mod baseline;
 mod clock;
 mod command;
 mod coordinator;
@@ -28,5 +29,6 @@
 mod tickets;
 mod watch;
 
+pub use baseline::forward_all;
 pub use daemon::Node;
 pub use error::{Error, Result};
