Check ticket files with the ticket module's parser

The tool parsed tickets with its own JSON5 reader, which accepted texts that daemons refuse (unquoted names, values that do not validate). It now uses ticket::parse, with its located errors and help.

--- a/src/bin/banyanwharf/check.rs
+++ b/src/bin/banyanwharf/check.rs
@@ -1,7 +1,6 @@
 use std::{fs, path::Path};
 
-use banyanwharf::{settings::Settings, ticket::Ticket};
-use miette::{NamedSource, SourceSpan};
+use banyanwharf::{settings::Settings, ticket};
 use serde_json::Value;
 
 use crate::{
@@ -35,7 +34,7 @@
 }
 
 fn ticket_verdict(path: &Path, text: &str) -> Result<String, Wrong> {
-    let ticket = parse_ticket(&path.display().to_string(), text)?;
+    let ticket = ticket::parse(&path.display().to_string(), text)?;
     Ok(format!(
         "ticket {} is correct: {} services, {} zones, {} policies",
         ticket.number,
@@ -59,28 +58,3 @@
         },
     }
 }
-
-/// Why a ticket file is wrong.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-#[error("{message}")]
-#[diagnostic(help("samples/ shows whole tickets"))]
-pub(crate) struct TicketError {
-    message: String,
-    #[source_code]
-    text: NamedSource<String>,
-    #[label("here")]
-    span: SourceSpan,
-}
-
-fn parse_ticket(source_name: &str, text: &str) -> Result<Ticket, Box<TicketError>> {
-    serde_json5::from_str(text).map_err(|error| {
-        let serde_json5::Error::Message { msg, location } = error;
-        let (line, column) = location.map_or((1, 1), |place| (place.line, place.column));
-        let offset = miette::SourceOffset::from_location(text, line, column);
-        Box::new(TicketError {
-            message: msg,
-            text: NamedSource::new(source_name, text.to_owned()),
-            span: SourceSpan::new(offset, 0),
-        })
-    })
-}
--- a/src/bin/banyanwharf/error.rs
+++ b/src/bin/banyanwharf/error.rs
@@ -1,6 +1,6 @@
 use std::{io, net::SocketAddr, path::PathBuf};
 
-use banyanwharf::{admin, settings, telemetry};
+use banyanwharf::{admin, settings, telemetry, ticket};
 use jsonrpsee::core::client;
 
 /// Why a command has no answer.
@@ -103,14 +103,8 @@
     /// The ticket is wrong.
     #[error(transparent)]
     #[diagnostic(transparent)]
-    Ticket(Box<crate::check::TicketError>),
+    Ticket(#[from] ticket::Error),
 }
 
 /// A result with this program's [`Error`].
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
-
-impl From<Box<crate::check::TicketError>> for Wrong {
-    fn from(error: Box<crate::check::TicketError>) -> Wrong {
-        Wrong::Ticket(error)
-    }
-}
