--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -172,3 +172,33 @@
         }
     });
 }
+
+/// Guards against wrong settings that pass or are not located.
+#[test]
+fn daemon_checks_settings() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("settings.jsonc");
+    let sample = std::fs::read_to_string("samples/deployment-a.jsonc").expect("a sample");
+    let check = |arguments: &[&str], code: i32, parts: [&str; 2]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_banyanwharfd"));
+        command.args(arguments).arg(&path).env("NO_COLOR", "1");
+        let output = command.output().expect("the daemon runs");
+        let notes = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {notes}");
+        assert!(parts.iter().all(|part| notes.contains(part)), "{parts:?}: {notes}");
+    };
+    check(&["--check"], 1, ["could not be read", "settings.jsonc"]);
+    for (old, new, part) in [
+        ("\"region\"", "\"regoin\"", "unknown field `regoin`"),
+        ("mvd-cerro\",\n", "mvd-sur\",\n", "not in the list of zones"),
+        ("\"drain_seconds\": 30", "\"drain_seconds\": 9999", "the range is 0 to 3600 seconds"),
+    ] {
+        std::fs::write(&path, sample.replacen(old, new, 1)).expect("the folder is writable");
+        check(&["--check"], 1, [part, "settings.jsonc:"]);
+        check(&[], 1, [part, "settings.jsonc:"]);
+    }
+    std::fs::write(&path, &sample).expect("the folder is writable");
+    check(&["--check"], 0, ["", ""]);
+    // No interface of a test machine has the sample's address.
+    check(&[], 1, ["data", "192.0.2.11"]);
+}
