Count all flows of the primary owner and compare placements

The forwarder counted only flows that it had placed itself, so an owner that took over hash slots placed new flows as if those targets were empty. It now counts every open flow whose primary owner it is, and counts again by one pass over the table when the ranking changes. Records whose target is a guess are left out.

A closed flow that was opened again on a cold target spent no unit and ignored the target's limits. Placer::take now checks both; without room the SYN is dropped as for a closed flow.

examples/balance.rs runs this design and three baselines in virtual time.

--- /dev/null
+++ b/examples/balance.rs
@@ -0,0 +1,733 @@
+//! Compares ways to place flows, in virtual time and without sockets.
+//!
+//! `cargo run --release --example balance -- --seed 1 --priority balance`
+//!
+//! Five deciders place the flows of one service on targets that queue requests, shed load, and
+//! lose all their connections if they get more than they bear while they are cold.
+#![allow(clippy::print_stdout)]
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    fs,
+    path::PathBuf,
+    str::FromStr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use banyanwharf::{
+    flow::{Fingerprint, Hasher, Key, Protocol},
+    load::{Monitor, Observation, Reading, Report},
+    member::{self, Info, Member, Status, View},
+    place::{Config, Placer, Preference},
+    route::{self, Generation, Service, Table},
+    ticket::{Policy, Priority, TargetId, TargetState},
+};
+use bpaf::Bpaf;
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const REGION: &str = "region-1";
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const DECIDERS: usize = 5;
+const CONNECTIONS: u32 = 2000;
+const RAMP: Duration = Duration::from_secs(30);
+/// The unfinished requests per slot that a cold target bears; with more it falls over.
+const BEARS: usize = 8;
+/// The length of a target's queue from which on it answers SYNs with RST.
+const QUEUE: usize = 64;
+/// The time from a reading of a target to the deciders.
+const LAG: Duration = Duration::from_secs(1);
+const SERVICE_TIME: f64 = 0.02;
+/// The mean number of requests a second on an open flow.
+const REQUESTS: f64 = 0.1;
+const FLOW_LIFE: f64 = 10.0;
+const RETRIES: usize = 2;
+/// The start of the case, after the long-lived flows were opened.
+const EVENT: f64 = 60.0;
+const END: f64 = 180.0;
+
+/// The arguments.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Seed of all random choices
+    #[bpaf(fallback(1), display_fallback)]
+    seed: u64,
+    /// What matters more: stability or balance
+    #[bpaf(fallback(Priorities::Balance), display_fallback)]
+    priority: Priorities,
+    /// File for the rows as CSV
+    csv: Option<PathBuf>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Priorities {
+    Stability,
+    Balance,
+}
+
+impl FromStr for Priorities {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Priorities, String> {
+        match text {
+            "stability" => Ok(Priorities::Stability),
+            "balance" => Ok(Priorities::Balance),
+            _ => Err(format!("priority {text:?} is neither stability nor balance")),
+        }
+    }
+}
+
+impl std::fmt::Display for Priorities {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Priorities::Stability => "stability",
+            Priorities::Balance => "balance",
+        })
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Rule {
+    Design,
+    Hash,
+    Random,
+    LeastReported,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Case {
+    Steady,
+    Joined,
+    Restarted,
+    Liar,
+    ThirdGone,
+    Burst,
+    ZoneBack,
+}
+
+const RULES: [Rule; 4] = [Rule::Design, Rule::Hash, Rule::Random, Rule::LeastReported];
+const CASES: [Case; 7] = [
+    Case::Steady,
+    Case::Joined,
+    Case::Restarted,
+    Case::Liar,
+    Case::ThirdGone,
+    Case::Burst,
+    Case::ZoneBack,
+];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    /// The caller opens a flow again that a target has lost.
+    Retry(usize),
+    Request(usize),
+    Served(TargetId, u32),
+    End(usize),
+    Second,
+    Sample,
+    Case(u8),
+    Report(usize, usize),
+}
+
+#[derive(Debug)]
+struct Flow {
+    fingerprint: Fingerprint,
+    decider: usize,
+    target: Option<TargetId>,
+    long: bool,
+    /// How often the target had started when it accepted the flow.
+    starts: u32,
+}
+
+/// A target as it is, unlike what the deciders know.
+#[derive(Debug, Default)]
+struct Truth {
+    open: u32,
+    busy: usize,
+    queue: VecDeque<usize>,
+    starts: u32,
+    cold_since: Option<f64>,
+    recent: VecDeque<f64>,
+    lies: bool,
+}
+
+#[derive(Debug, Default)]
+struct Findings {
+    arrived: u64,
+    refused: u64,
+    lost: u64,
+    fallen: u64,
+    ratios: Vec<f64>,
+    /// The most new flows in a second on a cold target, less its allowance at that time.
+    cold: Option<(i64, usize, usize)>,
+}
+
+struct World {
+    rng: Pcg64,
+    origin: Instant,
+    now: f64,
+    queue: BTreeMap<(u64, u64), Event>,
+    events: u64,
+    rule: Rule,
+    case: Case,
+    priority: Priority,
+    slots: u16,
+    rate: f64,
+    targets: Vec<route::Target>,
+    truths: BTreeMap<TargetId, Truth>,
+    table: Table,
+    placers: Vec<Placer>,
+    monitors: Vec<Monitor>,
+    /// The unfinished requests that targets reported in the last and in this second.
+    reported: HashMap<TargetId, usize>,
+    readings: HashMap<TargetId, usize>,
+    reports: Vec<Report>,
+    flows: Vec<Flow>,
+    queues: Histogram<u64>,
+    findings: Findings,
+}
+
+impl World {
+    fn new(seed: u64, priority: Priority, rule: Rule, case: Case, size: (usize, u16)) -> World {
+        let origin = Instant::now();
+        let (count, slots) = size;
+        let mut view = View::new();
+        let mut ids = Vec::new();
+        for number in 0..DECIDERS {
+            let member = member(number, DECIDERS, origin);
+            ids.push(member::id(&member.info.name));
+            view.insert(member);
+        }
+        let started = if case == Case::Joined { count - 1 } else { count };
+        let mut world = World {
+            rng: Pcg64::seed_from_u64(seed),
+            origin: origin + Duration::from_secs(100),
+            now: 0.0,
+            queue: BTreeMap::new(),
+            events: 0,
+            rule,
+            case,
+            priority,
+            slots,
+            // At this rate and with the long-lived flows about half of the slots are busy.
+            rate: 5.4 * count as f64 * f64::from(slots),
+            targets: (0..started).map(|number| target(number, slots)).collect(),
+            truths: (0..count).map(|number| (number as u64 + 1, Truth::default())).collect(),
+            table: Table::new(),
+            placers: ids
+                .iter()
+                .map(|id| Placer::new(Config::default(), *id, seed, origin))
+                .collect(),
+            monitors: ids.iter().map(|id| Monitor::new(Default::default(), *id)).collect(),
+            reported: HashMap::new(),
+            readings: HashMap::new(),
+            reports: Vec::new(),
+            flows: Vec::new(),
+            queues: Histogram::new(2).expect("the precision is valid"),
+            findings: Findings::default(),
+        };
+        for placer in &mut world.placers {
+            placer.set_members(&view, REGION);
+        }
+        world.publish();
+        for _ in 0..145 * count * usize::from(slots) {
+            let at = world.rng.random_range(0.0..EVENT / 2.0);
+            let flow = world.add_flow(true);
+            world.schedule(at, Event::Retry(flow));
+        }
+        world.schedule(0.0, Event::Arrive);
+        world.schedule(0.0, Event::Second);
+        world.schedule(0.0, Event::Sample);
+        world.schedule(EVENT, Event::Case(0));
+        world.schedule(EVENT + 60.0, Event::Case(1));
+        world
+    }
+
+    fn instant(&self) -> Instant {
+        self.origin + Duration::from_secs_f64(self.now)
+    }
+
+    fn schedule(&mut self, delay: f64, event: Event) {
+        self.events += 1;
+        self.queue.insert((((self.now + delay) * 1e9) as u64, self.events), event);
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random_range(0.0..1.0_f64)).ln()
+    }
+
+    fn publish(&mut self) {
+        let placeable = self.targets.iter().filter(|target| target.is_placeable());
+        let service = Service {
+            name: Arc::from("turnos"),
+            policy: Policy { name: Arc::from("default"), priority: self.priority, bound: None },
+            targets: self.targets.iter().map(|target| target.id).collect(),
+            generations: vec![Generation {
+                number: 1,
+                targets: placeable.map(|target| (target.id, target.weight)).collect(),
+            }],
+        };
+        self.table = Table::new();
+        self.table.insert(service, &[], self.targets.clone());
+        let now = self.instant();
+        for placer in &mut self.placers {
+            placer.set_routes(now, &self.table);
+        }
+    }
+
+    fn add_flow(&mut self, long: bool) -> usize {
+        let number = self.flows.len() as u32;
+        let [a, b, c, d] = number.to_be_bytes();
+        let key = Key {
+            protocol: Protocol::Tcp,
+            caller: ([10 ^ a, b, c, d], 40_000).into(),
+            service: ([198, 51, 100, 1], 80).into(),
+        };
+        let fingerprint = Hasher::new(&[7; 16]).fingerprint(&key);
+        let decider = usize::from(fingerprint.slot()) % DECIDERS;
+        self.flows.push(Flow { fingerprint, decider, target: None, long, starts: 0 });
+        self.flows.len() - 1
+    }
+
+    fn run(mut self) -> (Findings, Histogram<u64>) {
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            self.now = at as f64 / 1e9;
+            if self.now > END {
+                break;
+            }
+            self.handle(event);
+        }
+        (self.findings, self.queues)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => {
+                let is_burst =
+                    self.case == Case::Burst && (EVENT..EVENT + 60.0).contains(&self.now);
+                let rate = if is_burst { self.rate * 5.0 } else { self.rate };
+                let delay = self.exponential(1.0 / rate);
+                self.schedule(delay, Event::Arrive);
+                let flow = self.add_flow(false);
+                self.open(flow);
+            }
+            Event::Retry(flow) => self.open(flow),
+            Event::Request(flow) => self.request(flow),
+            Event::Served(target, starts) => self.served(target, starts),
+            Event::End(flow) => self.end(flow),
+            Event::Second => self.second(),
+            Event::Sample => self.sample(),
+            Event::Case(step) => self.begin(step),
+            Event::Report(decider, report) => {
+                let (now, report) = (self.instant(), self.reports[report]);
+                self.monitors[decider].on_report(now, &report);
+            }
+        }
+    }
+
+    fn choose(&mut self, flow: usize, excluded: &[TargetId]) -> Option<TargetId> {
+        let now = self.instant();
+        let Flow { fingerprint, decider, .. } = self.flows[flow];
+        let service = self.table.service(0)?;
+        let free: Vec<TargetId> = service.generations[0]
+            .ranked(fingerprint)
+            .into_iter()
+            .filter(|id| !excluded.contains(id))
+            .collect();
+        match self.rule {
+            Rule::Design => {
+                let placer = &mut self.placers[decider];
+                let preference = Preference::Balance;
+                placer.place(now, &self.table, service, fingerprint, preference, excluded).ok()
+            }
+            Rule::Hash => free.first().copied(),
+            Rule::Random if free.is_empty() => None,
+            Rule::Random => Some(free[self.rng.random_range(0..free.len())]),
+            Rule::LeastReported => free.into_iter().min_by_key(|id| self.reported.get(id)),
+        }
+    }
+
+    fn open(&mut self, flow: usize) {
+        if self.now >= EVENT {
+            self.findings.arrived += 1;
+        }
+        let mut excluded = Vec::new();
+        while excluded.len() <= RETRIES {
+            let Some(target) = self.choose(flow, &excluded) else {
+                break;
+            };
+            let accepted = self.accept(target);
+            let seen = if accepted { Observation::Accepted } else { Observation::Refused };
+            self.observe(flow, target, seen);
+            if accepted {
+                return self.opened(flow, target);
+            }
+            excluded.push(target);
+        }
+        if self.now >= EVENT {
+            self.findings.refused += 1;
+        }
+        if self.flows[flow].long {
+            let delay = self.exponential(1.0);
+            self.schedule(delay, Event::Retry(flow));
+        }
+    }
+
+    fn observe(&mut self, flow: usize, target: TargetId, observation: Observation) {
+        let now = self.instant();
+        self.monitors[self.flows[flow].decider].on_observation(now, target, observation);
+        self.apply_classes(self.flows[flow].decider);
+    }
+
+    fn apply_classes(&mut self, decider: usize) {
+        let now = self.instant();
+        for change in self.monitors[decider].take_changes(now, &self.table) {
+            self.placers[decider].set_class(change.target, change.class, change.since);
+        }
+    }
+
+    /// Returns what a cold target bears now, in slots.
+    fn allowance(&self, target: TargetId) -> Option<usize> {
+        let since = self.truths[&target].cold_since?;
+        let progress = (self.now - since) / RAMP.as_secs_f64();
+        (progress < 1.0).then(|| 1 + (f64::from(self.slots - 1) * progress).floor() as usize)
+    }
+
+    /// Lets a target see a SYN, and returns whether it accepts the flow.
+    fn accept(&mut self, id: TargetId) -> bool {
+        let (now, allowance) = (self.now, self.allowance(id));
+        let Some(truth) = self.truths.get_mut(&id) else {
+            return false;
+        };
+        if truth.open >= CONNECTIONS || truth.queue.len() >= QUEUE {
+            return false;
+        }
+        truth.recent.push_back(now);
+        truth.recent.retain(|at| *at + 1.0 > now);
+        if let Some(allowance) = allowance {
+            let count = truth.recent.len();
+            let over = count as i64 - allowance as i64;
+            if self.findings.cold.is_none_or(|(worst, ..)| over > worst) {
+                self.findings.cold = Some((over, count, allowance));
+            }
+        }
+        true
+    }
+
+    fn opened(&mut self, flow: usize, target: TargetId) {
+        let truth = self.truths.entry(target).or_default();
+        truth.open += 1;
+        let held = &mut self.flows[flow];
+        (held.target, held.starts) = (Some(target), truth.starts);
+        self.placers[held.decider].opened(target);
+        let long = held.long;
+        self.request(flow);
+        if !long {
+            let life = self.exponential(FLOW_LIFE);
+            self.schedule(life, Event::End(flow));
+        }
+    }
+
+    /// Lets the target see a request; a target that has lost the flow resets it.
+    fn request(&mut self, flow: usize) {
+        let Some(id) = self.flows[flow].target else {
+            return;
+        };
+        if self.flows[flow].starts != self.truths[&id].starts {
+            self.observe(flow, id, Observation::FlowReset);
+            self.end(flow);
+            // The flows that the restart of the case itself ends are no fault of the placement.
+            let is_given = self.case == Case::Restarted && id == 1 && self.flows[flow].starts == 0;
+            self.findings.lost += u64::from(!is_given);
+            return self.schedule(0.001, Event::Retry(flow));
+        }
+        let delay = self.exponential(1.0 / REQUESTS);
+        self.schedule(delay, Event::Request(flow));
+        let allowance = self.allowance(id);
+        let slots = allowance.unwrap_or(usize::from(self.slots));
+        let Some(truth) = self.truths.get_mut(&id) else {
+            return;
+        };
+        truth.queue.push_back(flow);
+        if allowance.is_some() && truth.queue.len() + truth.busy > slots * BEARS {
+            self.findings.fallen += 1;
+            return self.restart(id);
+        }
+        self.serve(id, slots);
+    }
+
+    fn serve(&mut self, id: TargetId, slots: usize) {
+        let starts = self.truths[&id].starts;
+        while self.truths[&id].busy < slots && !self.truths[&id].queue.is_empty() {
+            let time = self.exponential(SERVICE_TIME);
+            self.schedule(time, Event::Served(id, starts));
+            let truth = self.truths.entry(id).or_default();
+            truth.queue.pop_front();
+            truth.busy += 1;
+        }
+    }
+
+    fn served(&mut self, id: TargetId, starts: u32) {
+        let slots = self.allowance(id).unwrap_or(usize::from(self.slots));
+        let truth = self.truths.entry(id).or_default();
+        if truth.starts == starts {
+            truth.busy -= 1;
+            self.serve(id, slots);
+        }
+    }
+
+    fn restart(&mut self, id: TargetId) {
+        let now = self.now;
+        let truth = self.truths.entry(id).or_default();
+        truth.starts += 1;
+        (truth.open, truth.busy) = (0, 0);
+        truth.queue.clear();
+        truth.recent.clear();
+        truth.cold_since = Some(now);
+    }
+
+    fn end(&mut self, flow: usize) {
+        let held = &mut self.flows[flow];
+        let Some(id) = held.target.take() else {
+            return;
+        };
+        self.placers[held.decider].closed(id);
+        let truth = self.truths.entry(id).or_default();
+        if truth.starts == held.starts {
+            truth.open -= 1;
+        }
+    }
+
+    fn second(&mut self) {
+        self.schedule(1.0, Event::Second);
+        let now = self.instant();
+        if self.now > END - 30.0 {
+            let placeable = self.targets.iter().filter(|target| target.is_placeable());
+            let open: Vec<u32> = placeable.map(|target| self.truths[&target.id].open).collect();
+            let max = open.iter().copied().max().unwrap_or_default();
+            let mean = f64::from(open.iter().sum::<u32>()) / open.len() as f64;
+            self.findings.ratios.push(f64::from(max) / mean);
+        }
+        self.reported = std::mem::take(&mut self.readings);
+        let ids: Vec<TargetId> = self.targets.iter().map(|target| target.id).collect();
+        for id in ids {
+            let truth = &self.truths[&id];
+            let queued = if truth.lies { 0 } else { truth.queue.len() };
+            let busy = if truth.lies { 0 } else { truth.busy };
+            self.readings.insert(id, queued + busy);
+            let reading = Reading {
+                healthy: Some(true),
+                start: Some(Arc::from(truth.starts.to_string())),
+                busy: busy as u32,
+                queued: queued as u32,
+                slots: u32::from(self.slots),
+            };
+            let reader = id as usize % DECIDERS;
+            let Some(report) = self.monitors[reader].on_reading(now, id, &reading) else {
+                continue;
+            };
+            self.reports.push(report);
+            let number = self.reports.len() - 1;
+            for decider in (0..DECIDERS).filter(|decider| *decider != reader) {
+                self.schedule(LAG.as_secs_f64(), Event::Report(decider, number));
+            }
+        }
+    }
+
+    fn sample(&mut self) {
+        self.schedule(0.1, Event::Sample);
+        for decider in 0..DECIDERS {
+            self.apply_classes(decider);
+        }
+        if self.now >= EVENT {
+            for target in &self.targets {
+                let queued = self.truths[&target.id].queue.len() as u64;
+                self.queues.record(queued).expect("the histogram grows");
+            }
+        }
+    }
+
+    fn begin(&mut self, step: u8) {
+        match (self.case, step) {
+            (Case::Joined, 0) => {
+                let number = self.targets.len();
+                let now = self.now;
+                self.targets.push(target(number, self.slots));
+                self.truths.entry(number as u64 + 1).or_default().cold_since = Some(now);
+            }
+            (Case::Restarted, 0) => self.restart(1),
+            (Case::Liar, 0) => self.truths.entry(1).or_default().lies = true,
+            (Case::ThirdGone, 0) => {
+                let gone = self.targets.len() / 3;
+                let third = self.targets.iter_mut().take(gone);
+                third.for_each(|target| target.state = TargetState::Draining);
+            }
+            (Case::ZoneBack, _) => {
+                let zone = self.targets.iter_mut().filter(|target| &*target.zone == ZONES[0]);
+                zone.for_each(|target| target.zone_out = step == 0);
+                if step == 0 {
+                    self.reset_zone();
+                }
+            }
+            _ => return,
+        }
+        self.publish();
+    }
+
+    fn reset_zone(&mut self) {
+        let out: Vec<TargetId> =
+            self.targets.iter().filter(|target| target.zone_out).map(|target| target.id).collect();
+        for flow in 0..self.flows.len() {
+            if self.flows[flow].target.is_some_and(|id| out.contains(&id)) {
+                self.end(flow);
+                let delay = self.rng.random_range(0.0..5.0);
+                self.schedule(delay, Event::Retry(flow));
+            }
+        }
+    }
+}
+
+fn member(number: usize, deciders: usize, since: Instant) -> Member {
+    let address = ([127, 0, 0, 1], 1).into();
+    let info = Info {
+        name: Arc::from(format!("entry-{number}")),
+        region: Arc::from(REGION),
+        zone: Arc::from(ZONES[number * ZONES.len() / deciders]),
+        peer: address,
+        admin: address,
+    };
+    Member { info, incarnation: 1, status: Status::Alive, since }
+}
+
+fn target(number: usize, slots: u16) -> route::Target {
+    route::Target {
+        id: number as u64 + 1,
+        name: Arc::from(format!("target-{number}")),
+        service: 0,
+        address: ([127, 0, 0, 1], 20_000 + number as u16).into(),
+        zone: Arc::from(ZONES[number % ZONES.len()]),
+        zone_out: false,
+        state: TargetState::Active,
+        weight: 100,
+        slots,
+        connections: CONNECTIONS,
+        cold_slots: 1,
+        ramp: RAMP,
+        drain: None,
+        health: None,
+        load: None,
+        quarantined: false,
+    }
+}
+
+/// Fills 3 targets through 275 deciders and prints how many flows are refused.
+fn many_deciders(priority: Priority) {
+    const MANY: usize = 275;
+    let origin = Instant::now();
+    let mut view = View::new();
+    (0..MANY).for_each(|number| view.insert(member(number, MANY, origin)));
+    let targets: Vec<_> = (0..3).map(|number| target(number, 4)).collect();
+    let service = Service {
+        name: Arc::from("turnos"),
+        policy: Policy { name: Arc::from("default"), priority, bound: None },
+        targets: targets.iter().map(|target| target.id).collect(),
+        generations: vec![Generation {
+            number: 1,
+            targets: targets.iter().map(|target| (target.id, target.weight)).collect(),
+        }],
+    };
+    let mut table = Table::new();
+    table.insert(service.clone(), &[], targets);
+    let placers: Vec<Placer> = (0..MANY)
+        .map(|number| {
+            let id = member::id(&format!("entry-{number}"));
+            let mut placer = Placer::new(Config::default(), id, 7, origin);
+            placer.set_members(&view, REGION);
+            placer.set_routes(origin, &table);
+            placer
+        })
+        .collect();
+    for flows in [5_200_u32, 6_000, 7_000] {
+        let mut placers = placers.clone();
+        let mut counts: BTreeMap<TargetId, u32> = BTreeMap::new();
+        let mut refused = 0;
+        for number in 0..flows {
+            let key = Key {
+                protocol: Protocol::Tcp,
+                caller: (std::net::Ipv4Addr::from(number), 40_000).into(),
+                service: ([198, 51, 100, 1], 80).into(),
+            };
+            let fingerprint = Hasher::new(&[7; 16]).fingerprint(&key);
+            let placer = &mut placers[usize::from(fingerprint.slot()) % MANY];
+            match placer.place(origin, &table, &service, fingerprint, Preference::Balance, &[]) {
+                Ok(target) => {
+                    placer.opened(target);
+                    *counts.entry(target).or_default() += 1;
+                }
+                Err(_) => refused += 1,
+            }
+        }
+        let over: u32 = counts.values().map(|open| open.saturating_sub(CONNECTIONS)).sum();
+        let open: Vec<u32> = counts.into_values().collect();
+        println!(
+            "{MANY} deciders, 3 targets, {flows} flows: {refused} refused by deciders, \
+             open {open:?}, {over} over the targets' limits"
+        );
+    }
+}
+
+fn main() -> std::io::Result<()> {
+    let options = options().run();
+    let priority = match options.priority {
+        Priorities::Stability => Priority::Stability,
+        Priorities::Balance => Priority::Balance,
+    };
+    println!("seed {}, priority {}", options.seed, options.priority);
+    println!(
+        "{:>7} {:>5} {:10} {:14} {:>8} {:>9} {:>9} {:>6} {:>6} {:>9}",
+        "targets",
+        "slots",
+        "case",
+        "policy",
+        "max/mean",
+        "queue p99",
+        "refused",
+        "lost",
+        "falls",
+        "cold"
+    );
+    let mut csv =
+        String::from("targets,slots,case,policy,max_over_mean,queue_p99,refused,lost,falls,cold\n");
+    for size in [(14, 4), (4, 4), (14, 2), (4, 2)] {
+        for case in CASES {
+            for rule in RULES {
+                let world = World::new(options.seed, priority, rule, case, size);
+                let (found, queues) = world.run();
+                let ratio = found.ratios.iter().sum::<f64>() / found.ratios.len().max(1) as f64;
+                let refused = found.refused as f64 / found.arrived.max(1) as f64;
+                let cold =
+                    found.cold.map_or("-".into(), |(_, most, allowed)| format!("{most}/{allowed}"));
+                let queue = queues.value_at_quantile(0.99);
+                let (case, rule) = (format!("{case:?}"), format!("{rule:?}"));
+                println!(
+                    "{:>7} {:>5} {case:10} {rule:14} {ratio:8.3} {queue:9} {refused:9.5} {:6} \
+                     {:6} {cold:>9}",
+                    size.0, size.1, found.lost, found.fallen
+                );
+                csv += &format!(
+                    "{},{},{case},{rule},{ratio:.4},{queue},{refused:.6},{},{},{cold}\n",
+                    size.0, size.1, found.lost, found.fallen
+                );
+            }
+        }
+    }
+    many_deciders(priority);
+    match options.csv {
+        Some(path) => fs::write(path, csv),
+        None => Ok(()),
+    }
+}
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    flow::{Cache, Entry, Fingerprint, Hasher, Key, Mark, SLOTS, State, Table},
+    flow::{Cache, Cursor, Entry, Fingerprint, Hasher, Key, Mark, SLOTS, State, Table},
     forward::{
         Action, Cause, Config, Counters, Explanation, Mode, Standing, copier::Copier,
         history::History, inquiry::Inquiry, packet::Packet,
@@ -132,6 +132,7 @@
     /// Replaces the ranking of owners and starts copying records to new owners.
     pub fn set_ranking(&mut self, now: Instant, ranking: Arc<Ranking>, _actions: &mut Vec<Action>) {
         let previous = std::mem::replace(&mut self.ranking, ranking);
+        self.recount(now);
         if !self.ranked {
             self.ranked = true;
             self.history.begin(now, &self.ranking);
@@ -354,6 +355,11 @@
         self.routes.target(id).is_some_and(|target| target.is_placeable())
     }
 
+    /// Returns the owners of a flow by the current ranking.
+    pub fn owners_of(&self, fingerprint: Fingerprint) -> Option<Owners> {
+        self.ranking.owners(fingerprint.slot())
+    }
+
     /// Returns the owners of the packet's flow.
     pub(super) fn owners(&self, packet: &Packet<'_>) -> Option<Owners> {
         self.ranking.owners(packet.fingerprint.slot())
@@ -370,9 +376,9 @@
 
     /// Stores a record and keeps the placer's counts.
     pub(super) fn store(&mut self, now: Instant, entry: &Entry) {
-        let counts = |entry: &Entry| entry.has(Mark::Placed) && entry.state != State::Closed;
-        let before = self.table.peek(now, entry.fingerprint).filter(counts);
-        let after = Some(entry).filter(|entry| counts(entry));
+        let before = self.table.peek(now, entry.fingerprint);
+        let before = before.filter(|entry| self.is_counted(entry));
+        let after = Some(entry).filter(|entry| self.is_counted(entry));
         if before.map(|entry| entry.target) != after.map(|entry| entry.target) {
             if let Some(before) = before {
                 self.placer.closed(before.target);
@@ -383,12 +389,29 @@
         }
         if let Some(evicted) = self.table.put(now, entry) {
             self.counters.evicted += 1;
-            if counts(&evicted) {
+            if self.is_counted(&evicted) {
                 self.placer.closed(evicted.target);
             }
         }
     }
 
+    /// Returns whether the placer counts a flow: this daemon is the primary owner of the flow,
+    /// which is open on a confirmed target.
+    pub(super) fn is_counted(&self, entry: &Entry) -> bool {
+        is_counted(&self.ranking, self.id, entry)
+    }
+
+    /// Counts the open flows again, because the primary owners have changed.
+    fn recount(&mut self, now: Instant) {
+        self.placer.clear_open();
+        let (placer, ranking, id) = (&mut self.placer, &self.ranking, self.id);
+        self.table.scan(now, &mut Cursor::default(), usize::MAX, |entry| {
+            if is_counted(ranking, id, &entry) {
+                placer.opened(entry.target);
+            }
+        });
+    }
+
     fn expire(&mut self, now: Instant) {
         if now.saturating_duration_since(self.pruned) >= PRUNE_INTERVAL {
             self.pruned = now;
@@ -406,7 +429,7 @@
                 && ranking.owners(slot).is_some_and(|owners| !owners.contains(id))
         };
         self.table.expire(now, SWEEP_BUCKETS, stale, |entry| {
-            if entry.has(Mark::Placed) && entry.state != State::Closed {
+            if is_counted(ranking, id, &entry) {
                 placer.closed(entry.target);
             }
         });
@@ -440,6 +463,15 @@
     }
 }
 
+/// See [`Forwarder::is_counted`].
+fn is_counted(ranking: &Ranking, id: member::Id, entry: &Entry) -> bool {
+    let is_primary = || {
+        let owners = ranking.owners(entry.fingerprint.slot());
+        owners.is_some_and(|owners| owners.primary == id)
+    };
+    entry.state != State::Closed && !entry.has(Mark::Probing) && is_primary()
+}
+
 /// Returns the size of a control message with the frame's fixed parts, in bytes.
 fn size(body: &Body) -> u64 {
     const FRAME: u64 = 26;
--- a/src/forward/placing.rs
+++ b/src/forward/placing.rs
@@ -58,7 +58,10 @@
         standing: Standing,
         out: &mut Vec<Action>,
     ) {
-        if standing != Standing::Usable || !self.is_placeable(entry.target) {
+        let target = self.routes.target(entry.target).filter(|target| target.is_placeable());
+        let is_taken = standing == Standing::Usable
+            && target.is_some_and(|target| self.placer.take(now, target));
+        if !is_taken {
             return self.drop(Cause::ClosedFlow, out);
         }
         self.counters.reused += 1;
--- a/src/forward/storing.rs
+++ b/src/forward/storing.rs
@@ -138,8 +138,7 @@
     /// Removes a record, so that a record with another target can take its place.
     fn forget(&mut self, now: Instant, fingerprint: Fingerprint) {
         if let Some(entry) = self.table.remove(now, fingerprint)
-            && entry.has(Mark::Placed)
-            && entry.state != State::Closed
+            && self.is_counted(&entry)
         {
             self.placer.closed(entry.target);
         }
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -145,6 +145,12 @@
         self.place_elsewhere(now, order, level).ok_or(Refusal::Full)
     }
 
+    /// Takes room for a new flow that can go to no other target, and spends a unit if the target
+    /// is cold. Returns whether the target takes the flow.
+    pub fn take(&mut self, now: Instant, target: &Target) -> bool {
+        self.is_within_limits(target) && self.spend(now, target)
+    }
+
     /// Notes that this daemon owns an open flow on `target` as primary.
     pub fn opened(&mut self, target: TargetId) {
         self.counts.entry(target).or_default().open += 1;
@@ -157,6 +163,11 @@
         }
     }
 
+    /// Sets the counts of open flows to zero, so that they can be taken again.
+    pub fn clear_open(&mut self) {
+        self.counts.values_mut().for_each(|count| count.open = 0);
+    }
+
     /// Returns the open flows on `target` that this daemon owns as primary.
     pub fn open(&self, target: TargetId) -> u32 {
         self.counts.get(&target).map_or(0, |count| count.open)
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use banyanwharf::{
-    flow::{Key, Protocol},
+    flow::{Key, Mark, Protocol, State},
     forward::{Action, Cause, Config, Mode},
     ticket::TargetState,
     wire::{Body, Frame, Hop, Stage},
@@ -267,3 +267,38 @@
     assert!(fleet.findings.terminated > 5, "{:?}", fleet.findings);
     assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
 }
+
+/// Guards against counts that miss the flows taken over from another primary owner, or that
+/// count a flow twice, after daemons were lost, joined and stopped.
+#[test]
+fn primary_owners_count_all_open_flows() {
+    let mut fleet = settled(400);
+    for step in 0..4 {
+        let ids: Vec<_> = fleet.daemons.keys().copied().collect();
+        match step {
+            1 => fleet.crash(ids[0]),
+            2 => drop(fleet.join(ZONES[0])),
+            3 => fleet.stop(ids[1]),
+            _ => {}
+        }
+        fleet.run(Duration::from_secs(20));
+        fleet.open_many(100, Duration::from_secs(5), 12);
+        for (id, daemon) in &fleet.daemons {
+            let mut held = std::collections::BTreeMap::<_, u64>::new();
+            daemon.forwarder.table().scan(
+                fleet.now,
+                &mut Default::default(),
+                usize::MAX,
+                |entry| {
+                    let owners = daemon.forwarder.owners_of(entry.fingerprint);
+                    let is_open = entry.state != State::Closed && !entry.has(Mark::Probing);
+                    if is_open && owners.is_some_and(|owners| owners.primary == *id) {
+                        *held.entry(entry.target).or_default() += 1;
+                    }
+                },
+            );
+            let counted = daemon.forwarder.placer().open_flows().filter(|(_, open)| *open > 0);
+            assert_eq!(counted.collect::<std::collections::BTreeMap<_, _>>(), held);
+        }
+    }
+}
