--- a/examples/packet_rate.rs
+++ b/examples/packet_rate.rs
@@ -249,6 +249,7 @@
         platform: platform.url().parse()?,
         contacts: Vec::new(),
         flow_key: Secret::from([0x5a; 16]),
+        sign_with: None,
         keys: vec![Key { number: 1, key: Secret::from([0xa5; 32]) }],
         limits: Limits {
             owned_flows: 2_000_000,
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -124,6 +124,7 @@
     /// Replaces the ranking of owners and starts copying records to new owners.
     pub fn set_ranking(&mut self, now: Instant, ranking: Arc<Ranking>, _actions: &mut Vec<Action>) {
         let previous = std::mem::replace(&mut self.ranking, ranking);
+        self.recount(now);
         if !self.ranked {
             self.ranked = true;
             self.history.begin(now, &self.ranking);
@@ -304,6 +305,11 @@
         }
     }
 
+    /// Returns the owners of a flow by the current ranking.
+    pub fn owners_of(&self, fingerprint: Fingerprint) -> Option<Owners> {
+        self.ranking.owners(fingerprint.slot())
+    }
+
     /// Returns the owners of the packet's flow.
     pub(super) fn owners(&self, packet: &Packet<'_>) -> Option<Owners> {
         self.ranking.owners(packet.fingerprint.slot())
--- a/src/forward/holding.rs
+++ b/src/forward/holding.rs
@@ -1,8 +1,9 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    flow::{Entry, Mark, State, Table},
+    flow::{Cursor, Entry, Mark, State, Table},
     forward::{Forwarder, Mode},
+    member::{self, Ranking},
 };
 
 /// The number of buckets that a tick looks at for expired flows.
@@ -17,14 +18,13 @@
 impl Forwarder {
     /// Stores a record and keeps the placer's counts.
     pub(super) fn store(&mut self, now: Instant, entry: &Entry) {
-        let counts = |entry: &Entry| entry.has(Mark::Placed) && entry.state != State::Closed;
         let held = self.table.peek(now, entry.fingerprint);
         // Most packets of an active flow change nothing within a tick of the table.
         if held.as_ref() == Some(entry) {
             return;
         }
-        let before = held.filter(counts);
-        let after = Some(entry).filter(|entry| counts(entry));
+        let before = held.filter(|entry| self.is_counted(entry));
+        let after = Some(entry).filter(|entry| self.is_counted(entry));
         if before.map(|entry| entry.target) != after.map(|entry| entry.target) {
             if let Some(before) = before {
                 self.placer.closed(before.target);
@@ -35,12 +35,29 @@
         }
         if let Some(evicted) = self.table.put(now, entry) {
             self.counters.evicted += 1;
-            if counts(&evicted) {
+            if self.is_counted(&evicted) {
                 self.placer.closed(evicted.target);
             }
         }
     }
 
+    /// Returns whether the placer counts a flow: this daemon is the primary owner of the flow,
+    /// which is open on a confirmed target.
+    pub(super) fn is_counted(&self, entry: &Entry) -> bool {
+        is_counted(&self.ranking, self.id, entry)
+    }
+
+    /// Counts the open flows again, because the primary owners have changed.
+    pub(super) fn recount(&mut self, now: Instant) {
+        self.placer.clear_open();
+        let (placer, ranking, id) = (&mut self.placer, &self.ranking, self.id);
+        self.table.scan(now, &mut Cursor::default(), usize::MAX, |entry| {
+            if is_counted(ranking, id, &entry) {
+                placer.opened(entry.target);
+            }
+        });
+    }
+
     pub(super) fn expire(&mut self, now: Instant) {
         if now.saturating_duration_since(self.pruned) >= PRUNE_INTERVAL {
             self.pruned = now;
@@ -58,10 +75,19 @@
                 && ranking.owners(slot).is_some_and(|owners| !owners.contains(id))
         };
         self.table.expire(now, SWEEP_BUCKETS, stale, |entry| {
-            if entry.has(Mark::Placed) && entry.state != State::Closed {
+            if is_counted(ranking, id, &entry) {
                 placer.closed(entry.target);
             }
         });
         self.cache.expire(now, SWEEP_BUCKETS);
     }
 }
+
+/// See [`Forwarder::is_counted`].
+fn is_counted(ranking: &Ranking, id: member::Id, entry: &Entry) -> bool {
+    let is_primary = || {
+        let owners = ranking.owners(entry.fingerprint.slot());
+        owners.is_some_and(|owners| owners.primary == id)
+    };
+    entry.state != State::Closed && !entry.has(Mark::Probing) && is_primary()
+}
