Keep short overload from ejecting or halving targets

One reading that found all slots busy and a request queued made a target hot and halved its weight, although queues are common at half load. It now takes 3 such readings in a row. A target that answered 5 SYNs with RST got no flow for 30 s, although shedding targets recover in milliseconds; it is now tried again after 2 s. Silent targets still wait 30 s.

--- a/src/load/config.rs
+++ b/src/load/config.rs
@@ -18,12 +18,17 @@
     pub repeat: Duration,
     /// Unanswered or reset SYNs in a row that make a target failing for this daemon.
     pub silent_syns: u32,
+    /// How long a target that answers SYNs with resets gets no flow before it is tried again. A
+    /// target that sheds load recovers quickly.
+    pub refused_hold: Duration,
     /// Resets of established flows within `reset_window` that make a target cold for this daemon.
     pub flow_resets: u32,
     /// See `flow_resets`.
     pub reset_window: Duration,
     /// The busy share of slots from which on a target is hot, if requests are queued.
     pub hot_share: f64,
+    /// Readings in a row that make a target hot, since a single reading often finds a short queue.
+    pub hot_readings: u32,
 }
 
 impl Default for Config {
@@ -35,9 +40,11 @@
             fade: Duration::from_secs(30),
             repeat: Duration::from_secs(10),
             silent_syns: 5,
+            refused_hold: Duration::from_secs(2),
             flow_resets: 3,
             reset_window: Duration::from_secs(1),
             hot_share: 1.0,
+            hot_readings: 3,
         }
     }
 }
--- a/src/load/track.rs
+++ b/src/load/track.rs
@@ -24,6 +24,10 @@
     streak: u32,
     /// SYNs without a SYN-ACK in a row.
     misses: u32,
+    /// Whether the last of them was answered with a reset.
+    refused: bool,
+    /// Readings in a row that found all slots busy and requests queued.
+    busy: u32,
     /// The times of the last resets of established flows.
     resets: Vec<Instant>,
 }
@@ -31,6 +35,9 @@
 impl Track {
     /// Takes a reading and returns the class that follows from it.
     pub(super) fn read(&mut self, config: &Config, reading: &Reading) -> Class {
+        let full = f64::from(reading.slots) * config.hot_share;
+        let is_busy = reading.slots > 0 && reading.queued > 0 && f64::from(reading.busy) >= full;
+        self.busy = if is_busy { self.busy.saturating_add(1) } else { 0 };
         let good = reading.healthy.unwrap_or(true);
         self.streak = if good == self.failing { self.streak + 1 } else { 0 };
         let needed = if self.failing { config.good_to_return } else { config.bad_to_eject };
@@ -44,8 +51,7 @@
         if self.has_new_start(reading) {
             return Class::Cold;
         }
-        let full = f64::from(reading.slots) * config.hot_share;
-        if reading.slots > 0 && reading.queued > 0 && f64::from(reading.busy) >= full {
+        if self.busy >= config.hot_readings.max(1) {
             return Class::Hot;
         }
         Class::Normal
@@ -61,7 +67,8 @@
                 }
             }
             Observation::Refused | Observation::Unanswered => {
-                self.misses += 1;
+                self.misses = self.misses.saturating_add(1);
+                self.refused = observation == Observation::Refused;
                 if self.misses >= config.silent_syns {
                     self.observed = Some((Class::Failing, now));
                 }
@@ -79,7 +86,11 @@
 
     /// Returns the class in force: the newer of the reported and the observed one.
     pub(super) fn class(&self, now: Instant, config: &Config) -> (Class, Instant) {
-        let newest = [self.reported, self.observed]
+        let is_refusing = |class| class == Class::Failing && self.refused;
+        let observed = self.observed.filter(|(class, at)| {
+            !is_refusing(*class) || now.saturating_duration_since(*at) < config.refused_hold
+        });
+        let newest = [self.reported, observed]
             .into_iter()
             .flatten()
             .filter(|(_, at)| now.saturating_duration_since(*at) < config.fade)
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -102,3 +102,29 @@
     monitor.take_changes(now + Duration::from_secs(40), &table);
     assert_eq!(monitor.class(1), Class::Normal);
 }
+
+/// Guards against ejecting targets that shed load for as long as silent ones, which leaves their
+/// slots unused in a burst, and against a hot class because of one short queue.
+#[test]
+fn short_overload_has_short_effects() {
+    let now = Instant::now();
+    let table =
+        common::table((1..=4).map(|id| common::target(id, "a")).collect(), Priority::Balance);
+    for (seen, hold) in [(Observation::Refused, 2), (Observation::Unanswered, 30)] {
+        let mut monitor = Monitor::new(Config::default(), 1);
+        (0..5).for_each(|_| monitor.on_observation(now, 1, seen));
+        for (after, failing) in [(0, true), (hold - 1, true), (hold, false)] {
+            monitor.take_changes(now + Duration::from_secs(after), &table);
+            assert_eq!(monitor.class(1) == Class::Failing, failing, "{seen:?}, {after} s");
+        }
+    }
+    let mut monitor = Monitor::new(Config::default(), 1);
+    let full = Reading { busy: 4, queued: 1, slots: 4, ..reading(true, "s") };
+    let readings = [&full, &full, &reading(true, "s"), &full, &full, &full];
+    let hot = readings.map(|reading| {
+        monitor.on_reading(now, 1, reading);
+        monitor.take_changes(now, &table);
+        monitor.class(1) == Class::Hot
+    });
+    assert_eq!(hot, [false, false, false, false, false, true]);
+}
