Count only peers with tickets as an answer when joining; take test ports below the ephemeral range

A daemon that started together with the fleet became ready with 0 services, because a peer that knew nothing yet counted as an answer. A process test failed once because another socket took a free port from the ephemeral range.

--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -11,7 +11,7 @@
 use crate::{
     admin::{self, ApiClient as _},
     member::Info,
-    node::{coordinator, members, shared::Shared, tickets, watch},
+    node::{coordinator, handoff::Handoff, members, shared::Shared, tickets, watch},
     platform::Platform,
 };
 
@@ -100,7 +100,8 @@
                 continue;
             }
             match timeout(PEER_TIMEOUT, self.fetch_from(*address)).await {
-                Ok(Ok(())) => answers += 1,
+                // A peer that has just started itself knows nothing yet.
+                Ok(Ok(has_tickets)) => answers += usize::from(has_tickets),
                 Ok(Err(error)) => warn!("{address} did not send its state: {error}"),
                 Err(_) => warn!("{address} did not send its state in time"),
             }
@@ -118,17 +119,19 @@
         others.iter().map(|info| info.admin).collect()
     }
 
-    async fn fetch_from(&self, address: SocketAddr) -> admin::Result<()> {
+    /// Fetches the state of a peer and returns whether the peer has any ticket.
+    async fn fetch_from(&self, address: SocketAddr) -> admin::Result<bool> {
         let peer = admin::connect(address, PEER_TIMEOUT)?;
         let call_error = |source| admin::Error::Call { address, source };
         let snapshot_error = |source| admin::Error::Snapshot { address, source };
         let members = peer.member_snapshot().await.map_err(call_error)?;
         let tickets = peer.state_snapshot().await.map_err(call_error)?;
         let members = serde_json::from_value(members).map_err(snapshot_error)?;
-        let tickets = serde_json::from_value(tickets).map_err(snapshot_error)?;
+        let tickets: Handoff = serde_json::from_value(tickets).map_err(snapshot_error)?;
+        let has_tickets = !tickets.snapshot.items.is_empty();
         let _ = self.members.cast(members::Request::Merge(members));
         let _ = self.tickets.cast(tickets::Request::Merge(tickets));
-        Ok(())
+        Ok(has_tickets)
     }
 
     /// Reads all tickets and returns whether the platform has answered.
--- a/testkit/src/util.rs
+++ b/testkit/src/util.rs
@@ -1,3 +1,4 @@
+use rand::RngExt as _;
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
@@ -34,6 +35,10 @@
     UdpSocket::from_std(StdUdpSocket::from(socket))
 }
 
+/// The ports below the range from which the system takes those of outgoing connections. A port
+/// of that range could be taken between this call and the use of the address.
+const FREE_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// Returns a loopback address whose port is free for UDP and TCP at the time of the call.
 ///
 /// # Errors
@@ -41,9 +46,9 @@
 /// Returns the error of the socket calls.
 pub fn free_address() -> io::Result<SocketAddr> {
     loop {
-        let tcp = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let address = tcp.local_addr()?;
-        if StdUdpSocket::bind(address).is_ok() {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::rng().random_range(FREE_PORTS)));
+        let tcp = std::net::TcpListener::bind(address);
+        if tcp.is_ok() && StdUdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -316,3 +316,24 @@
         }
     }
 }
+
+/// Guards against a UDP flow that changes its target after a loss, a partition and a stop.
+#[test]
+fn udp_flows_survive_overlapping_faults() {
+    let steps = [
+        Step::Crash(173),
+        Step::Partition(196),
+        Step::Open(108),
+        Step::Wait(61),
+        Step::Open(152),
+        Step::Targets(59),
+        Step::Stop(71),
+        Step::Wait(227),
+        Step::Targets(34),
+        Step::Partition(175),
+        Step::Targets(171),
+        Step::Stop(25),
+    ];
+    let fleet = play(Mode::Owners, 2_078_792_957_631_126_571, &steps);
+    assert_eq!(fleet.findings.broken, 0, "{:?}", fleet.findings.details);
+}
