Pass held packets on if the owners changed while they waited

A daemon that had asked other holders for an unknown UDP flow still placed the flow when the answers came, although another daemon had become its primary owner meanwhile. The present owners never heard of the record and placed the flow on another target with the next packet.

Ruled out: an expired or evicted record (no record of the flow existed at the owners), a lost copy.

--- a/src/forward/unknown.rs
+++ b/src/forward/unknown.rs
@@ -13,7 +13,7 @@
     },
     member::{self, Owners},
     ticket::TargetId,
-    wire::{Body, Record, RecordState},
+    wire::{Body, Record, RecordState, Stage},
 };
 
 /// The number of times a query is sent again.
@@ -216,8 +216,17 @@
             return;
         };
         self.pending -= inquiry.packets.len();
+        // The owners may have changed while the packets waited. Two daemons would place the flow
+        // if this one still decided.
+        let owners = self.ranking.owners(fingerprint.slot());
+        let other = owners.map(|owners| owners.primary).filter(|primary| *primary != self.id);
         for held in &inquiry.packets {
             let packet = held.packet();
+            if let Some(primary) = other {
+                let stage = held.from.map_or(Stage::Decide, |target| Stage::Return { target });
+                self.hop(primary, &packet, stage, out);
+                continue;
+            }
             let request = held.from.is_none() && !packet.summary.opens();
             let mut entry = self.table.get(now, fingerprint);
             if let Some(entry) = entry.as_mut().filter(|entry| request && is_unconfirmed(entry)) {
