Recount flows only when owners changed; remove unused parameters

Each change of the view, also of another region, passed over the whole flow table. A daemon whose name was taken over by another process now logs an error; the detector's flag had no reader.

--- a/examples/support/flows.rs
+++ b/examples/support/flows.rs
@@ -86,10 +86,9 @@
         let config = Config { flows: 1 << 22, cached: 1 << 22, ..Config::default() };
         let mut forwarder = Forwarder::new(config, own, hasher.clone(), placer, seed, now);
         let ranking = Arc::new(Ranking::new(&view, REGION, &HashSet::new()));
-        let mut out = Vec::new();
-        forwarder.set_routes(now, Arc::new(routes()), &mut out);
+        forwarder.set_routes(now, Arc::new(routes()));
         forwarder.placer_mut().set_members(&view, REGION);
-        forwarder.set_ranking(now, ranking.clone(), &mut out);
+        forwarder.set_ranking(now, ranking.clone());
         // The hash slots have settled.
         now += Duration::from_secs(20);
         let rng = Pcg64Mcg::seed_from_u64(seed);
@@ -103,7 +102,7 @@
             ranking,
             hasher,
             rng,
-            out,
+            out: Vec::new(),
             owned,
             syns,
             cached,
--- a/src/forward/counters.rs
+++ b/src/forward/counters.rs
@@ -56,10 +56,3 @@
     /// The dropped packets by cause.
     pub dropped: BTreeMap<Cause, u64>,
 }
-
-impl Counters {
-    /// Returns the number of packets dropped for a cause.
-    pub fn dropped_for(&self, cause: Cause) -> u64 {
-        self.dropped.get(&cause).copied().unwrap_or(0)
-    }
-}
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -96,12 +96,7 @@
     }
 
     /// Replaces the routes.
-    pub fn set_routes(
-        &mut self,
-        now: Instant,
-        routes: Arc<route::Table>,
-        _actions: &mut Vec<Action>,
-    ) {
+    pub fn set_routes(&mut self, now: Instant, routes: Arc<route::Table>) {
         for target in self.routes.targets() {
             if routes.target(target.id).is_none() {
                 self.removed.insert(target.id, now);
@@ -122,11 +117,11 @@
     }
 
     /// Replaces the ranking of owners and starts copying records to new owners.
-    pub fn set_ranking(&mut self, now: Instant, ranking: Arc<Ranking>, _actions: &mut Vec<Action>) {
+    pub fn set_ranking(&mut self, now: Instant, ranking: Arc<Ranking>) {
         let previous = std::mem::replace(&mut self.ranking, ranking);
-        self.recount(now);
         if !self.ranked {
             self.ranked = true;
+            self.recount(now);
             self.history.begin(now, &self.ranking);
             return;
         }
@@ -142,6 +137,10 @@
             }
         }
         self.history.prune(now, self.config.history);
+        // Most changes of the view are of other regions, and a pass over the table is dear.
+        if changed.contains(&true) {
+            self.recount(now);
+        }
         if self.config.mode == Mode::Owners {
             self.table.unmark(Mark::Copied, |fingerprint| changed[usize::from(fingerprint.slot())]);
             self.plan_copies(&previous);
@@ -214,7 +213,7 @@
     }
 
     /// Stops forwarding, because the process paused and its view may be stale.
-    pub fn suspend(&mut self, _now: Instant) {
+    pub fn suspend(&mut self) {
         self.suspended = true;
     }
 
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use log::{info, warn};
+use log::{error, info, warn};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::sync::mpsc;
 
@@ -76,6 +76,7 @@
     ranking: Option<Ranking>,
     zones_out: Arc<HashSet<Arc<str>>>,
     outputs: Vec<Output>,
+    is_replaced: bool,
 }
 
 impl Actor for Members {
@@ -90,7 +91,8 @@
     ) -> Result<State, ActorProcessingErr> {
         own.send_interval(TICK, || Request::Tick);
         let zones_out = arguments.shared.zones_out.load_full();
-        let mut state = State { arguments, ranking: None, zones_out, outputs: Vec::new() };
+        let mut state =
+            State { arguments, ranking: None, zones_out, outputs: Vec::new(), is_replaced: false };
         state.publish(Instant::now()).await;
         Ok(state)
     }
@@ -112,6 +114,10 @@
         match request {
             Request::Tick => {
                 detector.on_tick(now, &mut self.outputs);
+                if detector.is_replaced() && !self.is_replaced {
+                    self.is_replaced = true;
+                    error!("another process has taken over this daemon's name; stop one of them");
+                }
                 let zones_out = self.arguments.shared.zones_out.load_full();
                 if zones_out != self.zones_out {
                     self.zones_out = zones_out;
--- a/src/node/packets.rs
+++ b/src/node/packets.rs
@@ -186,7 +186,7 @@
             suspended_at: None,
             is_joining: true,
         };
-        packet_loop.parts.forwarder.suspend(now);
+        packet_loop.parts.forwarder.suspend();
         Ok(packet_loop)
     }
 
@@ -212,7 +212,7 @@
         let now = Instant::now();
         if let Some(gap) = self.watch.check(now, SystemTime::now()) {
             self.counts.pauses += 1;
-            self.parts.forwarder.suspend(now);
+            self.parts.forwarder.suspend();
             self.suspended_at = Some(now);
             // The actors run on other threads and notice the gap by themselves if the queue is full.
             let _ = self.parts.notices.try_send(Notice::Paused(gap));
@@ -291,9 +291,9 @@
             Command::SetMembers { view, ranking } => {
                 self.addresses = peers::addresses(&view);
                 forwarder.placer_mut().set_members(&view, &self.parts.region);
-                forwarder.set_ranking(now, ranking, &mut self.actions);
+                forwarder.set_ranking(now, ranking);
             }
-            Command::SetRoutes(table) => forwarder.set_routes(now, table, &mut self.actions),
+            Command::SetRoutes(table) => forwarder.set_routes(now, table),
             Command::SetClasses(changes) => {
                 for change in changes {
                     forwarder.placer_mut().set_class(change.target, change.class, change.since);
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -239,7 +239,7 @@
         // A primary owner needs one more hop to the secondary owner.
         assert_eq!(actions, [Action::Drop(Cause::HopLimit)]);
         outcomes.push(owners.primary == *id);
-        forwarder.suspend(now);
+        forwarder.suspend();
         let mut actions = Vec::new();
         forwarder.on_frame(now, &frame, &mut actions);
         forwarder.on_datagram(now, key.caller, &packet, None, &mut actions);
--- a/tests/forwarders/daemon.rs
+++ b/tests/forwarders/daemon.rs
@@ -74,11 +74,10 @@
         let former = daemon.rank();
         daemon.knows(&info, Status::Alive, now);
         let ranking = Arc::new(daemon.rank().after(&former, now));
-        let mut actions = Vec::new();
-        daemon.forwarder.set_routes(now, self.table.clone(), &mut actions);
+        daemon.forwarder.set_routes(now, self.table.clone());
         let Daemon { forwarder, view, .. } = &mut daemon;
         forwarder.placer_mut().set_members(view, REGION);
-        forwarder.set_ranking(now, ranking, &mut actions);
+        forwarder.set_ranking(now, ranking);
         self.daemons.insert(id, daemon);
         self.announce(id, Status::Alive, 100..2000);
         let delay = self.millis(100..4000);
@@ -117,10 +116,10 @@
         let Some(info) = info.or(known) else { return };
         daemon.knows(&info, status, now);
         let ranking = Arc::new(daemon.rank());
-        self.with(at, &[], |daemon, out| {
+        self.with(at, &[], |daemon, _| {
             let Daemon { forwarder, view, .. } = daemon;
             forwarder.placer_mut().set_members(view, REGION);
-            forwarder.set_ranking(now, ranking, out);
+            forwarder.set_ranking(now, ranking);
         });
     }
 
@@ -189,12 +188,11 @@
     }
 
     pub(super) fn resume(&mut self, id: member::Id) {
-        let now = self.now;
         let Some(daemon) = self.daemons.get_mut(&id) else {
             return;
         };
         daemon.paused = None;
-        daemon.forwarder.suspend(now);
+        daemon.forwarder.suspend();
         self.announce(id, Status::Alive, 100..1500);
         self.schedule(Duration::from_millis(200), Event::Synchronised(id));
         self.schedule(Duration::from_millis(190), Event::Routes(id, self.table.clone()));
--- a/tests/forwarders/mod.rs
+++ b/tests/forwarders/mod.rs
@@ -198,13 +198,13 @@
             }
             Event::View(at, of, status) => self.set_view(at, of, status),
             // The merged state never reverts, so a table that is overtaken is dropped.
-            Event::Routes(id, table) => self.with(id, &[], |daemon, out| {
+            Event::Routes(id, table) => self.with(id, &[], |daemon, _| {
                 let version = table.services()[0].generations[0].number;
                 if version < daemon.version {
                     return;
                 }
                 daemon.version = version;
-                daemon.forwarder.set_routes(now, table, out);
+                daemon.forwarder.set_routes(now, table);
             }),
             Event::Fabric(id, sends) => {
                 self.sprayed.retain(|other| *other != id);
