--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,6 +26,7 @@
 mod peers;
 mod shared;
 mod spans;
+mod start;
 mod targets;
 mod tickets;
 mod watch;
--- /dev/null
+++ b/src/node/start.rs
@@ -0,0 +1,162 @@
+//! The parts of a daemon that [`Node::start`](super::Node::start) puts together.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    thread::JoinHandle,
+    time::Instant,
+};
+
+use ractor::{Actor, ActorRef};
+use rand::RngExt as _;
+use rand_pcg::Pcg64;
+use socket2::{Domain, Socket, Type};
+use tokio::sync::mpsc;
+
+use crate::{
+    flow::Hasher,
+    forward::{self, Forwarder},
+    load::Monitor,
+    member::{self, Detector, Info},
+    node::{
+        Error, Result,
+        command::Command,
+        coordinator::{self, Coordinator, Links},
+        members::{self, Members},
+        packets::{PacketLoop, Parts},
+        peers::Sender,
+        shared::Shared,
+        targets::{self, Targets},
+        tickets::{self, Tickets},
+    },
+    place::{self, Placer},
+    platform::{Endpoint, Timeouts},
+    settings::Settings,
+    spread::{self, Spreader},
+    ticket::State,
+};
+
+/// The socket buffers, in bytes. The system may grant less.
+const SOCKET_BUFFER: usize = 4 * 1024 * 1024;
+
+/// Creates the forwarder from the settings.
+pub(super) fn forwarder(
+    settings: &Settings,
+    own: member::Id,
+    seed: u64,
+    now: Instant,
+) -> Forwarder {
+    let limits = &settings.limits;
+    let config = forward::Config {
+        flows: limits.owned_flows as usize,
+        cached: limits.cached_flows as usize,
+        pending: limits.pending_packets as usize,
+        handover_rate: f64::from(settings.handover_bytes_per_second),
+        ..forward::Config::default()
+    };
+    let placement = place::Config {
+        new_flows_per_second: limits.new_flows_per_second,
+        caller_share: limits.caller_share,
+        ..place::Config::default()
+    };
+    let hasher = Hasher::new(settings.flow_key.bytes());
+    let placer = Placer::new(placement, own, seed, now);
+    Forwarder::new(config, own, hasher, placer, seed, now)
+}
+
+/// Starts the packet loop on a thread of its own.
+pub(super) fn spawn_packet_loop(parts: Parts, now: Instant) -> Result<JoinHandle<()>> {
+    let start_error =
+        |source: std::io::Error| Error::Start { name: "packet loop", source: source.into() };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(start_error)?;
+    let run = move || {
+        runtime.block_on(async move {
+            match PacketLoop::new(parts, now) {
+                Ok(packet_loop) => packet_loop.run().await,
+                Err(error) => log::error!("packet loop cannot use its sockets: {error}"),
+            }
+        });
+    };
+    std::thread::Builder::new().name("packets".into()).spawn(run).map_err(start_error)
+}
+
+/// Starts the actors and links the coordinator with the others.
+pub(super) async fn spawn_actors(
+    settings: &Settings,
+    info: &Info,
+    incarnation: member::Incarnation,
+    shared: &Arc<Shared>,
+    sender: &Sender,
+    commands: &mpsc::Sender<Command>,
+    random: &mut Pcg64,
+) -> Result<(ActorRef<coordinator::Request>, Links)> {
+    let start_error =
+        |name| move |source: ractor::SpawnErr| Error::Start { name, source: source.into() };
+    let (coordinator, _) = Actor::spawn(None, Coordinator, (commands.clone(), shared.clone()))
+        .await
+        .map_err(start_error("coordinator"))?;
+    let now = Instant::now();
+    let detector =
+        Detector::new(member::Config::default(), info.clone(), incarnation, random.random(), now);
+    let arguments = members::Arguments {
+        detector,
+        region: info.region.clone(),
+        sender: sender.clone(),
+        commands: commands.clone(),
+        shared: shared.clone(),
+        coordinator: coordinator.clone(),
+    };
+    let (members, _) =
+        Actor::spawn(None, Members, arguments).await.map_err(start_error("member view"))?;
+    let mut config = spread::Config::new(info.zone.clone());
+    config.rate = f64::from(settings.control.bytes_per_second);
+    config.burst = f64::from(settings.control.burst_bytes);
+    let zones = (!settings.zones.is_empty()).then(|| settings.zones.clone().into());
+    let arguments = tickets::Arguments {
+        spreader: Spreader::new(config, info.id(), random.random(), now),
+        state: State::new(zones),
+        sender: sender.clone(),
+        commands: commands.clone(),
+        shared: shared.clone(),
+        coordinator: coordinator.clone(),
+    };
+    let (tickets, _) =
+        Actor::spawn(None, Tickets, arguments).await.map_err(start_error("ticket state"))?;
+    let arguments = targets::Arguments {
+        monitor: Monitor::new(crate::load::Config::default(), info.id()),
+        region: info.region.clone(),
+        endpoint: Endpoint::new(Timeouts::default()),
+        sender: sender.clone(),
+        commands: commands.clone(),
+        shared: shared.clone(),
+        own: info.id(),
+    };
+    let (targets, _) =
+        Actor::spawn(None, Targets, arguments).await.map_err(start_error("target classes"))?;
+    let links = Links { members, tickets, targets };
+    let _ = coordinator.cast(coordinator::Request::Link(Box::new(links.clone())));
+    Ok((coordinator, links))
+}
+
+/// Opens a UDP socket.
+pub(super) fn bind(name: &'static str, address: SocketAddr) -> Result<UdpSocket> {
+    let open = || {
+        let socket = Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
+        // The system may grant less; then bursts lose packets, which the transport repairs.
+        let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+        let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
+        socket.bind(&address.into())?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    };
+    open().map_err(bind_error(name, address))
+}
+
+/// Returns the conversion of an error of a UDP socket.
+pub(super) fn bind_error(
+    name: &'static str,
+    address: SocketAddr,
+) -> impl FnOnce(std::io::Error) -> Error {
+    move |source| Error::Bind { name, address, source }
+}
