--- a/src/forward/standing.rs
+++ b/src/forward/standing.rs
@@ -14,7 +14,8 @@
 }
 
 /// The standing of targets. A target that is not in the routes may be gone or may only be
-/// unheard of; the flows of the first are reset, the packets of the second are passed on or dropped.
+/// unheard of; the flows of the first are reset, the packets of the second are passed on or
+/// dropped.
 impl Forwarder {
     /// Returns what is known about a target of a service.
     pub(super) fn standing(&self, now: Instant, service: ServiceIndex, id: TargetId) -> Standing {
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -67,7 +67,8 @@
 }
 
 impl Node {
-    /// Starts a daemon. It joins in the background and forwards packets when it has the first state.
+    /// Starts a daemon. It joins in the background and forwards packets when it has the first
+    /// state.
     ///
     /// # Errors
     ///
--- a/src/node/handoff.rs
+++ b/src/node/handoff.rs
@@ -14,8 +14,8 @@
 pub(super) struct Handoff {
     /// The objects and the history.
     pub(super) snapshot: Snapshot,
-    /// The target addresses in quarantine. They depend on when the member learned of a ticket, which
-    /// the joiner cannot tell from the objects.
+    /// The target addresses in quarantine. They depend on when the member learned of a ticket,
+    /// which the joiner cannot tell from the objects.
     pub(super) quarantines: Vec<Remaining>,
 }
 
--- a/src/node/packets.rs
+++ b/src/node/packets.rs
@@ -214,7 +214,7 @@
             self.counts.pauses += 1;
             self.parts.forwarder.suspend();
             self.suspended_at = Some(now);
-            // The actors run on other threads and notice the gap by themselves if the queue is full.
+            // If the queue is full, forwarding resumes after `CONFIRM_TIMEOUT` unconfirmed.
             let _ = self.parts.notices.try_send(Notice::Paused(gap));
         }
         now
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -19,8 +19,8 @@
 
 /// Below this share of connections a decider may exceed its share by three standard
 /// deviations. Flows fall on deciders at random, so with small shares an exact limit
-/// would refuse flows while the target has room. The target itself refuses what is too much, and the
-/// flow is placed again.
+/// would refuse flows while the target has room. The target itself refuses what is too much, and
+/// the flow is placed again.
 const EXACT_SHARE: u32 = 100;
 
 /// Places new flows and counts the open flows that this daemon owns as primary.
@@ -98,7 +98,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Refusal::CallerLimit`] if the daemon is over its limit and the caller over its share.
+    /// Returns [`Refusal::CallerLimit`] if the daemon is over its limit and the caller over its
+    /// share.
     pub fn admit(&mut self, now: Instant, caller: IpAddr) -> Result<(), Refusal> {
         let Config { new_flows_per_second: limit, caller_share: share, .. } = self.config;
         if self.callers.admit(now, caller, limit, share) {
--- a/src/place/unit.rs
+++ b/src/place/unit.rs
@@ -24,8 +24,8 @@
 /// The members that share the allowances of cold targets.
 ///
 /// A unit belongs to one member by rendezvous over the members of the target's zone, or of
-/// the region if the zone has none. Units stay in the zone, so a partition along zone borders does not
-/// double them.
+/// the region if the zone has none. Units stay in the zone, so a partition along zone borders does
+/// not double them.
 #[derive(Debug, Clone, Default)]
 pub struct Holders {
     holders: Vec<Holder>,
