--- a/examples/packet_rate.rs
+++ b/examples/packet_rate.rs
@@ -25,7 +25,7 @@
 
 use banyanwharf::{
     node::{Node, forward_all},
-    settings::{Key, Limits, Secret, Settings},
+    settings::{Key, Limits, Mode, Secret, Settings},
 };
 use banyanwharf_testkit::{Platform, free_address};
 use bpaf::Bpaf;
@@ -237,6 +237,7 @@
 
 fn settings(platform: &Platform, data: SocketAddr) -> Result<Settings> {
     Ok(Settings {
+        mode: Mode::Tunnel,
         name: "entry-0".into(),
         region: "uy".into(),
         zone: "mvd-cerro".into(),
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -9,7 +9,7 @@
 
 use banyanwharf::{
     node::Node,
-    settings::{Key, Limits, Secret, Settings},
+    settings::{Key, Limits, Mode, Secret, Settings},
 };
 use banyanwharf_testkit::{
     free_address,
@@ -43,6 +43,7 @@
 
 fn settings(config: DaemonConfig) -> Result<Settings> {
     Ok(Settings {
+        mode: Mode::Tunnel,
         name: config.name.into(),
         region: config.region.into(),
         zone: config.zone.into(),
--- /dev/null
+++ b/src/cookie/directory.rs
@@ -0,0 +1,313 @@
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Instant,
+};
+
+use crate::cookie::{
+    Availability, Change, Config, Cookie, Entry, Listing, Operator, Revision, Standing, Target,
+    Tuning, View, hash::cookie, outage::Outage, view::is_usable,
+};
+
+/// What became of a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// It is older than what is known and was ignored.
+    Old,
+    /// Nothing has changed in the store since the last read.
+    Same,
+    /// It is in force.
+    New,
+}
+
+/// A target as it was read last.
+#[derive(Debug, Clone)]
+struct Known {
+    target: Arc<Target>,
+    cookie: Cookie,
+    standing: Standing,
+    warm_at: Instant,
+    /// When the target was found to have ended.
+    ended_at: Option<Instant>,
+}
+
+/// Everything that a daemon has read: configuration, zones out of service, targets.
+///
+/// Nothing that is read can take back something newer: configurations, zones and targets each
+/// carry the store's revision.
+#[derive(Debug, Clone)]
+pub struct Directory {
+    tuning: Tuning,
+    config: Option<Arc<Config>>,
+    confirmed_at: Option<Instant>,
+    operator_revision: Revision,
+    zones_out: BTreeSet<Arc<str>>,
+    /// The zones that are back in service, since which revision and moment.
+    zones_back: BTreeMap<Arc<str>, (Revision, Instant)>,
+    known: BTreeMap<Arc<str>, Known>,
+    /// Earlier starts of targets.
+    replaced: Vec<Known>,
+    former: Arc<HashMap<SocketAddrV4, Vec<Arc<str>>>>,
+    revision: Revision,
+    read_at: Option<Instant>,
+    outage: Outage,
+}
+
+impl Directory {
+    /// Creates an empty directory.
+    pub fn new(tuning: Tuning) -> Directory {
+        Directory {
+            tuning,
+            config: None,
+            confirmed_at: None,
+            operator_revision: 0,
+            zones_out: BTreeSet::new(),
+            zones_back: BTreeMap::new(),
+            known: BTreeMap::new(),
+            replaced: Vec::new(),
+            former: Arc::default(),
+            revision: 0,
+            read_at: None,
+            outage: Outage::default(),
+        }
+    }
+
+    /// Notes that the store did not answer a call.
+    pub fn failed(&mut self, now: Instant) {
+        self.outage.failed(now);
+    }
+
+    /// Returns whether the store has answered all calls for a while.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.outage.is_calm(now, self.tuning.settle)
+    }
+
+    /// Notes that the configuration is still the newest.
+    pub fn confirm(&mut self, now: Instant) {
+        self.outage.answered(now);
+        self.confirmed_at = Some(now);
+    }
+
+    /// Applies a whole read of what operators published.
+    pub fn apply_operator(&mut self, now: Instant, operator: &Operator) -> Applied {
+        if operator.revision < self.operator_revision {
+            return Applied::Old;
+        }
+        let is_same = operator.revision == self.operator_revision;
+        self.operator_revision = operator.revision;
+        if let Some(config) = &operator.config {
+            self.set_config(config.clone());
+        }
+        let zones: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
+        let back: Vec<Arc<str>> = self.zones_out.difference(&zones).cloned().collect();
+        for zone in back {
+            self.zones_back.insert(zone, (operator.revision, now));
+        }
+        self.zones_out = zones;
+        if is_same { Applied::Same } else { Applied::New }
+    }
+
+    /// Applies one change that operators published; the store was then at `revision`.
+    pub fn apply_change(&mut self, now: Instant, revision: Revision, change: Change) -> Applied {
+        if revision <= self.operator_revision {
+            return Applied::Old;
+        }
+        match change {
+            Change::Config(config) => self.set_config(config),
+            Change::ZoneOut(zone) => {
+                self.zones_back.remove(&zone);
+                self.zones_out.insert(zone);
+            }
+            Change::ZoneBack(zone, since) => {
+                if self.zones_out.remove(&zone) {
+                    self.zones_back.insert(zone, (since, now));
+                }
+            }
+        }
+        Applied::New
+    }
+
+    /// Notes that all changes up to `revision` have been applied.
+    pub fn reached(&mut self, revision: Revision) {
+        self.operator_revision = self.operator_revision.max(revision);
+    }
+
+    /// Applies a read of all targets.
+    pub fn apply_listing(&mut self, now: Instant, listing: Listing) -> Applied {
+        self.outage.answered(now);
+        if listing.revision < self.revision {
+            return Applied::Old;
+        }
+        let is_same = listing.revision == self.revision && self.read_at.is_some();
+        self.revision = listing.revision;
+        self.read_at = Some(now);
+        let mut missing: BTreeSet<Arc<str>> = self.known.keys().cloned().collect();
+        for target in listing.targets {
+            missing.remove(&target.name);
+            self.put(now, target);
+        }
+        let may_return = !self.outage.is_calm(now, self.tuning.lapse_grace);
+        for name in missing {
+            if let Some(known) = self.known.get_mut(&name) {
+                known.miss(now, may_return);
+            }
+        }
+        let memory = self.tuning.gone_memory;
+        let is_remembered = |known: &Known| {
+            known.ended_at.is_none_or(|ended| now.saturating_duration_since(ended) < memory)
+        };
+        self.known.retain(|_, known| is_remembered(known));
+        self.replaced.retain(is_remembered);
+        if is_same { Applied::Same } else { Applied::New }
+    }
+
+    /// Returns what operators published, for another daemon.
+    pub fn operator(&self) -> Operator {
+        Operator {
+            revision: self.operator_revision,
+            config: self.config.clone(),
+            zones_out: self.zones_out.iter().cloned().collect(),
+        }
+    }
+
+    /// Returns the present targets, for another daemon.
+    pub fn listing(&self) -> Listing {
+        let present = self.known.values().filter(|known| known.standing != Standing::Gone);
+        let targets = present.map(|known| (*known.target).clone()).collect();
+        Listing { revision: self.revision, targets }
+    }
+
+    /// Returns the store's revision at the last read of the targets.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the store's revision up to which operators' changes are known.
+    pub fn operator_revision(&self) -> Revision {
+        self.operator_revision
+    }
+
+    /// Returns the view for packets.
+    pub fn view(&self, now: Instant) -> View {
+        let mut entries: Vec<Entry> = Vec::with_capacity(self.known.len() + self.replaced.len());
+        let mut known: Vec<&Known> = self.known.values().chain(&self.replaced).collect();
+        // The first start of two with the same cookie keeps it in every daemon.
+        known.sort_by_key(|known| (known.target.born, known.target.number));
+        let mut by_cookie = HashMap::with_capacity(known.len());
+        let mut pools: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
+        for known in known {
+            let Known { target, standing, .. } = known;
+            if by_cookie.contains_key(&known.cookie) {
+                continue;
+            }
+            let index = entries.len();
+            by_cookie.insert(known.cookie, index);
+            let is_usable = is_usable(target, *standing, self.zones_out.contains(&target.zone));
+            if is_usable {
+                pools.entry(target.service.clone()).or_default().push(index);
+            }
+            entries.push(Entry {
+                target: target.clone(),
+                cookie: known.cookie,
+                standing: *standing,
+                warm_at: self.warm_at(known),
+                is_usable,
+            });
+        }
+        View {
+            config: self.config.clone(),
+            entries,
+            by_cookie,
+            pools,
+            former: self.former.clone(),
+            revision: self.revision,
+            read_at: self.read_at,
+            confirmed_at: self.confirmed_at,
+            is_settled: self.is_settled(now),
+        }
+    }
+
+    /// Returns when a target is no longer cold. The targets of a zone that is back in service are
+    /// cold until an entry that is newer than the return says otherwise.
+    fn warm_at(&self, known: &Known) -> Instant {
+        let target = &known.target;
+        let service = self.config.as_ref().and_then(|config| config.services.get(&target.service));
+        match (self.zones_back.get(&target.zone), service) {
+            (Some((since, at)), Some(service)) if target.revision <= *since => {
+                known.warm_at.max(*at + service.cold_for)
+            }
+            _ => known.warm_at,
+        }
+    }
+
+    fn set_config(&mut self, config: Arc<Config>) {
+        if self.config.as_ref().is_some_and(|held| config.revision <= held.revision) {
+            return;
+        }
+        let former = Arc::make_mut(&mut self.former);
+        former.retain(|address, _| config.routes.contains_key(address));
+        for (address, route) in &config.routes {
+            let services = former.entry(*address).or_default();
+            for share in &route.shares {
+                if !services.contains(&share.service) {
+                    services.push(share.service.clone());
+                }
+            }
+        }
+        self.config = Some(config);
+    }
+
+    fn put(&mut self, now: Instant, target: Target) {
+        let warm_at = now + target.cold_for;
+        match self.known.get_mut(&target.name) {
+            Some(known) if known.target.born == target.born => {
+                if target.revision < known.target.revision {
+                    return;
+                }
+                if target.revision > known.target.revision {
+                    known.warm_at = warm_at;
+                }
+                known.standing = Standing::Present;
+                known.ended_at = None;
+                if *known.target != target {
+                    known.target = Arc::new(target);
+                }
+            }
+            other => {
+                if let Some(known) = other {
+                    if target.revision < known.target.revision {
+                        return;
+                    }
+                    known.end(now);
+                    self.replaced.push(known.clone());
+                }
+                let name = target.name.clone();
+                let cookie = cookie(&target);
+                let target = Arc::new(target);
+                let standing = Standing::Present;
+                let known = Known { target, cookie, standing, warm_at, ended_at: None };
+                self.known.insert(name, known);
+            }
+        }
+    }
+}
+
+impl Known {
+    /// Notes that the entry is missing in a read.
+    fn miss(&mut self, now: Instant, may_return: bool) {
+        let is_leaving = self.target.availability == Availability::Draining;
+        match self.standing {
+            Standing::Gone => {}
+            Standing::Present | Standing::Lapsed if may_return && !is_leaving => {
+                self.standing = Standing::Lapsed;
+            }
+            Standing::Present | Standing::Lapsed => self.end(now),
+        }
+    }
+
+    fn end(&mut self, now: Instant) {
+        self.standing = Standing::Gone;
+        self.ended_at = Some(now);
+    }
+}
--- /dev/null
+++ b/src/cookie/forwarder.rs
@@ -0,0 +1,369 @@
+use std::{sync::Arc, time::Instant};
+
+use hashbrown::HashMap;
+
+use crate::{
+    cookie::{
+        Cause, Cookie, Counters, Entry, Event, Flow, Kind, Packet, Reason, Standing, Tuning,
+        Verdict, View,
+        flows::{Flows, Sign},
+        placing::{Observed, Placing},
+    },
+    util,
+};
+
+/// The largest number of flows whose cookie is not known.
+const MAXIMUM_UNKNOWN: usize = 10_000;
+
+/// Decides what is done with each packet of a caller.
+#[derive(Debug, Clone)]
+pub struct Forwarder {
+    tuning: Tuning,
+    zone: Arc<str>,
+    zone_daemons: usize,
+    view: Arc<View>,
+    flows: Flows,
+    observed: HashMap<Cookie, Observed>,
+    /// When a cookie of a flow was found to be unknown.
+    unknown: HashMap<Flow, Instant>,
+    /// Opening packets that came before this moment waited during a pause.
+    held_until: Option<Instant>,
+    counters: Counters,
+    events: Vec<Event>,
+}
+
+impl Forwarder {
+    /// Creates a forwarder for a daemon in the availability zone `zone`.
+    pub fn new(zone: Arc<str>, tuning: Tuning) -> Forwarder {
+        let flows = Flows::new(tuning.flows);
+        Forwarder {
+            tuning,
+            zone,
+            zone_daemons: 1,
+            view: Arc::default(),
+            flows,
+            observed: HashMap::new(),
+            unknown: HashMap::new(),
+            held_until: None,
+            counters: Counters::default(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Puts a newer view in force.
+    pub fn set_view(&mut self, view: Arc<View>) {
+        if view.read_at > self.view.read_at {
+            self.held_until = None;
+        }
+        self.view = view;
+    }
+
+    /// Sets the number of daemons in the own zone, with this one.
+    pub fn set_zone_daemons(&mut self, count: usize) {
+        self.zone_daemons = count.max(1);
+    }
+
+    /// Notes that the process was paused: opening packets that waited are dropped until the view
+    /// is read again.
+    pub fn paused(&mut self, now: Instant) {
+        self.held_until = Some(now + self.tuning.pause_hold);
+    }
+
+    /// Returns the view in force.
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the number of observed flows.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns the open flows at a target that passed through this daemon, and whether the target
+    /// is regarded as silent.
+    pub fn observation(&self, cookie: Cookie) -> (u32, bool) {
+        let observed = self.observed.get(&cookie);
+        observed.map_or((0, false), |target| (target.open, target.evidence.is_silent()))
+    }
+
+    /// Returns the target that a flow was last seen on.
+    pub fn seen(&self, flow: &Flow) -> Option<&Entry> {
+        self.view.target(self.flows.get(flow)?.cookie)
+    }
+
+    /// Takes the decisions since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Forgets flows that are over. It is called about once a second.
+    pub fn sweep(&mut self, now: Instant) {
+        let idle = self.view.config.as_ref().map(|config| config.idle_timeout);
+        let idle = idle.filter(|idle| !idle.is_zero()).unwrap_or(self.tuning.idle);
+        for cookie in self.flows.sweep(now, idle.min(self.tuning.idle)) {
+            self.closed(cookie);
+        }
+        let memory = self.tuning.idle;
+        self.unknown.retain(|_, since| now.saturating_duration_since(*since) < memory);
+        let view = &self.view;
+        self.observed.retain(|cookie, target| target.open > 0 || view.target(*cookie).is_some());
+    }
+
+    /// Decides what is done with a packet.
+    pub fn decide(&mut self, now: Instant, packet: &Packet) -> Verdict {
+        let verdict = self.judge(now, packet);
+        match verdict {
+            Verdict::Forward(_) => self.counters.delivered += 1,
+            Verdict::Reset(reason) => {
+                *self.counters.resets.entry(reason).or_default() += 1;
+                if let Some(cookie) = self.flows.remove(&packet.flow) {
+                    self.closed(cookie);
+                }
+                self.unknown.remove(&packet.flow);
+                let target = self.view.target(packet.cookie);
+                let target = target.map(|entry| entry.target.name.clone());
+                self.events.push(Event::Reset { flow: packet.flow, target, reason });
+            }
+            Verdict::Drop(cause) => {
+                *self.counters.drops.entry(cause).or_default() += 1;
+                self.events.push(Event::Dropped { flow: packet.flow, cause });
+            }
+        }
+        verdict
+    }
+
+    fn judge(&mut self, now: Instant, packet: &Packet) -> Verdict {
+        if !self.view.is_complete() {
+            return Verdict::Drop(Cause::NotReady);
+        }
+        match packet.kind {
+            Kind::Foreign => Verdict::Drop(Cause::Foreign),
+            Kind::Open { attempt } => self.open(now, packet, attempt),
+            Kind::Data | Kind::Finish | Kind::Reset => self.deliver(now, packet),
+        }
+    }
+
+    fn is_fresh(&self, now: Instant, moment: Option<Instant>) -> bool {
+        moment.is_some_and(|moment| now.saturating_duration_since(moment) < self.tuning.fresh)
+    }
+
+    /// Decides on an opening packet.
+    fn open(&mut self, now: Instant, packet: &Packet, attempt: u32) -> Verdict {
+        if self.held_until.is_some_and(|until| now < until) {
+            return Verdict::Drop(Cause::Paused);
+        }
+        let flow = packet.flow;
+        let hash = hash(&flow);
+        let Some(route) = self.view.route(flow.service) else {
+            let is_proven = self.is_fresh(now, self.view.confirmed_at) || attempt > 0;
+            return if is_proven {
+                Verdict::Reset(Reason::NoRoute)
+            } else {
+                Verdict::Drop(Cause::StaleView)
+            };
+        };
+        let Some(service) = route.service(hash).cloned() else {
+            return Verdict::Reset(Reason::NoRoute);
+        };
+        let first = self.repeated_open(now, &flow, attempt);
+        if let Some(cookie) = first
+            && let Some(entry) = self.view.target(cookie)
+            && self.stays(entry)
+        {
+            return Verdict::Forward(entry.delivery());
+        }
+        self.place(now, packet, attempt, &service, first)
+    }
+
+    /// Returns the target of an earlier copy of an opening packet.
+    fn repeated_open(&mut self, now: Instant, flow: &Flow, attempt: u32) -> Option<Cookie> {
+        if attempt == 0 {
+            return None;
+        }
+        let seen = self.flows.get(flow)?;
+        let cookie = seen.cookie;
+        let sign = self.flows.repeat_open(now, flow);
+        self.learn(now, *flow, cookie, sign);
+        Some(cookie)
+    }
+
+    /// Returns whether a copy of an opening packet goes to the target of the first one. Only a
+    /// target of which no answer is expected is left, since the caller repeats the cookie of the
+    /// answer that comes last.
+    fn stays(&self, entry: &Entry) -> bool {
+        let observed = self.observed.get(&entry.cookie);
+        let is_silent = observed.is_some_and(|target| target.evidence.is_silent());
+        entry.standing != Standing::Gone && !is_silent
+    }
+
+    fn place(
+        &mut self,
+        now: Instant,
+        packet: &Packet,
+        attempt: u32,
+        service: &Arc<str>,
+        first: Option<Cookie>,
+    ) -> Verdict {
+        let flow = packet.flow;
+        let placing = Placing {
+            now,
+            view: &self.view,
+            tuning: &self.tuning,
+            zone: &self.zone,
+            zone_daemons: self.zone_daemons,
+        };
+        let choice = placing.choose(&mut self.observed, service, &flow, first);
+        let Some(choice) = choice else {
+            return Verdict::Reset(Reason::NoTarget);
+        };
+        let view = self.view.clone();
+        let Some(entry) = view.target(choice.cookie) else {
+            return Verdict::Reset(Reason::NoTarget);
+        };
+        let (former, is_tracked) = self.flows.open(now, packet, choice.cookie);
+        if let Some(former) = former {
+            self.closed(former);
+        }
+        let target = self.observed.entry(choice.cookie).or_default();
+        let open = target.open;
+        if is_tracked {
+            target.open += 1;
+        }
+        if entry.is_cold(now) {
+            target.allowance.take(now);
+        }
+        if choice.is_trial {
+            target.evidence.tried(now, &self.tuning);
+        }
+        self.counters.placed += 1;
+        self.counters.spilled += u64::from(choice.is_away);
+        let name = entry.target.name.clone();
+        self.events.push(match first.and_then(|first| view.target(first)) {
+            Some(first) => {
+                self.counters.moved += 1;
+                Event::Moved { flow, from: first.target.name.clone(), target: name }
+            }
+            None => {
+                let (zone, choices) = (entry.target.zone.clone(), choice.choices);
+                Event::Placed { flow, target: name, zone, attempt, open, choices }
+            }
+        });
+        Verdict::Forward(entry.delivery())
+    }
+
+    /// Decides on a packet that carries a cookie.
+    fn deliver(&mut self, now: Instant, packet: &Packet) -> Verdict {
+        let flow = packet.flow;
+        if self.view.route(flow.service).is_none() {
+            return if self.is_fresh(now, self.view.confirmed_at) {
+                Verdict::Reset(Reason::NoRoute)
+            } else {
+                Verdict::Drop(Cause::StaleView)
+            };
+        }
+        let view = self.view.clone();
+        let Some(entry) = view.target(packet.cookie) else {
+            return self.unknown(now, packet);
+        };
+        if !view.ever_led(flow.service, &entry.target.service) {
+            return Verdict::Drop(Cause::WrongService);
+        }
+        if packet.kind == Kind::Reset {
+            if let Some(cookie) = self.flows.remove(&flow) {
+                self.closed(cookie);
+            }
+            return Verdict::Forward(entry.delivery());
+        }
+        if entry.standing == Standing::Gone && self.is_gone_for_sure(now) {
+            return Verdict::Reset(Reason::TargetGone);
+        }
+        let (sign, is_new) = self.flows.note(now, packet);
+        if is_new {
+            self.observed.entry(packet.cookie).or_default().open += 1;
+        }
+        self.learn(now, flow, packet.cookie, sign);
+        if let Sign::Repeat(sent) = sign
+            && now.saturating_duration_since(sent) >= self.tuning.reset_after
+            && self.observed.get(&packet.cookie).is_some_and(|target| target.evidence.is_silent())
+        {
+            return Verdict::Reset(Reason::TargetSilent);
+        }
+        if packet.kind == Kind::Finish
+            && let Some(cookie) = self.flows.close(&flow)
+        {
+            self.closed(cookie);
+        }
+        Verdict::Forward(entry.delivery())
+    }
+
+    fn unknown(&mut self, now: Instant, packet: &Packet) -> Verdict {
+        if packet.kind == Kind::Reset {
+            return Verdict::Drop(Cause::UnknownReset);
+        }
+        if self.unknown.len() >= MAXIMUM_UNKNOWN && !self.unknown.contains_key(&packet.flow) {
+            return Verdict::Drop(Cause::UnknownCookie);
+        }
+        let since = *self.unknown.entry(packet.flow).or_insert(now);
+        let is_read_since =
+            self.view.read_at.is_some_and(|read| read >= since + self.tuning.unknown_grace);
+        if is_read_since && self.view.is_settled {
+            Verdict::Reset(Reason::UnknownCookie)
+        } else {
+            Verdict::Drop(Cause::UnknownCookie)
+        }
+    }
+
+    fn is_gone_for_sure(&self, now: Instant) -> bool {
+        self.view.is_settled && self.is_fresh(now, self.view.read_at)
+    }
+
+    /// Updates what is known about the target `cookie` by what a packet of `flow` says.
+    fn learn(&mut self, now: Instant, flow: Flow, cookie: Cookie, sign: Sign) {
+        let Some(entry) = self.view.target(cookie) else {
+            return;
+        };
+        let observed = self.observed.entry(cookie).or_default();
+        match sign {
+            Sign::Neutral => {}
+            Sign::Progress => {
+                if let Some(after) = observed.evidence.progress(now) {
+                    let target = entry.target.name.clone();
+                    let after_ms = after.as_millis() as u64;
+                    self.events.push(Event::Answering { target, after_ms });
+                }
+            }
+            Sign::Repeat(sent) => {
+                self.counters.repeats += 1;
+                let revision = entry.target.revision;
+                let silence = observed.evidence.repeat(now, flow, sent, revision, &self.tuning);
+                if let Some(lasted) = silence {
+                    self.counters.silences += 1;
+                    self.events.push(Event::Silent {
+                        target: entry.target.name.clone(),
+                        flows: observed.evidence.repeating(),
+                        for_ms: lasted.as_millis() as u64,
+                    });
+                }
+            }
+        }
+    }
+
+    fn closed(&mut self, cookie: Cookie) {
+        if let Some(target) = self.observed.get_mut(&cookie) {
+            target.open = target.open.saturating_sub(1);
+        }
+    }
+}
+
+/// Returns a hash of a flow that is the same in every daemon.
+fn hash(flow: &Flow) -> u64 {
+    let ends = [flow.caller, flow.service];
+    let [caller, service] =
+        ends.map(|end| u64::from(end.ip().to_bits()) << 16 | u64::from(end.port()));
+    util::score(caller, service)
+}
--- /dev/null
+++ b/src/cookie/outage.rs
@@ -0,0 +1,37 @@
+use std::time::{Duration, Instant};
+
+/// When the store last failed and when it answered again.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Outage {
+    failed_at: Option<Instant>,
+    answered_at: Option<Instant>,
+    returned_at: Option<Instant>,
+}
+
+impl Outage {
+    /// Notes a failed call.
+    pub(super) fn failed(&mut self, now: Instant) {
+        self.failed_at = Some(now);
+    }
+
+    /// Notes an answer.
+    pub(super) fn answered(&mut self, now: Instant) {
+        let is_return = match (self.failed_at, self.answered_at) {
+            (Some(failed), Some(answered)) => failed > answered,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if is_return {
+            self.returned_at = Some(now);
+        }
+        self.answered_at = Some(now);
+    }
+
+    /// Returns whether the store has answered all calls of the last `span`.
+    pub(super) fn is_calm(&self, now: Instant, span: Duration) -> bool {
+        let was_calm = |moment: Option<Instant>| {
+            moment.is_none_or(|moment| now.saturating_duration_since(moment) >= span)
+        };
+        was_calm(self.failed_at) && was_calm(self.returned_at)
+    }
+}
--- /dev/null
+++ b/src/cookie/packet.rs
@@ -0,0 +1,36 @@
+use crate::cookie::{Cookie, Flow};
+
+/// What a caller's packet does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Opens a flow (SYN).
+    Open {
+        /// The number of copies that the caller sent before.
+        attempt: u32,
+    },
+    /// Carries data or an acknowledgement.
+    Data,
+    /// Closes the caller's side (FIN).
+    Finish,
+    /// Ends the flow (RST).
+    Reset,
+    /// Only a target sends this, for example SYN+ACK. A caller that does forges it.
+    Foreign,
+}
+
+/// The header of a caller's packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Packet {
+    /// The flow.
+    pub flow: Flow,
+    /// What the packet does.
+    pub kind: Kind,
+    /// The sequence number of the first byte of data.
+    pub sequence: u32,
+    /// The sequence number of the next byte that the caller expects.
+    pub acknowledged: u32,
+    /// The cookie that the caller repeats.
+    pub cookie: Cookie,
+    /// The length of the data in bytes.
+    pub length: u16,
+}
--- /dev/null
+++ b/src/cookie/placing.rs
@@ -0,0 +1,111 @@
+use std::{sync::Arc, time::Instant};
+
+use hashbrown::HashMap;
+
+use crate::cookie::{Cookie, Entry, Flow, Tuning, View, allowance::Allowance, evidence::Evidence};
+
+/// What a daemon observes of one target.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Observed {
+    /// The open flows that passed through this daemon.
+    pub(super) open: u32,
+    pub(super) evidence: Evidence,
+    pub(super) allowance: Allowance,
+}
+
+/// The order in which targets are preferred for a new flow. The lowest is the best.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Rank {
+    is_silent: bool,
+    is_away: bool,
+    load: f64,
+    /// Breaks ties in another order for each flow.
+    tie: u64,
+}
+
+/// A target that was chosen for a new flow.
+pub(super) struct Choice {
+    pub(super) cookie: Cookie,
+    /// The number of targets to choose from.
+    pub(super) choices: usize,
+    pub(super) is_away: bool,
+    /// Whether the flow tests a silent target.
+    pub(super) is_trial: bool,
+}
+
+/// What a placement depends on besides the targets.
+pub(super) struct Placing<'a> {
+    pub(super) now: Instant,
+    pub(super) view: &'a View,
+    pub(super) tuning: &'a Tuning,
+    pub(super) zone: &'a str,
+    /// The daemons of the own zone, with this one.
+    pub(super) zone_daemons: usize,
+}
+
+impl Placing<'_> {
+    /// Chooses a target of `service` for a new flow, other than `avoid`.
+    pub(super) fn choose(
+        &self,
+        observed: &mut HashMap<Cookie, Observed>,
+        service: &Arc<str>,
+        flow: &Flow,
+        avoid: Option<Cookie>,
+    ) -> Option<Choice> {
+        let cold_limit = self.cold_limit(service);
+        let mut choices = 0;
+        let mut best: Option<(Rank, Choice)> = None;
+        for entry in self.view.pool(service) {
+            if Some(entry.cookie) == avoid {
+                continue;
+            }
+            let target = observed.entry(entry.cookie).or_default();
+            if !self.is_allowed(entry, target, cold_limit) {
+                continue;
+            }
+            choices += 1;
+            let is_trial = target.evidence.may_try(self.now, entry.target.revision);
+            let rank = self.rank(entry, target, flow, is_trial);
+            if best.as_ref().is_none_or(|(found, _)| rank < *found) {
+                let (cookie, is_away) = (entry.cookie, rank.is_away);
+                best = Some((rank, Choice { cookie, choices: 0, is_away, is_trial }));
+            }
+        }
+        best.map(|(_, choice)| Choice { choices, ..choice })
+    }
+
+    /// Returns the new flows that this daemon may send to one cold target in a second, or `None`
+    /// if no rate is stated.
+    fn cold_limit(&self, service: &str) -> Option<usize> {
+        let rate = self.view.service(service)?.cold_rate;
+        if rate <= 0.0 {
+            return None;
+        }
+        let total = rate * self.tuning.cold_factor + self.tuning.cold_slack;
+        Some((total / self.zone_daemons.max(1) as f64) as usize)
+    }
+
+    fn is_allowed(&self, entry: &Entry, target: &mut Observed, limit: Option<usize>) -> bool {
+        let (true, Some(limit)) = (entry.is_cold(self.now), limit) else {
+            return true;
+        };
+        // The daemons of other zones would need a part of the allowance for flows that seldom come.
+        *entry.target.zone == *self.zone && target.allowance.is_left(self.now, limit)
+    }
+
+    fn rank(&self, entry: &Entry, target: &Observed, flow: &Flow, is_trial: bool) -> Rank {
+        let slots = f64::from(entry.target.slots.max(1));
+        let factor = if entry.is_cold(self.now) { self.tuning.cold_load } else { 1.0 };
+        Rank {
+            is_silent: target.evidence.is_silent() && !is_trial,
+            is_away: *entry.target.zone != *self.zone,
+            load: if is_trial { 0.0 } else { f64::from(target.open + 1) * factor / slots },
+            tie: tie(entry.cookie, flow),
+        }
+    }
+}
+
+fn tie(cookie: Cookie, flow: &Flow) -> u64 {
+    let caller = u64::from(flow.caller.ip().to_bits()) << 16 | u64::from(flow.caller.port());
+    crate::util::score(u64::from(cookie), caller)
+}
--- /dev/null
+++ b/src/cookie/tuning.rs
@@ -0,0 +1,65 @@
+use std::time::Duration;
+
+/// The thresholds of the decisions.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tuning {
+    /// How long after the store's return a missing entry may still come back. The platform
+    /// promises about 2 s.
+    pub lapse_grace: Duration,
+    /// How long a target that has ended is remembered, so that packets of its flows are reset:
+    /// the largest age of a flow.
+    pub gone_memory: Duration,
+    /// The time after a failed read during which an entry that is missing does not prove that its
+    /// target has ended.
+    pub settle: Duration,
+    /// The age of the view up to which it proves that a route or target does not exist. Reads are
+    /// 0.5 s apart.
+    pub fresh: Duration,
+    /// How long a cookie may be unknown before its flow is reset, if the view was read again
+    /// since: the lag of the store's stale reads and one period of reads.
+    pub unknown_grace: Duration,
+    /// The number of flows that must repeat packets before a target is regarded as silent.
+    pub silent_flows: usize,
+    /// How long a single flow must repeat packets before its target is regarded as silent: two
+    /// retransmission timeouts.
+    pub lone_silence: Duration,
+    /// How long a flow must repeat packets toward a silent target before it is reset: two
+    /// retransmission timeouts.
+    pub reset_after: Duration,
+    /// The time between two new flows that test a silent target.
+    pub trial_period: Duration,
+    /// How long a flow without packets counts as open, unless the configuration says less.
+    pub idle: Duration,
+    /// The largest number of flows that are observed.
+    pub flows: usize,
+    /// How much more than its stated rate a cold target bears.
+    pub cold_factor: f64,
+    /// The new flows a second that a cold target bears on top.
+    pub cold_slack: f64,
+    /// The load of a cold target counts this much more.
+    pub cold_load: f64,
+    /// How long opening packets are dropped after a pause if the view is not read again.
+    pub pause_hold: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Tuning {
+        Tuning {
+            lapse_grace: Duration::from_millis(2500),
+            gone_memory: Duration::from_secs(60),
+            settle: Duration::from_secs(3),
+            fresh: Duration::from_millis(1500),
+            unknown_grace: Duration::from_millis(1300),
+            silent_flows: 2,
+            lone_silence: Duration::from_millis(600),
+            reset_after: Duration::from_millis(600),
+            trial_period: Duration::from_secs(1),
+            idle: Duration::from_secs(15),
+            flows: 100_000,
+            cold_factor: 1.5,
+            cold_slack: 5.0,
+            cold_load: 2.0,
+            pause_hold: Duration::from_millis(300),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/keeper.rs
@@ -0,0 +1,152 @@
+use std::{collections::HashMap, sync::Arc, time::Instant};
+
+use log::{info, warn};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+
+use crate::{
+    cookie::{Applied, Directory, Listing, Operator, Revision, Standing, Tuning, View},
+    gateway::{Changes, Consistency, Read, Rejected, shared::Shared},
+};
+
+/// The largest number of rejected items that are remembered, so that each is logged once.
+const MAXIMUM_REJECTED: usize = 1000;
+
+/// What the keeper can be told.
+#[derive(Debug)]
+pub(super) enum Request {
+    /// Everything that operators published was read.
+    Operator(Read<Operator>),
+    /// Changes that operators published were read.
+    Changes(Read<Changes>),
+    /// All targets were read.
+    Targets(Read<Listing>, Consistency),
+    /// A call failed.
+    Failed,
+    /// The process was paused, so nothing that is known proves that something is missing.
+    Paused,
+}
+
+/// The actor that owns the directory.
+pub(super) struct Keeper;
+
+/// The state of the actor.
+pub(super) struct State {
+    directory: Directory,
+    shared: Arc<Shared>,
+    /// The revisions of the rejected items that were logged.
+    rejected: HashMap<String, Revision>,
+}
+
+/// What the actor starts with.
+pub(super) struct Arguments {
+    pub(super) tuning: Tuning,
+    pub(super) shared: Arc<Shared>,
+}
+
+impl Actor for Keeper {
+    type Msg = Request;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        _own: ActorRef<Request>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        let Arguments { tuning, shared } = arguments;
+        Ok(State { directory: Directory::new(tuning), shared, rejected: HashMap::new() })
+    }
+
+    async fn handle(
+        &self,
+        _own: ActorRef<Request>,
+        request: Request,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.handle(Instant::now(), request);
+        Ok(())
+    }
+}
+
+impl State {
+    fn handle(&mut self, now: Instant, request: Request) {
+        match request {
+            Request::Operator(read) => {
+                self.log_rejected(&read.rejected);
+                self.directory.confirm(now);
+                self.directory.apply_operator(now, &read.value);
+            }
+            Request::Changes(read) => {
+                self.log_rejected(&read.rejected);
+                self.directory.confirm(now);
+                for (revision, change) in read.value.changes {
+                    self.directory.apply_change(now, revision, change);
+                }
+                self.directory.reached(read.value.revision);
+            }
+            Request::Targets(read, consistency) => {
+                self.log_rejected(&read.rejected);
+                let revision = read.value.revision;
+                let applied = self.directory.apply_listing(now, read.value);
+                if applied == Applied::Old {
+                    info!(
+                        read = revision, known = self.directory.revision(),
+                        consistency:? = consistency;
+                        "read of the targets is older than what is known and is ignored"
+                    );
+                }
+            }
+            Request::Failed | Request::Paused => self.directory.failed(now),
+        }
+        let view = self.directory.view(now);
+        log_changes(&self.shared.view.load(), &view);
+        self.shared.publish(view);
+    }
+
+    fn log_rejected(&mut self, rejected: &[Rejected]) {
+        for Rejected { key, revision, error } in rejected {
+            if self.rejected.contains_key(key) {
+                continue;
+            }
+            if self.rejected.len() >= MAXIMUM_REJECTED {
+                self.rejected.clear();
+            }
+            self.rejected.insert(key.clone(), *revision);
+            let source = error.source().map(ToString::to_string).unwrap_or_default();
+            warn!(key = key, revision = revision, cause = source;
+                "item of the store is ignored: {error}");
+        }
+    }
+}
+
+/// Writes a line for each change of what the daemon believes.
+fn log_changes(former: &View, view: &View) {
+    if former.version() != view.version() {
+        info!(
+            version = view.version().unwrap_or(0), former = former.version().unwrap_or(0);
+            "configuration is in force"
+        );
+    }
+    if former.is_settled != view.is_settled && former.is_complete() {
+        info!(is_settled = view.is_settled; "trust in missing entries has changed");
+    }
+    for entry in view.entries() {
+        let before = former.target(entry.cookie);
+        let state = (entry.standing, entry.is_usable);
+        if before.map(|before| (before.standing, before.is_usable)) == Some(state) {
+            continue;
+        }
+        let target = &entry.target;
+        let standing = match entry.standing {
+            Standing::Present => "present",
+            Standing::Lapsed => "lapsed",
+            Standing::Gone => "gone",
+        };
+        info!(
+            target_id = &*target.name, service = &*target.service, zone = &*target.zone,
+            availability:? = target.availability, standing = standing, usable = entry.is_usable,
+            cookie = entry.cookie, revision = target.revision, read = view.revision;
+            "target has changed"
+        );
+    }
+}
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,78 @@
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use crate::{
+    cookie::Standing,
+    gateway::shared::Shared,
+    telemetry::{Instrument, Metrics, Snapshot},
+};
+
+/// How often the values are published for the next scrape.
+const PERIOD: Duration = Duration::from_secs(1);
+
+const PACKETS: Instrument = Instrument::counter("gateway_packets", "Packets sent to targets.");
+const PLACED: Instrument = Instrument::counter("gateway_new_flows", "New flows, by placement.");
+const RESETS: Instrument = Instrument::counter("gateway_resets", "Flows reset, by reason.");
+const DROPS: Instrument = Instrument::counter("gateway_drops", "Packets dropped, by cause.");
+const REPEATS: Instrument =
+    Instrument::counter("gateway_repeated_packets", "Packets that callers repeated.");
+const SILENCES: Instrument =
+    Instrument::counter("gateway_silences", "Times that a target was regarded as silent.");
+const FLOWS: Instrument = Instrument::gauge("gateway_flows", "Flows observed.");
+const TARGETS: Instrument = Instrument::gauge("gateway_targets", "Targets, by standing.");
+const VERSION: Instrument =
+    Instrument::gauge("gateway_configuration_version", "Version of the configuration.");
+const REVISION: Instrument =
+    Instrument::gauge("gateway_revision", "Revision of the store at the last read of targets.");
+const AGE: Instrument =
+    Instrument::gauge("gateway_view_age_ms", "Time since the last read of targets in ms.");
+const SUPPRESSED: Instrument =
+    Instrument::gauge("gateway_suppressed_lines", "Log lines left out since the last line.");
+
+/// Publishes the values of a daemon until the task is aborted.
+pub(super) async fn run(metrics: Metrics, shared: Arc<Shared>) {
+    let mut period = tokio::time::interval(PERIOD);
+    loop {
+        period.tick().await;
+        metrics.set_ready(shared.is_ready());
+        metrics.publish("gateway", snapshot(&shared));
+    }
+}
+
+fn snapshot(shared: &Shared) -> Snapshot {
+    let observed = shared.observed.load();
+    let counters = &observed.counters;
+    let view = shared.view.load();
+    let mut snapshot = Snapshot::new();
+    snapshot.set_plain(PACKETS, counters.delivered);
+    snapshot.set_plain(REPEATS, counters.repeats);
+    snapshot.set_plain(SILENCES, counters.silences);
+    snapshot.set_plain(FLOWS, observed.flows);
+    snapshot.set_plain(SUPPRESSED, observed.suppressed);
+    snapshot.set_plain(VERSION, view.version().unwrap_or(0));
+    snapshot.set_plain(REVISION, view.revision);
+    let age = view.read_at.map_or(Duration::ZERO, |read| read.elapsed());
+    snapshot.set_plain(AGE, age.as_millis() as u64);
+    let at_home = counters.placed - counters.spilled;
+    let placements =
+        [("own zone", at_home), ("other zone", counters.spilled), ("moved", counters.moved)];
+    for (placement, count) in placements {
+        snapshot.set(PLACED, [("placement", placement)], count);
+    }
+    for (reason, count) in &counters.resets {
+        snapshot.set(RESETS, [("reason", format!("{reason:?}"))], *count);
+    }
+    for (cause, count) in &counters.drops {
+        snapshot.set(DROPS, [("cause", format!("{cause:?}"))], *count);
+    }
+    let malformed = shared.malformed.load(Ordering::Relaxed);
+    snapshot.set(DROPS, [("cause", "Malformed")], malformed);
+    snapshot.set(DROPS, [("cause", "Unsent")], shared.unsent.load(Ordering::Relaxed));
+    for standing in [Standing::Present, Standing::Lapsed, Standing::Gone] {
+        let count = view.entries().iter().filter(|entry| entry.standing == standing).count();
+        snapshot.set(TARGETS, [("standing", format!("{standing:?}"))], count as u64);
+    }
+    snapshot
+}
--- /dev/null
+++ b/src/gateway/packets.rs
@@ -0,0 +1,143 @@
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use log::{error, warn};
+use ractor::ActorRef;
+use tokio::{
+    io::Interest, net::UdpSocket as AsyncSocket, runtime::Builder, sync::oneshot,
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    cookie::{Forwarder, Verdict},
+    gateway::{Codec, boot_clock::PauseWatch, keeper::Request, report::Reporter, shared::Shared},
+    util::{Inbox, Outbox},
+};
+
+/// How often timers of the packet loop run.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The ticks between two sweeps of the flow table.
+const SWEEP_TICKS: u32 = 10;
+
+/// Receives, decides and sends.
+pub(super) struct PacketLoop<C> {
+    pub(super) codec: C,
+    pub(super) forwarder: Forwarder,
+    pub(super) shared: Arc<Shared>,
+    pub(super) keeper: ActorRef<Request>,
+    /// The port at which callers receive packets.
+    pub(super) caller_port: u16,
+    pub(super) socket: UdpSocket,
+}
+
+impl<C: Codec> PacketLoop<C> {
+    /// Starts the loop on a thread of its own, which ends when `stop` is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread or its runtime cannot be started.
+    pub(super) fn spawn(self, stop: oneshot::Receiver<()>) -> io::Result<JoinHandle<()>> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let run = move || {
+            runtime.block_on(async move {
+                match self.socket.try_clone().and_then(AsyncSocket::from_std) {
+                    Ok(ready) => self.run(ready, stop).await,
+                    Err(error) => error!("data socket cannot be used: {error}"),
+                }
+            });
+        };
+        thread::Builder::new().name("packets".to_owned()).spawn(run)
+    }
+
+    async fn run(mut self, ready: AsyncSocket, mut stop: oneshot::Receiver<()>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pauses = PauseWatch::new();
+        let mut reporter = Reporter::new(Instant::now());
+        let mut inbox = Inbox::new();
+        let mut outbox = Outbox::new();
+        let mut tick: u32 = 0;
+        loop {
+            tokio::select! {
+                _ = &mut stop => return,
+                _ = ticks.tick() => {
+                    self.notice_pause(&mut pauses);
+                    pauses.tick();
+                    tick = tick.wrapping_add(1);
+                    if tick.is_multiple_of(SWEEP_TICKS) {
+                        self.forwarder.sweep(Instant::now());
+                        self.shared.observe(&self.forwarder, reporter.suppressed());
+                    }
+                }
+                result = ready.readable() => {
+                    if let Err(error) = result {
+                        warn!("data socket failed: {error}");
+                        return;
+                    }
+                    self.notice_pause(&mut pauses);
+                    let _ = ready.try_io(Interest::READABLE, || {
+                        let count = inbox.receive(&self.socket)?;
+                        self.handle(count, &inbox, &mut outbox);
+                        Ok(())
+                    });
+                }
+            }
+            let events = self.forwarder.take_events();
+            if !events.is_empty() {
+                reporter.write(Instant::now(), self.forwarder.view(), events);
+            }
+        }
+    }
+
+    fn notice_pause(&mut self, pauses: &mut PauseWatch) {
+        let Some(gap) = pauses.check() else {
+            return;
+        };
+        warn!(gap_ms = gap.as_millis() as u64; "process was paused");
+        self.forwarder.paused(Instant::now());
+        self.shared.read_now.notify_waiters();
+        if self.keeper.cast(Request::Paused).is_err() {
+            warn!("keeper has ended; it does not hear of the pause");
+        }
+    }
+
+    fn handle(&mut self, count: usize, inbox: &Inbox, outbox: &mut Outbox) {
+        let now = Instant::now();
+        let view = self.shared.view.load_full();
+        if !Arc::ptr_eq(&view, self.forwarder.view()) {
+            self.forwarder.set_view(view);
+        }
+        for index in 0..count {
+            let Some((_, datagram)) = inbox.datagram(index) else {
+                continue;
+            };
+            let packet = match self.codec.decode(datagram) {
+                Ok(packet) => packet,
+                Err(_) => {
+                    self.shared.count_malformed();
+                    continue;
+                }
+            };
+            match self.forwarder.decide(now, &packet) {
+                Verdict::Forward(delivery) => {
+                    outbox.push_copy(SocketAddr::V4(delivery.address), |buffer| {
+                        self.codec.deliver(datagram, &delivery, buffer);
+                    });
+                }
+                Verdict::Reset(_) => {
+                    let caller = (*packet.flow.caller.ip(), self.caller_port).into();
+                    outbox.push_copy(caller, |buffer| self.codec.reset(&packet, buffer));
+                }
+                Verdict::Drop(_) => {}
+            }
+        }
+        let failed = outbox.flush(&self.socket, inbox);
+        self.shared.count_unsent(failed);
+    }
+}
--- /dev/null
+++ b/src/gateway/reader.rs
@@ -0,0 +1,153 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use ractor::ActorRef;
+use tokio::time::{sleep_until, timeout};
+
+use crate::{
+    cookie::Revision,
+    gateway::{Lag, Source, keeper::Request, shared::Shared},
+    platform::{Error, Pace, Schedule},
+};
+
+/// The time between two reads of the targets. A change of a target must be known within 3 s, and
+/// stale reads lag by up to 1 s.
+const TARGETS_PERIOD: Duration = Duration::from_millis(500);
+
+/// How long a watch waits. A connection that went silent is noticed after this time at the
+/// latest, and a configuration must be in force within 3 s.
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
+
+/// The pace of calls: a failed call is repeated soon, since the daemon serves with an old view.
+const PACE: Pace = Pace {
+    floor: Duration::from_millis(20),
+    first: Duration::from_millis(200),
+    limited: Duration::from_millis(400),
+    maximum: Duration::from_millis(1000),
+};
+
+/// The calls to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    /// The read or watch of what operators published.
+    Operator,
+    /// The read of the targets.
+    Targets,
+}
+
+/// Reads what operators publish until the keeper has stopped.
+pub(super) async fn operator(
+    source: Arc<impl Source>,
+    keeper: ActorRef<Request>,
+    shared: Arc<Shared>,
+    seed: u64,
+) {
+    let mut calls = Calls::new(Call::Operator, seed);
+    let mut known: Option<Revision> = None;
+    loop {
+        calls.wait(&shared).await;
+        let request = match known {
+            None => calls.finish(source.operator().await).map(|read| {
+                known = Some(read.value.revision);
+                Request::Operator(read)
+            }),
+            Some(after) => {
+                let result = source.changes(after, WATCH_WAIT).await;
+                if result.is_err() {
+                    // Changes may have been missed, so everything is read again.
+                    known = None;
+                }
+                calls.finish(result).map(|read| {
+                    known = Some(read.value.revision.max(after));
+                    Request::Changes(read)
+                })
+            }
+        };
+        if keeper.cast(request.unwrap_or(Request::Failed)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the targets until the keeper has stopped.
+pub(super) async fn targets(
+    source: Arc<impl Source>,
+    keeper: ActorRef<Request>,
+    shared: Arc<Shared>,
+    seed: u64,
+) {
+    let mut calls = Calls::new(Call::Targets, seed);
+    let mut lag = Lag::default();
+    loop {
+        calls.wait(&shared).await;
+        let begun = Instant::now();
+        let consistency = lag.next(begun);
+        let request = calls.finish(source.targets(consistency).await).map(|read| {
+            lag.answered(Instant::now(), consistency, read.value.revision);
+            Request::Targets(read, consistency)
+        });
+        let is_read = request.is_some();
+        if keeper.cast(request.unwrap_or(Request::Failed)).is_err() {
+            return;
+        }
+        if is_read {
+            let next = tokio::time::Instant::from_std(begun + TARGETS_PERIOD);
+            // A pause of the process ends the wait.
+            let _ = timeout(
+                next.saturating_duration_since(tokio::time::Instant::now()),
+                shared.read_now.notified(),
+            )
+            .await;
+        }
+    }
+}
+
+/// The pace and log of one kind of call.
+struct Calls {
+    call: Call,
+    schedule: Schedule,
+    failed_at: Option<Instant>,
+}
+
+impl Calls {
+    fn new(call: Call, seed: u64) -> Calls {
+        Calls { call, schedule: Schedule::new(PACE, seed, Instant::now()), failed_at: None }
+    }
+
+    async fn wait(&mut self, shared: &Shared) {
+        let next = tokio::time::Instant::from_std(self.schedule.next_start());
+        tokio::select! {
+            () = sleep_until(next) => {}
+            () = shared.read_now.notified(), if self.failed_at.is_none() => {
+                sleep_until(next).await;
+            }
+        }
+        self.schedule.started(Instant::now());
+    }
+
+    /// Notes the result of a call. Lines are only written when the store goes or returns.
+    fn finish<T>(&mut self, result: Result<T, Error>) -> Option<T> {
+        let call = self.call;
+        match result {
+            Ok(value) => {
+                self.schedule.succeeded();
+                if let Some(failed_at) = self.failed_at.take() {
+                    let after_ms = failed_at.elapsed().as_millis() as u64;
+                    info!(call:? = call, after_ms = after_ms; "store answers again");
+                }
+                Some(value)
+            }
+            Err(error) => {
+                if self.failed_at.is_none() {
+                    warn!(call:? = call; "store does not answer; the view in force stays: {error}");
+                    self.failed_at = Some(Instant::now());
+                }
+                self.schedule.failed(Instant::now(), &error);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/readiness.rs
@@ -0,0 +1,64 @@
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use http_body_util::Full;
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header::{CONTENT_TYPE, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+
+use crate::{
+    gateway::{Error, Result, shared::Shared},
+    util::Listener,
+};
+
+/// The largest number of open connections; the fabric needs a few.
+const MAXIMUM_CONNECTIONS: usize = 64;
+
+/// The time for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Answers the fabric's question whether the daemon is ready, at `path`.
+pub(super) async fn serve(
+    address: SocketAddr,
+    path: &'static str,
+    shared: Arc<Shared>,
+) -> Result<Listener> {
+    let serve = move |stream| answer(stream, path, shared.clone());
+    let listener = Listener::bind(address, MAXIMUM_CONNECTIONS, serve).await;
+    listener.map_err(|source| Error::Bind { name: "ready", address, source })
+}
+
+async fn answer(stream: TcpStream, path: &'static str, shared: Arc<Shared>) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let status = status(&request, path, &shared);
+        async move { Ok::<_, Infallible>(response(status)) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // A client that goes away is no event.
+    let _ = connection.await;
+}
+
+fn status(request: &Request<Incoming>, path: &str, shared: &Shared) -> StatusCode {
+    match *request.method() {
+        _ if request.uri().path() != path => StatusCode::NOT_FOUND,
+        Method::GET | Method::HEAD if shared.is_ready() => StatusCode::OK,
+        Method::GET | Method::HEAD => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::METHOD_NOT_ALLOWED,
+    }
+}
+
+fn response(status: StatusCode) -> Response<Full<Bytes>> {
+    let body = if status == StatusCode::OK { "{}" } else { "{\"error\":\"not ready\"}" };
+    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/src/gateway/report.rs
@@ -0,0 +1,83 @@
+use std::time::Instant;
+
+use log::{debug, info, warn};
+
+use crate::{
+    cookie::{Event, View},
+    util::TokenBucket,
+};
+
+/// The lines about packets that a daemon writes a second, and at once.
+const LINES_PER_SECOND: f64 = 100.0;
+const LINES_AT_ONCE: f64 = 300.0;
+
+/// Writes a line for each decision about a flow, up to a rate.
+pub(super) struct Reporter {
+    budget: TokenBucket,
+    suppressed: u64,
+}
+
+impl Reporter {
+    /// Creates a reporter.
+    pub(super) fn new(now: Instant) -> Reporter {
+        let budget = TokenBucket::new(LINES_PER_SECOND, LINES_AT_ONCE, now);
+        Reporter { budget, suppressed: 0 }
+    }
+
+    /// Writes the lines for `events`, which were decided with `view`.
+    pub(super) fn write(&mut self, now: Instant, view: &View, events: Vec<Event>) {
+        for event in events {
+            if !self.budget.take(now, 1.0) {
+                self.suppressed += 1;
+                continue;
+            }
+            if self.suppressed > 0 {
+                warn!(lines = self.suppressed; "lines about packets were left out");
+                self.suppressed = 0;
+            }
+            write(now, view, &event);
+        }
+    }
+
+    /// Returns the lines that were left out since the last line.
+    pub(super) fn suppressed(&self) -> u64 {
+        self.suppressed
+    }
+}
+
+fn write(now: Instant, view: &View, event: &Event) {
+    let version = view.version().unwrap_or(0);
+    let revision = view.revision;
+    let age = view.read_at.map(|read| now.saturating_duration_since(read));
+    let age_ms = age.map_or(0, |age| age.as_millis() as u64);
+    match event {
+        Event::Placed { flow, target, zone, attempt, open, choices } => info!(
+            flow:% = flow, target_id = &**target, zone = &**zone, attempt = attempt, open = open,
+            choices = choices, version = version, revision = revision, age_ms = age_ms;
+            "flow is placed"
+        ),
+        Event::Moved { flow, from, target } => info!(
+            flow:% = flow, from = &**from, target_id = &**target, version = version,
+            revision = revision, age_ms = age_ms;
+            "flow is placed again, since its target does not answer"
+        ),
+        Event::Reset { flow, target, reason } => info!(
+            flow:% = flow, target_id = target.as_deref().unwrap_or("unknown"), reason:? = reason,
+            version = version, revision = revision, age_ms = age_ms;
+            "flow is reset"
+        ),
+        Event::Dropped { flow, cause } => debug!(
+            flow:% = flow, cause:? = cause, version = version, revision = revision,
+            age_ms = age_ms;
+            "packet is dropped"
+        ),
+        Event::Silent { target, flows, for_ms } => warn!(
+            target_id = &**target, flows = flows, for_ms = for_ms, revision = revision;
+            "target does not answer and gets no new flows"
+        ),
+        Event::Answering { target, after_ms } => info!(
+            target_id = &**target, after_ms = after_ms;
+            "target answers again"
+        ),
+    }
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,68 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+
+use crate::cookie::{Counters, Forwarder, View};
+
+/// What the parts of a daemon publish for each other.
+#[derive(Debug, Default)]
+pub(super) struct Shared {
+    /// The view in force.
+    pub(super) view: ArcSwap<View>,
+    /// Whether the daemon has begun to stop.
+    pub(super) is_leaving: AtomicBool,
+    /// Wakes the readers before their time.
+    pub(super) read_now: Notify,
+    /// What the packet loop observed until its last sweep.
+    pub(super) observed: ArcSwap<Observed>,
+    /// Datagrams that are no packets.
+    pub(super) malformed: AtomicU64,
+    /// Datagrams that the system refused to send.
+    pub(super) unsent: AtomicU64,
+}
+
+/// What the packet loop has observed.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Observed {
+    pub(super) counters: Counters,
+    /// The flows in the table.
+    pub(super) flows: u64,
+    /// The lines that were left out of the log since the last line.
+    pub(super) suppressed: u64,
+}
+
+impl Shared {
+    /// Returns whether the fabric may send to this daemon.
+    pub(super) fn is_ready(&self) -> bool {
+        self.view.load().is_complete() && !self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Puts a view in force.
+    pub(super) fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+    }
+
+    /// Publishes what the packet loop has observed.
+    pub(super) fn observe(&self, forwarder: &Forwarder, suppressed: u64) {
+        let observed = Observed {
+            counters: forwarder.counters().clone(),
+            flows: forwarder.flows() as u64,
+            suppressed,
+        };
+        self.observed.store(Arc::new(observed));
+    }
+
+    /// Counts a datagram that is no packet.
+    pub(super) fn count_malformed(&self) {
+        self.malformed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts datagrams that the system refused to send.
+    pub(super) fn count_unsent(&self, count: u64) {
+        self.unsent.fetch_add(count, Ordering::Relaxed);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,8 +10,10 @@
 //! clock. [`node`] runs them on sockets and timers.
 
 pub mod admin;
+pub mod cookie;
 pub mod flow;
 pub mod forward;
+pub mod gateway;
 pub mod load;
 pub mod member;
 pub mod node;
@@ -25,4 +27,7 @@
 pub mod ticket;
 pub mod wire;
 
+#[path = "../platform/mod.rs"]
+pub mod adapter;
+
 mod util;
--- a/src/node/baseline.rs
+++ b/src/node/baseline.rs
@@ -5,7 +5,7 @@
 
 use tokio::io::Interest;
 
-use crate::node::{inbox::Inbox, outbox::Outbox};
+use crate::util::{Inbox, Outbox};
 
 /// Forwards every datagram unchanged to the targets in turn, with the socket calls of the packet
 /// loop but without any decision.
--- a/src/node/packets.rs
+++ b/src/node/packets.rs
@@ -17,12 +17,11 @@
     node::{
         clock::Watch,
         command::Command,
-        inbox::Inbox,
-        outbox::Outbox,
         peers::{self, Addresses},
         spans::Sampler,
     },
     ticket::TargetId,
+    util::{Inbox, Outbox},
     wire::{Body, Frame, Keyring, TAG_BYTES},
 };
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,10 +1,9 @@
 use std::time::Duration;
 
-use hyper::StatusCode;
 use serde::Deserialize;
 use url::Url;
 
-use crate::platform::{Error, Index, Platform, Result, Tickets, Timeouts, Vms, fetch::Fetch};
+use crate::platform::{Index, Platform, Result, Tickets, Timeouts, Vms, fetch::Fetch};
 
 /// The largest response in bytes: a value of 1 MB and what surrounds it.
 const MAXIMUM_RESPONSE: usize = 1_000_000 + 64 * 1024;
@@ -34,16 +33,7 @@
         T: for<'de> Deserialize<'de>,
     {
         let url = self.url(list, index, wait);
-        let (status, body) = self.fetch.get(&url, wait).await?;
-        match status {
-            StatusCode::OK => {
-                serde_json::from_slice(&body).map_err(|source| Error::Malformed { url, source })
-            }
-            StatusCode::GONE => Err(Error::Gone { index }),
-            StatusCode::TOO_MANY_REQUESTS => Err(Error::Limited),
-            StatusCode::SERVICE_UNAVAILABLE => Err(Error::Unavailable { url }),
-            status => Err(Error::Status { url, status }),
-        }
+        self.fetch.json(url, index, wait).await
     }
 
     fn url(&self, list: &str, index: Index, wait: Duration) -> String {
--- a/src/platform/fetch.rs
+++ b/src/platform/fetch.rs
@@ -10,11 +10,22 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::platform::{Error, Result, Timeouts};
+use serde::Deserialize;
+
+use crate::platform::{Error, Index, Result, Timeouts};
+
+/// The time between two probes of a connection without traffic, and before the first.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// The number of probes without an answer after which a connection is broken.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// How long sent bytes may stay without an acknowledgement.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Makes GET requests with limits on time and size.
 #[derive(Debug, Clone)]
-pub(super) struct Fetch {
+pub(crate) struct Fetch {
     client: Client<HttpConnector, Empty<Bytes>>,
     timeouts: Timeouts,
     limit: usize,
@@ -22,10 +33,14 @@
 
 impl Fetch {
     /// Creates a fetcher of responses of up to `limit` bytes.
-    pub(super) fn new(timeouts: Timeouts, limit: usize) -> Fetch {
+    pub(crate) fn new(timeouts: Timeouts, limit: usize) -> Fetch {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(timeouts.connect));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+        connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(1)
@@ -34,7 +49,7 @@
     }
 
     /// Returns the response of `url`, whose server may wait up to `wait` before it responds.
-    pub(super) async fn get(&self, url: &str, wait: Duration) -> Result<(StatusCode, Bytes)> {
+    pub(crate) async fn get(&self, url: &str, wait: Duration) -> Result<(StatusCode, Bytes)> {
         let call = async {
             let response = self.respond(url).await?;
             let status = response.status();
@@ -45,6 +60,23 @@
         self.within(url, wait, call).await
     }
 
+    /// Returns the JSON value of `url`; `index` is the position that the call continues from.
+    pub(crate) async fn json<T>(&self, url: String, index: Index, wait: Duration) -> Result<T>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        let (status, body) = self.get(&url, wait).await?;
+        match status {
+            StatusCode::OK => {
+                serde_json::from_slice(&body).map_err(|source| Error::Malformed { url, source })
+            }
+            StatusCode::GONE => Err(Error::Gone { index }),
+            StatusCode::TOO_MANY_REQUESTS => Err(Error::Limited),
+            StatusCode::SERVICE_UNAVAILABLE => Err(Error::Unavailable { url }),
+            status => Err(Error::Status { url, status }),
+        }
+    }
+
     /// Returns the status of `url`, whatever its body is.
     pub(super) async fn status(&self, url: &str) -> Result<StatusCode> {
         let call = async { Ok(self.respond(url).await?.status()) };
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,6 +19,7 @@
 pub use client::Client;
 pub use endpoint::{Endpoint, Health, Load};
 pub use error::{Error, Result};
+pub(crate) use fetch::Fetch;
 pub use schedule::{Pace, Schedule};
 pub use tickets::Tickets;
 pub use timeouts::Timeouts;
--- a/src/platform/timeouts.rs
+++ b/src/platform/timeouts.rs
@@ -10,6 +10,15 @@
     pub read: Duration,
 }
 
+impl Timeouts {
+    /// Returns the timeouts of a daemon in gateway mode. The store answers in 4 ms, and up to
+    /// about 100 times slower in trouble; a daemon whose connection is silent must notice within
+    /// the 3 s in which a change must be in force.
+    pub fn gateway() -> Timeouts {
+        Timeouts { connect: Duration::from_millis(500), read: Duration::from_millis(700) }
+    }
+}
+
 impl Default for Timeouts {
     fn default() -> Timeouts {
         Timeouts { connect: Duration::from_secs(1), read: Duration::from_secs(5) }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,6 +1,8 @@
-use std::{collections::HashSet, net::SocketAddr, ops::RangeInclusive};
+use std::{collections::HashSet, net::SocketAddr, ops::RangeInclusive, sync::Arc};
 
-use crate::settings::{Problem, Settings, Step};
+use url::Url;
+
+use crate::settings::{Gateway, Problem, Settings, Step};
 
 use Step::{Field, Index};
 
@@ -14,13 +16,35 @@
     name("name", &settings.name)?;
     name("region", &settings.region)?;
     name("zone", &settings.zone)?;
-    zones(settings)?;
-    addresses(settings)?;
-    platform(settings)?;
+    zones(&settings.zones, &settings.zone)?;
+    addresses(
+        &[("data", settings.data), ("fabric", settings.fabric), ("peer", settings.peer)],
+        &[("admin", settings.admin), ("metrics", settings.metrics)],
+    )?;
+    platform(&settings.platform)?;
     keys(settings)?;
     figures(settings)
 }
 
+/// Checks all settings of gateway mode and returns the first problem.
+pub(super) fn gateway(settings: &Gateway) -> Check {
+    name("name", &settings.name)?;
+    name("region", &settings.region)?;
+    name("zone", &settings.zone)?;
+    zones(&settings.zones, &settings.zone)?;
+    let mut udp = vec![("data", settings.data.into())];
+    udp.extend(settings.peer.map(|peer| ("peer", peer)));
+    let mut tcp = vec![("ready", settings.ready)];
+    tcp.extend(settings.admin.map(|admin| ("admin", admin)));
+    tcp.extend(settings.metrics.map(|metrics| ("metrics", metrics)));
+    addresses(&udp, &tcp)?;
+    platform(&settings.platform)?;
+    figure(&[Field("drain_seconds")], settings.drain_seconds, 0..=3_600, "seconds")?;
+    figure(&[Field("flow_ttl_seconds")], settings.flow_ttl_seconds, 1..=86_400, "seconds")?;
+    figure(&[Field("cold_factor")], settings.cold_factor, 0.0..=100.0, "times the rate")?;
+    figure(&[Field("cold_slack")], settings.cold_slack, 0.0..=1_000.0, "flows a second")
+}
+
 fn problem(path: &[Step], message: String, help: &str) -> Problem {
     Problem { path: path.to_vec(), message, help: help.to_owned() }
 }
@@ -45,9 +69,9 @@
     )
 }
 
-fn zones(settings: &Settings) -> Check {
+fn zones(zones: &[Arc<str>], own: &Arc<str>) -> Check {
     let mut seen = HashSet::new();
-    for (index, zone) in settings.zones.iter().enumerate() {
+    for (index, zone) in zones.iter().enumerate() {
         let path = [Field("zones"), Index(index)];
         if !is_name(zone) {
             return Err(bad_name(&path, zone));
@@ -57,24 +81,22 @@
             return Err(problem(&path, message, "list each zone once"));
         }
     }
-    if !seen.is_empty() && !seen.contains(&settings.zone) {
+    if !seen.is_empty() && !seen.contains(own) {
         return Err(problem(
             &[Field("zone")],
-            format!("zone {:?} is not in the list of zones", settings.zone),
+            format!("zone {own:?} is not in the list of zones"),
             "correct the zone, or add it to `zones`",
         ));
     }
     Ok(())
 }
 
-fn addresses(settings: &Settings) -> Check {
-    let udp = [("data", settings.data), ("fabric", settings.fabric), ("peer", settings.peer)];
-    let tcp = [("admin", settings.admin), ("metrics", settings.metrics)];
-    for (field, address) in udp.into_iter().chain(tcp) {
-        usable(field, address)?;
+fn addresses(udp: &[(&'static str, SocketAddr)], tcp: &[(&'static str, SocketAddr)]) -> Check {
+    for (field, address) in udp.iter().chain(tcp) {
+        usable(field, *address)?;
     }
-    distinct(&udp)?;
-    distinct(&tcp)
+    distinct(udp)?;
+    distinct(tcp)
 }
 
 fn usable(field: &'static str, address: SocketAddr) -> Check {
@@ -111,8 +133,7 @@
     Ok(())
 }
 
-fn platform(settings: &Settings) -> Check {
-    let url = &settings.platform;
+fn platform(url: &Url) -> Check {
     let refuse = |message: String| {
         let help = "write a URL such as \"http://192.0.2.1:8500\"";
         Err(problem(&[Field("platform")], message, help))
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -1,12 +1,12 @@
-use std::{fs, net::SocketAddr, path::Path, sync::Arc};
+use std::{net::SocketAddr, path::Path, sync::Arc};
 
 use serde::Deserialize;
 use url::Url;
 
 use crate::{
     settings::{
-        Control, Error, Key, Limits, Log, MAXIMUM_BYTES, Problem, Result, Secret, Trace, check,
-        locate, strict::strict,
+        Control, Key, Limits, Log, Mode, Problem, Result, Secret, Trace, check, locate, parse_text,
+        read, strict::strict,
     },
     wire::{self, Keyring},
 };
@@ -15,6 +15,9 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct Settings {
+    /// The mode; a file for another one has other settings.
+    #[serde(default)]
+    pub mode: Mode,
     /// The daemon's name, unique in the fleet.
     pub name: Arc<str>,
     /// The region of the daemon's availability zone.
@@ -76,8 +79,7 @@
     /// Returns [`Error::Read`] if the file cannot be read, and the errors of
     /// [`Settings::parse`].
     pub fn load(path: &Path) -> Result<Settings> {
-        let text = fs::read_to_string(path)
-            .map_err(|source| Error::Read { path: path.to_owned(), source })?;
+        let text = read(path)?;
         Settings::parse(&path.display().to_string(), &text)
     }
 
@@ -88,11 +90,7 @@
     /// Returns [`Error::Long`] if the text exceeds [`MAXIMUM_BYTES`], and [`Error::Located`] with
     /// the place of the first problem.
     pub fn parse(source_name: &str, text: &str) -> Result<Settings> {
-        if text.len() > MAXIMUM_BYTES {
-            return Err(Error::Long { source_name: source_name.to_owned(), bytes: text.len() });
-        }
-        let settings: Settings = serde_json5::from_str(text)
-            .map_err(|error| locate::syntax_error(source_name, text, &error))?;
+        let settings: Settings = parse_text(source_name, text)?;
         settings.validate().map_err(|problem| locate::problem(source_name, text, problem))?;
         Ok(settings)
     }
--- /dev/null
+++ b/src/settings/gateway.rs
@@ -0,0 +1,84 @@
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use serde::Deserialize;
+use url::Url;
+
+use crate::settings::{Log, Mode, Result, check, locate, parse_text, strict::strict};
+
+/// The settings of one daemon in gateway mode.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Gateway {
+    /// The mode.
+    pub mode: Mode,
+    /// The daemon's name, unique in the fleet.
+    pub name: Arc<str>,
+    /// The region of the daemon's availability zone.
+    pub region: Arc<str>,
+    /// The daemon's availability zone.
+    pub zone: Arc<str>,
+    /// The availability zones of all regions. If the list is not empty, `zone` must be in it.
+    #[serde(default)]
+    pub zones: Vec<Arc<str>>,
+    /// The UDP address for packets from the fabric. Callers receive packets at the same port.
+    pub data: SocketAddrV4,
+    /// The TCP address at which the fabric asks whether the daemon is ready.
+    pub ready: SocketAddr,
+    /// The UDP address for summaries from other daemons.
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
+    /// The TCP address of the admin API.
+    #[serde(default)]
+    pub admin: Option<SocketAddr>,
+    /// The TCP address of the metrics endpoint.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// The base URL of the platform's store, with the scheme `http`.
+    pub platform: Url,
+    /// Admin addresses of other daemons.
+    #[serde(default)]
+    pub contacts: Vec<SocketAddr>,
+    /// The longest time that a stopping daemon forwards packets, in seconds.
+    #[serde(default = "default_drain_seconds", deserialize_with = "strict")]
+    pub drain_seconds: u32,
+    /// The largest age of a flow in seconds.
+    #[serde(default = "default_flow_ttl_seconds", deserialize_with = "strict")]
+    pub flow_ttl_seconds: u32,
+    /// How much more than its stated rate a cold target bears.
+    #[serde(default = "default_cold_factor", deserialize_with = "strict")]
+    pub cold_factor: f64,
+    /// The new flows a second that a cold target bears on top.
+    #[serde(default, deserialize_with = "strict")]
+    pub cold_slack: f64,
+    /// The log.
+    #[serde(default)]
+    pub log: Log,
+}
+
+impl Gateway {
+    /// Parses and checks a settings text; `source_name` names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`](crate::settings::Error) with the place of the first problem.
+    pub fn parse(source_name: &str, text: &str) -> Result<Gateway> {
+        let settings: Gateway = parse_text(source_name, text)?;
+        check::gateway(&settings).map_err(|problem| locate::problem(source_name, text, problem))?;
+        Ok(settings)
+    }
+}
+
+fn default_drain_seconds() -> u32 {
+    5
+}
+
+fn default_flow_ttl_seconds() -> u32 {
+    60
+}
+
+fn default_cold_factor() -> f64 {
+    1.0
+}
--- a/src/settings/log.rs
+++ b/src/settings/log.rs
@@ -46,6 +46,17 @@
     Json,
 }
 
+/// The stream that lines are written to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stream {
+    /// The standard error stream. A line waits until it is written.
+    #[default]
+    Stderr,
+    /// The standard output stream. Lines that it does not take in time are left out.
+    Stdout,
+}
+
 /// The settings of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields, default)]
@@ -54,6 +65,8 @@
     pub level: Level,
     /// How a line is written.
     pub format: Format,
-    /// A file to append to, instead of stderr.
+    /// The stream, if there is no file.
+    pub stream: Stream,
+    /// A file to append to, instead of a stream.
     pub file: Option<PathBuf>,
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,25 +11,46 @@
 mod control;
 mod document;
 mod error;
+mod file;
+mod gateway;
 mod key;
 mod limits;
 mod locate;
 mod log;
 mod mask;
+mod mode;
 mod problem;
 mod secret;
 mod strict;
 mod trace;
 
+use std::{fs, path::Path};
+
+use serde::de::DeserializeOwned;
+
 pub use control::Control;
 pub use document::Settings;
 pub use error::{Error, Located, Result};
+pub use file::File;
+pub use gateway::Gateway;
 pub use key::Key;
 pub use limits::Limits;
-pub use log::{Format, Level, Log};
+pub use log::{Format, Level, Log, Stream};
+pub use mode::Mode;
 pub use problem::{Problem, Step};
 pub use secret::Secret;
 pub use trace::{Output, Trace};
 
 /// The largest settings text in bytes.
 pub const MAXIMUM_BYTES: usize = 64 * 1024;
+
+fn read(path: &Path) -> Result<String> {
+    fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })
+}
+
+fn parse_text<T: DeserializeOwned>(source_name: &str, text: &str) -> Result<T> {
+    if text.len() > MAXIMUM_BYTES {
+        return Err(Error::Long { source_name: source_name.to_owned(), bytes: text.len() });
+    }
+    serde_json5::from_str(text).map_err(|error| locate::syntax_error(source_name, text, &error))
+}
--- a/src/telemetry/error.rs
+++ b/src/telemetry/error.rs
@@ -30,6 +30,9 @@
     /// The log could not be set up.
     #[error("log could not be set up")]
     Log(#[from] log4rs::config::runtime::ConfigErrors),
+    /// The thread that writes the log could not be started.
+    #[error("log thread could not be started")]
+    Thread(#[source] io::Error),
     /// Another log is installed in the process.
     #[error("a log is installed already")]
     Installed(#[from] log::SetLoggerError),
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    settings::{Format, Level, Log},
-    telemetry::{Error, Result},
+    settings::{Format, Level, Log, Stream},
+    telemetry::{Error, Result, queue::Queue},
 };
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t}: {m}{n}";
@@ -70,6 +70,7 @@
             let file = FileAppender::builder().encoder(encoder).build(path);
             Box::new(file.map_err(|source| Error::Open { path: path.clone(), source })?)
         }
+        None if settings.stream == Stream::Stdout => Box::new(Queue::start(encoder)?),
         None => {
             Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
         }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -10,6 +10,7 @@
 mod instrument;
 mod logs;
 mod metrics;
+mod queue;
 mod record;
 mod server;
 mod snapshot;
--- a/src/node/inbox.rs
+++ b/src/util/inbox.rs
@@ -7,7 +7,7 @@
 use nix::sys::socket::{MsgFlags, MultiHeaders, SockaddrLike, SockaddrStorage, recvmmsg};
 
 /// Datagrams received by one system call.
-pub(super) const BATCH: usize = 32;
+pub(crate) const BATCH: usize = 32;
 
 /// The largest datagram that is received whole. Jumbo frames carry at most 9,000 bytes.
 const DATAGRAM_BYTES: usize = 9216;
@@ -20,7 +20,7 @@
 }
 
 /// The datagrams of one batch, in buffers that are used again for the next.
-pub(super) struct Inbox {
+pub(crate) struct Inbox {
     headers: MultiHeaders<SockaddrStorage>,
     buffers: Vec<Vec<u8>>,
     received: Vec<Received>,
@@ -28,7 +28,7 @@
 
 impl Inbox {
     /// Creates an empty inbox.
-    pub(super) fn new() -> Inbox {
+    pub(crate) fn new() -> Inbox {
         Inbox {
             headers: MultiHeaders::preallocate(BATCH, None),
             buffers: vec![vec![0; DATAGRAM_BYTES]; BATCH],
@@ -41,7 +41,7 @@
     /// # Errors
     ///
     /// Returns the error of the system call; `WouldBlock` if no datagram waits.
-    pub(super) fn receive(&mut self, socket: &impl AsRawFd) -> io::Result<usize> {
+    pub(crate) fn receive(&mut self, socket: &impl AsRawFd) -> io::Result<usize> {
         self.received.clear();
         let mut slices: Vec<[IoSliceMut<'_>; 1]> =
             self.buffers.iter_mut().map(|buffer| [IoSliceMut::new(buffer)]).collect();
@@ -61,7 +61,7 @@
     }
 
     /// Returns the sender and content of the datagram `index` of the last batch.
-    pub(super) fn datagram(&self, index: usize) -> Option<(SocketAddr, &[u8])> {
+    pub(crate) fn datagram(&self, index: usize) -> Option<(SocketAddr, &[u8])> {
         let received = self.received.get(index)?;
         Some((received.from, self.buffers.get(index)?.get(..received.length)?))
     }
--- a/src/node/outbox.rs
+++ b/src/util/outbox.rs
@@ -5,7 +5,7 @@
     sys::socket::{MsgFlags, MultiHeaders, SockaddrStorage, sendmmsg},
 };
 
-use crate::node::inbox::{BATCH, Inbox};
+use crate::util::inbox::{BATCH, Inbox};
 
 /// The content of a datagram to send.
 #[derive(Debug, Clone)]
@@ -17,7 +17,7 @@
 }
 
 /// Datagrams that wait to be sent through one socket.
-pub(super) struct Outbox {
+pub(crate) struct Outbox {
     headers: MultiHeaders<SockaddrStorage>,
     addresses: Vec<Option<SockaddrStorage>>,
     contents: Vec<Content>,
@@ -26,7 +26,7 @@
 
 impl Outbox {
     /// Creates an empty outbox.
-    pub(super) fn new() -> Outbox {
+    pub(crate) fn new() -> Outbox {
         Outbox {
             headers: MultiHeaders::preallocate(BATCH, None),
             addresses: Vec::with_capacity(BATCH),
@@ -36,7 +36,7 @@
     }
 
     /// Queues a part of the datagram `index` of the inbox that is given to [`Outbox::flush`].
-    pub(super) fn push_received(&mut self, to: SocketAddr, index: usize, part: Range<usize>) {
+    pub(crate) fn push_received(&mut self, to: SocketAddr, index: usize, part: Range<usize>) {
         self.push(to, Content::Received(index, part));
     }
 
@@ -45,7 +45,7 @@
     /// # Errors
     ///
     /// Returns the error of `write`.
-    pub(super) fn push_with<E>(
+    pub(crate) fn push_with<E>(
         &mut self,
         to: SocketAddr,
         write: impl FnOnce(&mut Vec<u8>) -> Result<(), E>,
@@ -60,25 +60,32 @@
         Ok(())
     }
 
+    /// Queues the bytes that `write` appends to the buffer.
+    pub(crate) fn push_copy(&mut self, to: SocketAddr, write: impl FnOnce(&mut Vec<u8>)) {
+        let start = self.buffer.len();
+        write(&mut self.buffer);
+        self.push(to, Content::Owned(start..self.buffer.len()));
+    }
+
     /// Queues a copy of `bytes`.
-    pub(super) fn push_owned(&mut self, to: SocketAddr, bytes: &[u8]) {
+    pub(crate) fn push_owned(&mut self, to: SocketAddr, bytes: &[u8]) {
         let start = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
         self.push(to, Content::Owned(start..self.buffer.len()));
     }
 
     /// Returns the number of queued datagrams.
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.contents.len()
     }
 
     /// Returns the length of the queued datagrams that are not in the inbox, in bytes.
-    pub(super) fn bytes(&self) -> usize {
+    pub(crate) fn bytes(&self) -> usize {
         self.buffer.len()
     }
 
     /// Drops all queued datagrams.
-    pub(super) fn clear(&mut self) {
+    pub(crate) fn clear(&mut self) {
         self.contents.clear();
         self.addresses.clear();
         self.buffer.clear();
@@ -87,7 +94,7 @@
     /// Sends all queued datagrams and returns how many could not be sent.
     ///
     /// A datagram that the system refuses is lost like one that the network loses.
-    pub(super) fn flush(&mut self, socket: &impl AsRawFd, inbox: &Inbox) -> u64 {
+    pub(crate) fn flush(&mut self, socket: &impl AsRawFd, inbox: &Inbox) -> u64 {
         let mut failed = 0;
         let mut first = 0;
         while first < self.contents.len() {
--- /dev/null
+++ b/tests/cookie.rs
@@ -0,0 +1,327 @@
+//! The cookie forwarder must deliver each flow to its target, place new flows only where they are
+//! borne, and refuse only what cannot be served.
+
+mod cookies;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use banyanwharf::cookie::{
+    Applied, Availability, Cause, Change, Directory, Event, Kind, Listing, Operator, Packet,
+    Reason, Standing, Target, Tuning, Verdict, cookie,
+};
+use cookies::*;
+
+/// Guards against flows that break when the daemon that opened them is replaced: a daemon without
+/// any record delivers by the cookie alone.
+#[test]
+fn another_daemon_delivers_by_the_cookie() {
+    let all = targets("web", 3, 3);
+    let mut first = Bench::new(all.clone());
+    let mut second = Bench::new(all);
+    for number in 0..50 {
+        let opened = first.open(number);
+        let later = second.answered(number, opened.cookie, 100);
+        assert_eq!(later, Verdict::Forward(opened));
+    }
+}
+
+/// Guards against a new start of a target that gets packets of the flows of the former one.
+#[test]
+fn restarted_target_is_another() {
+    let mut bench = Bench::new(targets("web", 1, 0));
+    let opened = bench.establish(1);
+    let mut restarted = target(1, "web", HOME);
+    restarted.born += 1;
+    restarted.revision = 2;
+    bench.after(ms(500)).list(vec![restarted.clone()]);
+    assert_ne!(cookie(&restarted), opened.cookie);
+    let verdict = bench.answered(1, opened.cookie, 200);
+    assert_eq!(verdict, Verdict::Reset(Reason::TargetGone));
+    assert_eq!(bench.open(2).cookie, cookie(&restarted));
+}
+
+/// Guards against packets that reach a service which the route never led to.
+#[test]
+fn cookie_of_another_service_is_not_delivered() {
+    let mut all = targets("web", 2, 0);
+    let files = target(9, "files", HOME);
+    all.push(files.clone());
+    let mut bench = Bench::new(all);
+    let forged = packet(flow(1, 1), Kind::Data, cookie(&files));
+    assert_eq!(bench.decide(&forged), Verdict::Drop(Cause::WrongService));
+}
+
+/// Guards against a caller that pretends to be a target.
+#[test]
+fn answers_from_callers_are_dropped() {
+    let mut bench = Bench::new(targets("web", 1, 0));
+    let forged = packet(flow(1, 1), Kind::Foreign, 0);
+    assert_eq!(bench.decide(&forged), Verdict::Drop(Cause::Foreign));
+}
+
+/// Guards against new flows for targets that leave, and against open flows that move away.
+#[test]
+fn draining_target_keeps_flows_and_gets_no_new_ones() {
+    let all = targets("web", 2, 0);
+    let mut bench = Bench::new(all.clone());
+    let opened: Vec<_> = (0..20).map(|number| (number, bench.establish(number))).collect();
+    let mut drained = all;
+    drained[0].availability = Availability::Draining;
+    drained[0].revision = 2;
+    let leaving = cookie(&drained[0]);
+    bench.after(ms(500)).list(drained);
+    for (number, delivery) in opened {
+        assert_eq!(bench.answered(number, delivery.cookie, 200), Verdict::Forward(delivery));
+    }
+    for number in 100..150 {
+        assert_ne!(bench.open(number).cookie, leaving);
+    }
+}
+
+/// Guards against new flows for a zone that operators took out of service.
+#[test]
+fn zone_out_of_service_gets_no_new_flows() {
+    let mut bench = Bench::new(targets("web", 2, 2));
+    let opened = bench.establish(1);
+    let change = Change::ZoneOut(HOME.into());
+    assert_eq!(bench.directory.apply_change(bench.now, 5, change), Applied::New);
+    bench.publish();
+    assert_eq!(bench.answered(1, opened.cookie, 200), Verdict::Forward(opened));
+    let away: Vec<_> = targets("web", 2, 2).iter().skip(2).map(cookie).collect();
+    for number in 10..30 {
+        assert!(away.contains(&bench.open(number).cookie));
+    }
+    let back = Change::ZoneBack(HOME.into(), 9);
+    assert_eq!(bench.directory.apply_change(bench.now, 9, back), Applied::New);
+    bench.publish();
+    assert!(!away.contains(&bench.open(40).cookie));
+}
+
+/// Guards against callers that wait for a request that nobody can serve.
+#[test]
+fn what_cannot_be_served_is_refused_at_once() {
+    let mut bench = Bench::new(Vec::new());
+    assert_eq!(bench.decide(&open(1)), Verdict::Reset(Reason::NoTarget));
+    let unrouted = packet(flow(1, 77), Kind::Open { attempt: 0 }, 0);
+    assert_eq!(bench.decide(&unrouted), Verdict::Reset(Reason::NoRoute));
+}
+
+/// Guards against a refusal by an old view: the route may be new.
+#[test]
+fn old_view_does_not_refuse_a_route() {
+    let mut bench = Bench::new(targets("web", 1, 0));
+    bench.after(Duration::from_secs(10));
+    let unrouted = packet(flow(1, 77), Kind::Open { attempt: 0 }, 0);
+    assert_eq!(bench.decide(&unrouted), Verdict::Drop(Cause::StaleView));
+}
+
+/// Guards against resets of flows whose target the daemon has not read yet.
+#[test]
+fn unknown_cookie_is_reset_only_after_a_newer_read() {
+    let all = targets("web", 2, 0);
+    let mut bench = Bench::new(all[..1].to_vec());
+    let unread = cookie(&all[1]);
+    assert_eq!(bench.answered(1, unread, 100), Verdict::Drop(Cause::UnknownCookie));
+    bench.after(ms(500)).list(all.clone());
+    assert!(matches!(bench.answered(1, unread, 100), Verdict::Forward(_)));
+    assert_eq!(bench.answered(2, 12345, 100), Verdict::Drop(Cause::UnknownCookie));
+    for _ in 0..3 {
+        bench.after(ms(500)).list(all.clone());
+    }
+    assert_eq!(bench.answered(2, 12345, 100), Verdict::Reset(Reason::UnknownCookie));
+}
+
+/// Guards against targets that are given up because their entries lapsed while the store was away.
+#[test]
+fn lapsed_entries_stay_in_use_until_the_store_has_been_back() {
+    let all = targets("web", 2, 0);
+    let mut bench = Bench::new(all.clone());
+    let opened = bench.establish(1);
+    bench.after(ms(500)).fail();
+    bench.after(Duration::from_secs(4)).list(Vec::new());
+    assert!(matches!(bench.decide(&open(2)), Verdict::Forward(_)));
+    assert_eq!(bench.answered(1, opened.cookie, 200), Verdict::Forward(opened));
+    bench.after(ms(1_000)).list(all[..1].to_vec());
+    for _ in 0..4 {
+        bench.after(ms(500)).list(all[..1].to_vec());
+    }
+    let view = bench.directory.view(bench.now);
+    assert_eq!(view.target(cookie(&all[0])).map(|entry| entry.standing), Some(Standing::Present));
+    assert_eq!(view.target(cookie(&all[1])).map(|entry| entry.standing), Some(Standing::Gone));
+}
+
+/// Guards against a leaving target that is kept after its entry has been removed.
+#[test]
+fn leaving_target_without_entry_is_gone() {
+    let mut all = targets("web", 2, 0);
+    all[0].availability = Availability::Draining;
+    let mut bench = Bench::new(all.clone());
+    bench.after(ms(500)).fail();
+    bench.after(ms(500)).list(all[1..].to_vec());
+    let view = bench.directory.view(bench.now);
+    assert_eq!(view.target(cookie(&all[0])).map(|entry| entry.standing), Some(Standing::Gone));
+}
+
+/// Guards against a stale read or a slow peer that takes back something newer.
+#[test]
+fn nothing_older_takes_force() {
+    let tuning = Tuning::default();
+    let mut directory = Directory::new(tuning);
+    let now = std::time::Instant::now();
+    let operator = |revision, version| Operator {
+        revision,
+        config: Some(Arc::new(config(version, 0.0))),
+        zones_out: Vec::new(),
+    };
+    assert_eq!(directory.apply_operator(now, &operator(7, 7)), Applied::New);
+    assert_eq!(directory.apply_operator(now, &operator(3, 3)), Applied::Old);
+    let mut changed = config(9, 0.0);
+    changed.revision = 2;
+    directory.apply_change(now, 8, Change::Config(Arc::new(changed)));
+    assert_eq!(directory.view(now).version(), Some(7));
+    let listing = |revision, targets| Listing { revision, targets };
+    directory.apply_listing(now, listing(9, targets("web", 2, 0)));
+    assert_eq!(directory.apply_listing(now, listing(8, Vec::new())), Applied::Old);
+    assert_eq!(directory.view(now).entries().len(), 2);
+}
+
+/// Guards against a caller that stays on two targets: copies of an opening packet go to the target
+/// of the first one.
+#[test]
+fn copies_of_an_opening_packet_stay_together() {
+    let mut bench = Bench::new(targets("web", 6, 0));
+    let first = bench.open(1);
+    for number in 2..40 {
+        bench.open(number);
+    }
+    bench.after(ms(200));
+    let copy = Packet { kind: Kind::Open { attempt: 1 }, ..open(1) };
+    assert_eq!(bench.decide(&copy), Verdict::Forward(first));
+}
+
+/// The pattern: a quarter of the targets falls silent at once while callers keep opening flows.
+/// Guards against callers that wait for them until the store notices.
+#[test]
+fn silent_targets_get_no_new_flows_and_their_copies_move() {
+    let all = targets("web", 4, 0);
+    let mut bench = Bench::new(all.clone());
+    let silent = cookie(&all[0]);
+    let mut opened: Vec<_> = (0..40).map(|number| (number, bench.establish(number))).collect();
+    opened.retain(|(_, delivery)| delivery.cookie == silent);
+    assert!(opened.len() >= 8);
+    bench.after(ms(100));
+    for (number, _) in &opened {
+        bench.send(*number, silent, 1000);
+    }
+    let waiting = (100..110).find(|number| bench.open(*number).cookie == silent);
+    let waiting = waiting.expect("one new flow goes to the target before it is noticed");
+    bench.after(ms(200));
+    for (number, _) in &opened[..2] {
+        assert!(matches!(bench.send(*number, silent, 1000), Verdict::Forward(_)));
+    }
+    let events = bench.forwarder.take_events();
+    assert!(events.iter().any(|event| matches!(event, Event::Silent { .. })));
+    for number in 200..240 {
+        assert_ne!(bench.open(number).cookie, silent);
+    }
+    let copy = Packet { kind: Kind::Open { attempt: 1 }, ..open(waiting) };
+    assert_ne!(delivery(bench.decide(&copy)).cookie, silent);
+    bench.after(ms(600));
+    let (number, _) = opened[0];
+    assert_eq!(bench.send(number, silent, 1000), Verdict::Reset(Reason::TargetSilent));
+    // One flow gets through, so the target answers again.
+    let (number, _) = opened[1];
+    bench.answered(number, silent, 500);
+    let again = (300..400).filter(|number| bench.open(*number).cookie == silent).count();
+    assert!(again > 0);
+}
+
+/// Guards against a target that is given up because of single lost packets.
+#[test]
+fn lost_packets_do_not_make_a_target_silent() {
+    let all = targets("web", 1, 0);
+    let mut bench = Bench::new(all.clone());
+    let own = cookie(&all[0]);
+    for number in 0..10 {
+        bench.establish(number);
+    }
+    for round in 0..50 {
+        bench.send(0, own, 1000 * (round + 1));
+        bench.after(ms(100));
+        bench.answered(1, own, 1000 * (round + 1));
+        bench.after(ms(100));
+        // The packet of flow 0 was lost; flow 1 had an answer meanwhile.
+        assert!(matches!(bench.send(0, own, 1000 * (round + 1)), Verdict::Forward(_)));
+    }
+    assert_eq!(bench.forwarder.counters().silences, 0);
+}
+
+/// The pattern: a steady load of long flows on equal targets. Guards against imbalance by hashing.
+#[test]
+fn long_flows_spread_evenly() {
+    let mut bench = Bench::new(targets("web", 4, 0));
+    let mut counts: HashMap<u32, u32> = HashMap::new();
+    for number in 0..200 {
+        *counts.entry(bench.establish(number).cookie).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count == 50), "{counts:?}");
+}
+
+/// Guards against targets that have just started and get more than they bear, summed over all
+/// daemons of their zone.
+#[test]
+fn cold_target_gets_its_allowance_at_most() {
+    let daemons = 3;
+    let cold = Target { cold_for: Duration::from_secs(2), ..target(1, "web", HOME) };
+    // 4 a second, at 1.5 times and 5 on top.
+    let allowance = 11;
+    let mut total = 0;
+    for daemon in 0..daemons {
+        let mut bench = Bench::with(vec![cold.clone(), target(2, "web", AWAY)], 4.0);
+        bench.forwarder.set_zone_daemons(daemons);
+        for number in 0..100 {
+            bench.after(ms(9));
+            total += u32::from(bench.open(daemon as u32 * 1000 + number).number == 1);
+        }
+    }
+    assert!(total > 0 && total <= allowance, "{total}");
+}
+
+/// Guards against cold targets that get flows from daemons of other zones, whose share is unknown.
+#[test]
+fn cold_targets_of_other_zones_are_left_alone() {
+    let mut all = targets("web", 1, 1);
+    all[1].cold_for = Duration::from_secs(2);
+    let mut bench = Bench::with(all[1..].to_vec(), 4.0);
+    assert_eq!(bench.decide(&open(1)), Verdict::Reset(Reason::NoTarget));
+}
+
+/// Guards against a daemon that wakes up late and opens flows that their callers have opened
+/// elsewhere meanwhile.
+#[test]
+fn opening_packets_that_waited_during_a_pause_are_dropped() {
+    let all = targets("web", 2, 0);
+    let mut bench = Bench::new(all.clone());
+    bench.after(Duration::from_secs(4));
+    bench.forwarder.paused(bench.now);
+    assert_eq!(bench.decide(&open(1)), Verdict::Drop(Cause::Paused));
+    bench.after(ms(20)).list(all);
+    assert!(matches!(bench.decide(&open(2)), Verdict::Forward(_)));
+}
+
+/// Guards against flows that are broken because an unknown number of flows fills the table.
+#[test]
+fn table_of_flows_is_bounded() {
+    let tuning = Tuning { flows: 10, ..Tuning::default() };
+    let mut bench = Bench::new(targets("web", 2, 0));
+    let mut forwarder = banyanwharf::cookie::Forwarder::new(HOME.into(), tuning);
+    forwarder.set_view(bench.forwarder.view().clone());
+    bench.forwarder = forwarder;
+    for number in 0..100 {
+        bench.establish(number);
+    }
+    assert_eq!(bench.forwarder.flows(), 10);
+    bench.after(Duration::from_secs(20));
+    bench.forwarder.sweep(bench.now);
+    assert_eq!(bench.forwarder.flows(), 0);
+}
--- /dev/null
+++ b/tests/cookies/mod.rs
@@ -0,0 +1,172 @@
+//! Targets, configurations and packets for tests of the cookie forwarder.
+
+#![allow(dead_code)]
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use banyanwharf::cookie::{
+    Availability, Config, Cookie, Delivery, Directory, Flow, Forwarder, Kind, Listing, Operator,
+    Packet, Route, Service, Share, Target, Tuning, Verdict,
+};
+
+/// The zone of the daemon under test.
+pub(crate) const HOME: &str = "zone-a";
+pub(crate) const AWAY: &str = "zone-b";
+
+/// A daemon's decisions on virtual time.
+pub(crate) struct Bench {
+    pub(crate) now: Instant,
+    pub(crate) directory: Directory,
+    pub(crate) forwarder: Forwarder,
+    pub(crate) revision: u64,
+}
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub(crate) fn service_address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+}
+
+pub(crate) fn flow(number: u32, port: u16) -> Flow {
+    let ip = Ipv4Addr::from_bits(0x6440_0000 + (number >> 14));
+    let caller = SocketAddrV4::new(ip, 1024 + (number & 0x3fff) as u16);
+    Flow { caller, service: service_address(port) }
+}
+
+pub(crate) fn target(number: u64, service: &str, zone: &str) -> Target {
+    Target {
+        name: format!("i-{number:08x}").into(),
+        number,
+        born: 1_000 + number,
+        service: service.into(),
+        address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a80_0000 + number as u32), 8080),
+        zone: zone.into(),
+        slots: 4,
+        availability: Availability::Ready,
+        cold_for: Duration::ZERO,
+        revision: 1,
+    }
+}
+
+/// Returns targets of `service`, `home` in the daemon's zone and `away` in another.
+pub(crate) fn targets(service: &str, home: u64, away: u64) -> Vec<Target> {
+    let zone = |number| if number < home { HOME } else { AWAY };
+    (0..home + away).map(|number| target(number + 1, service, zone(number))).collect()
+}
+
+/// Returns a configuration with a route from port 1 to "web" and one from port 2 to "files".
+pub(crate) fn config(version: u64, cold_rate: f64) -> Config {
+    let route =
+        |service: &str| Route { shares: vec![Share { service: service.into(), weight: 1 }] };
+    let service = Service { cold_rate, cold_for: Duration::from_secs(2) };
+    Config {
+        version,
+        revision: version,
+        routes: [(service_address(1), route("web")), (service_address(2), route("files"))].into(),
+        services: [("web".into(), service.clone()), ("files".into(), service)].into(),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+pub(crate) fn packet(flow: Flow, kind: Kind, cookie: Cookie) -> Packet {
+    Packet { flow, kind, sequence: 0, acknowledged: 0, cookie, length: 0 }
+}
+
+pub(crate) fn open(number: u32) -> Packet {
+    packet(flow(number, 1), Kind::Open { attempt: 0 }, 0)
+}
+
+pub(crate) fn delivery(verdict: Verdict) -> Delivery {
+    match verdict {
+        Verdict::Forward(delivery) => delivery,
+        other => panic!("{other:?} is no delivery"),
+    }
+}
+
+impl Bench {
+    pub(crate) fn new(targets: Vec<Target>) -> Bench {
+        Bench::with(targets, 0.0)
+    }
+
+    pub(crate) fn with(targets: Vec<Target>, cold_rate: f64) -> Bench {
+        let tuning = Tuning::default();
+        let mut bench = Bench {
+            now: Instant::now(),
+            directory: Directory::new(tuning.clone()),
+            forwarder: Forwarder::new(HOME.into(), tuning),
+            revision: 1,
+        };
+        let config = Some(Arc::new(config(1, cold_rate)));
+        bench.operate(Operator { revision: 1, config, zones_out: Vec::new() });
+        bench.list(targets);
+        bench
+    }
+
+    /// Reads what operators published.
+    pub(crate) fn operate(&mut self, operator: Operator) {
+        self.directory.confirm(self.now);
+        self.directory.apply_operator(self.now, &operator);
+        self.publish();
+    }
+
+    /// Reads targets at a new revision.
+    pub(crate) fn list(&mut self, targets: Vec<Target>) {
+        self.revision += 1;
+        self.directory.apply_listing(self.now, Listing { revision: self.revision, targets });
+        self.publish();
+    }
+
+    /// Notes a failed read.
+    pub(crate) fn fail(&mut self) {
+        self.directory.failed(self.now);
+        self.publish();
+    }
+
+    pub(crate) fn publish(&mut self) {
+        self.forwarder.set_view(Arc::new(self.directory.view(self.now)));
+    }
+
+    pub(crate) fn after(&mut self, duration: Duration) -> &mut Bench {
+        self.now += duration;
+        self
+    }
+
+    pub(crate) fn decide(&mut self, packet: &Packet) -> Verdict {
+        self.forwarder.decide(self.now, packet)
+    }
+
+    /// Opens a flow and returns where it goes.
+    pub(crate) fn open(&mut self, number: u32) -> Delivery {
+        delivery(self.decide(&open(number)))
+    }
+
+    /// Opens a flow, and lets its target answer.
+    pub(crate) fn establish(&mut self, number: u32) -> Delivery {
+        let delivery = self.open(number);
+        self.answered(number, delivery.cookie, 100);
+        delivery
+    }
+
+    /// Sends an acknowledgement of a flow, which shows that its target answered.
+    pub(crate) fn answered(&mut self, number: u32, cookie: Cookie, acknowledged: u32) -> Verdict {
+        let packet = Packet { acknowledged, ..packet(flow(number, 1), Kind::Data, cookie) };
+        self.decide(&packet)
+    }
+
+    /// Sends data of a flow at a sequence number.
+    pub(crate) fn send(&mut self, number: u32, cookie: Cookie, sequence: u32) -> Verdict {
+        let packet = Packet {
+            sequence,
+            acknowledged: 100,
+            length: 50,
+            ..packet(flow(number, 1), Kind::Data, cookie)
+        };
+        self.decide(&packet)
+    }
+}
