Read targets linearizably only if a stale read is behind the watch

Cause: the daemon took a revision that stands still for a lagging copy, but entries are rewritten only when something but the heartbeat changes, so it made a full-price read every second. Ruled out: a watch on the entries (a call for each change and daemon).

--- a/src/gateway/lag.rs
+++ b/src/gateway/lag.rs
@@ -1,49 +1,31 @@
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::{cookie::Revision, gateway::Consistency};
 
-/// How long the revision of stale reads may stand still. Targets write every 1.2 s, and the stale
-/// copy of the store catches up in steps.
-const STANDSTILL: Duration = Duration::from_millis(1500);
-
-/// The time between two linearizable reads while stale reads lag.
-const FALLBACK_PERIOD: Duration = Duration::from_millis(1000);
-
-/// Notices that stale reads have become older than usual.
+/// Notices that stale reads are older than something that is known to have changed.
+///
+/// Targets rewrite their entries only when something changes, so a revision that stands still says
+/// nothing. The watch of what operators publish returns the store's revision every 2 s at no
+/// further cost; a stale read below it misses a change.
 #[derive(Debug, Clone, Default)]
 pub struct Lag {
-    newest: Revision,
-    advanced_at: Option<Instant>,
-    linearizable_at: Option<Instant>,
-    is_lagging: bool,
+    read_at: Option<Instant>,
+    is_behind: bool,
 }
 
 impl Lag {
     /// Returns how the next read is made.
-    pub fn next(&self, now: Instant) -> Consistency {
-        let Some(advanced_at) = self.advanced_at else {
-            return Consistency::Linearizable;
-        };
-        let is_still = now.saturating_duration_since(advanced_at) >= STANDSTILL;
-        let is_due = self
-            .linearizable_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= FALLBACK_PERIOD);
-        if (is_still || self.is_lagging) && is_due {
+    pub fn next(&self) -> Consistency {
+        if self.read_at.is_none() || self.is_behind {
             Consistency::Linearizable
         } else {
             Consistency::Stale
         }
     }
 
-    /// Notes the revision of an answer.
-    pub fn answered(&mut self, now: Instant, consistency: Consistency, revision: Revision) {
-        match consistency {
-            Consistency::Linearizable => self.linearizable_at = Some(now),
-            Consistency::Stale => self.is_lagging = revision < self.newest,
-        }
-        if revision > self.newest || self.advanced_at.is_none() {
-            self.newest = revision;
-            self.advanced_at = Some(now);
-        }
+    /// Notes that a read at `now` answered with `revision` while `known` was known.
+    pub fn answered(&mut self, now: Instant, revision: Revision, known: Revision) {
+        self.read_at = Some(now);
+        self.is_behind = revision < known;
     }
 }
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -1,5 +1,5 @@
 use std::{
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -62,6 +62,7 @@
                 }
                 calls.finish(result).map(|read| {
                     known = Some(read.value.revision.max(after));
+                    shared.known_revision.fetch_max(read.value.revision, Ordering::Relaxed);
                     Request::Changes(read)
                 })
             }
@@ -84,9 +85,10 @@
     loop {
         calls.wait(&shared).await;
         let begun = Instant::now();
-        let consistency = lag.next(begun);
+        let consistency = lag.next();
         let request = calls.finish(source.targets(consistency).await).map(|read| {
-            lag.answered(Instant::now(), consistency, read.value.revision);
+            let known = shared.known_revision.load(Ordering::Relaxed);
+            lag.answered(Instant::now(), read.value.revision, known);
             Request::Targets(read, consistency)
         });
         let is_read = request.is_some();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,6 +15,8 @@
     pub(super) view: ArcSwap<View>,
     /// Whether the daemon has begun to stop.
     pub(super) is_leaving: AtomicBool,
+    /// The store's revision at the last answer to the watch.
+    pub(super) known_revision: AtomicU64,
     /// Wakes the readers before their time.
     pub(super) read_now: Notify,
     /// What the packet loop observed until its last sweep.
--- /dev/null
+++ b/tests/lag.rs
@@ -0,0 +1,27 @@
+//! Reads of the targets must be cheap while nothing has changed, and must not miss a change.
+
+use std::time::Instant;
+
+use banyanwharf::gateway::{Consistency, Lag};
+
+/// Guards against full-price reads while a quiet store's revision stands still.
+#[test]
+fn quiet_store_is_read_stale() {
+    let mut lag = Lag::default();
+    assert_eq!(lag.next(), Consistency::Linearizable, "the first read must not be old");
+    for _ in 0..100 {
+        lag.answered(Instant::now(), 21, 21);
+        assert_eq!(lag.next(), Consistency::Stale);
+    }
+}
+
+/// Guards against stale copies that lag for seconds: a leaving target would keep getting flows.
+#[test]
+fn read_behind_the_watch_is_repeated_linearizably() {
+    let mut lag = Lag::default();
+    lag.answered(Instant::now(), 21, 21);
+    lag.answered(Instant::now(), 21, 25);
+    assert_eq!(lag.next(), Consistency::Linearizable);
+    lag.answered(Instant::now(), 25, 25);
+    assert_eq!(lag.next(), Consistency::Stale);
+}
