Reset the flows of ended and silent targets without waiting for a packet of theirs

Cause: a caller whose request was acknowledged before its target ended sends nothing more, so the daemon never saw a packet to answer; callers with idle flows sent their next request on a flow that was already lost. Packets that overtook each other were taken for repeated ones. Ruled out: shortening the time to the verdict (230 to 700 ms already).

--- a/src/cookie/evidence.rs
+++ b/src/cookie/evidence.rs
@@ -31,6 +31,17 @@
         self.silence.is_some()
     }
 
+    /// Returns whether the target has been silent for so long that its flows are given up.
+    pub(super) fn is_lost(&self, now: Instant, tuning: &Tuning) -> bool {
+        let lasted = self.first_sent.map(|first| now.saturating_duration_since(first));
+        let enough = if self.repeating.len() >= tuning.silent_flows {
+            tuning.reset_after
+        } else {
+            tuning.lone_reset_after
+        };
+        self.is_silent() && lasted.is_some_and(|lasted| lasted >= enough)
+    }
+
     /// Returns the number of flows that repeat packets.
     pub(super) fn repeating(&self) -> usize {
         self.repeating.len()
--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -101,7 +101,12 @@
     }
 
     /// Notes a later packet of a flow. Returns what it says, and whether the flow is new here.
-    pub(super) fn note(&mut self, now: Instant, packet: &Packet) -> (Sign, bool) {
+    pub(super) fn note(
+        &mut self,
+        now: Instant,
+        packet: &Packet,
+        retransmission: Duration,
+    ) -> (Sign, bool) {
         let Some(seen) = self.seen.get_mut(&packet.flow) else {
             if self.seen.len() >= self.maximum {
                 return (Sign::Neutral, false);
@@ -109,7 +114,21 @@
             self.seen.insert(packet.flow, Seen::new(now, packet, packet.cookie, true));
             return (Sign::Neutral, true);
         };
-        (seen.note(now, packet), false)
+        (seen.note(now, packet, retransmission), false)
+    }
+
+    /// Removes up to `limit` flows whose target `is_lost`, and returns them with the acknowledgement
+    /// number that their callers sent last.
+    pub(super) fn give_up(
+        &mut self,
+        limit: usize,
+        is_lost: impl Fn(Cookie) -> bool,
+    ) -> Vec<(Flow, u32, Seen)> {
+        self.seen
+            .extract_if(|_, seen| seen.is_open && is_lost(seen.cookie))
+            .take(limit)
+            .map(|(flow, seen)| (flow, seen.acknowledged, seen))
+            .collect()
     }
 
     /// Removes the flows without packets for `idle`, and returns the cookies of the targets of
@@ -123,7 +142,7 @@
 }
 
 impl Seen {
-    fn counted(&self) -> Option<Cookie> {
+    pub(super) fn counted(&self) -> Option<Cookie> {
         (!self.is_closing).then_some(self.cookie)
     }
 
@@ -140,7 +159,7 @@
         }
     }
 
-    fn note(&mut self, now: Instant, packet: &Packet) -> Sign {
+    fn note(&mut self, now: Instant, packet: &Packet, retransmission: Duration) -> Sign {
         self.last = now;
         let end = packet.sequence.wrapping_add(u32::from(packet.length));
         let is_advancing = !self.is_open || is_after(packet.acknowledged, self.acknowledged);
@@ -164,6 +183,9 @@
             }
             return Sign::Neutral;
         }
+        if now.saturating_duration_since(self.sent) < retransmission {
+            return Sign::Neutral;
+        }
         self.is_repeating = true;
         Sign::Repeat(self.sent)
     }
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -114,6 +114,46 @@
         self.observed.retain(|cookie, target| target.open > 0 || view.target(*cookie).is_some());
     }
 
+    /// Gives up the flows whose targets have ended or do not answer, and returns them, each with
+    /// the sequence number that its caller expects. Their callers would wait for nothing, and
+    /// would send further requests that could not be served.
+    pub fn give_up(&mut self, now: Instant) -> Vec<(Flow, u32)> {
+        let is_proven = self.is_gone_for_sure(now);
+        let lost: HashMap<Cookie, Reason> = self
+            .observed
+            .iter()
+            .filter(|(_, target)| target.open > 0)
+            .filter_map(|(cookie, target)| {
+                let entry = self.view.target(*cookie)?;
+                if entry.standing == Standing::Gone && is_proven {
+                    return Some((*cookie, Reason::TargetGone));
+                }
+                let is_lost = target.evidence.is_lost(now, &self.tuning);
+                is_lost.then_some((*cookie, Reason::TargetSilent))
+            })
+            .collect();
+        if lost.is_empty() {
+            return Vec::new();
+        }
+        let limit = self.tuning.resets_at_once;
+        let mut given_up = Vec::new();
+        for (flow, acknowledged, seen) in
+            self.flows.give_up(limit, |cookie| lost.contains_key(&cookie))
+        {
+            if let Some(cookie) = seen.counted() {
+                self.closed(cookie);
+            }
+            let Some(reason) = lost.get(&seen.cookie).copied() else {
+                continue;
+            };
+            *self.counters.resets.entry(reason).or_default() += 1;
+            let target = self.view.target(seen.cookie).map(|entry| entry.target.name.clone());
+            self.events.push(Event::Reset { flow, target, reason });
+            given_up.push((flow, acknowledged));
+        }
+        given_up
+    }
+
     /// Decides what is done with a packet.
     pub fn decide(&mut self, now: Instant, packet: &Packet) -> Verdict {
         let verdict = self.judge(now, packet);
@@ -282,15 +322,12 @@
         if entry.standing == Standing::Gone && self.is_gone_for_sure(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let (sign, is_new) = self.flows.note(now, packet);
+        let (sign, is_new) = self.flows.note(now, packet, self.tuning.retransmission);
         if is_new {
             self.observed.entry(packet.cookie).or_default().open += 1;
         }
         self.learn(now, flow, packet.cookie, sign);
-        if let Sign::Repeat(sent) = sign
-            && now.saturating_duration_since(sent) >= self.tuning.reset_after
-            && self.observed.get(&packet.cookie).is_some_and(|target| target.evidence.is_silent())
-        {
+        if matches!(sign, Sign::Repeat(_)) && self.is_lost(now, packet.cookie) {
             return Verdict::Reset(Reason::TargetSilent);
         }
         if packet.kind == Kind::Finish
@@ -318,6 +355,11 @@
         }
     }
 
+    fn is_lost(&self, now: Instant, cookie: Cookie) -> bool {
+        let target = self.observed.get(&cookie);
+        target.is_some_and(|target| target.evidence.is_lost(now, &self.tuning))
+    }
+
     fn is_gone_for_sure(&self, now: Instant) -> bool {
         self.view.is_settled && self.is_fresh(now, self.view.read_at)
     }
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -23,9 +23,16 @@
     /// How long a single flow must repeat packets before its target is regarded as silent: two
     /// retransmission timeouts.
     pub lone_silence: Duration,
-    /// How long a flow must repeat packets toward a silent target before it is reset: two
-    /// retransmission timeouts.
+    /// How long a target must be silent, with several flows that repeat packets, before its flows
+    /// are reset: two retransmission timeouts.
     pub reset_after: Duration,
+    /// The same with a single flow that repeats packets: three retransmission timeouts.
+    pub lone_reset_after: Duration,
+    /// A packet that comes again sooner was duplicated or reordered on its way; callers repeat
+    /// packets after 200 ms.
+    pub retransmission: Duration,
+    /// The largest number of flows that are reset at once without a packet of theirs.
+    pub resets_at_once: usize,
     /// The time between two new flows that test a silent target.
     pub trial_period: Duration,
     /// How long a flow without packets counts as open, unless the configuration says less.
@@ -53,6 +60,9 @@
             silent_flows: 2,
             lone_silence: Duration::from_millis(600),
             reset_after: Duration::from_millis(600),
+            lone_reset_after: Duration::from_millis(1400),
+            retransmission: Duration::from_millis(150),
+            resets_at_once: 256,
             trial_period: Duration::from_secs(1),
             idle: Duration::from_secs(15),
             flows: 100_000,
--- a/src/gateway/codec.rs
+++ b/src/gateway/codec.rs
@@ -1,4 +1,4 @@
-use crate::cookie::{Delivery, Packet};
+use crate::cookie::{Delivery, Flow, Packet};
 
 /// Why a datagram is no packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -31,6 +31,7 @@
     /// Appends the datagram for a target that carries the packet in `datagram`.
     fn deliver(&self, datagram: &[u8], delivery: &Delivery, buffer: &mut Vec<u8>);
 
-    /// Appends the datagram that resets the flow of `packet` at its caller.
-    fn reset(&self, packet: &Packet, buffer: &mut Vec<u8>);
+    /// Appends the datagram that resets `flow` at its caller, who expects the sequence number
+    /// `expected` next.
+    fn reset(&self, flow: &Flow, expected: u32, buffer: &mut Vec<u8>);
 }
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    cookie::{Forwarder, Verdict},
+    cookie::{Flow, Forwarder, Verdict},
     gateway::{Codec, boot_clock::PauseWatch, keeper::Request, report::Reporter, shared::Shared},
     util::{Inbox, Outbox},
 };
@@ -69,6 +69,8 @@
                 _ = ticks.tick() => {
                     self.notice_pause(&mut pauses);
                     pauses.tick();
+                    self.refresh();
+                    self.give_up(&inbox, &mut outbox);
                     tick = tick.wrapping_add(1);
                     if tick.is_multiple_of(SWEEP_TICKS) {
                         self.forwarder.sweep(Instant::now());
@@ -107,12 +109,31 @@
         }
     }
 
-    fn handle(&mut self, count: usize, inbox: &Inbox, outbox: &mut Outbox) {
-        let now = Instant::now();
-        let view = self.shared.view.load_full();
+    /// Resets the flows whose targets are lost.
+    fn give_up(&mut self, inbox: &Inbox, outbox: &mut Outbox) {
+        for (flow, expected) in self.forwarder.give_up(Instant::now()) {
+            self.reset(&flow, expected, outbox);
+        }
+        let failed = outbox.flush(&self.socket, inbox);
+        self.shared.count_unsent(failed);
+    }
+
+    fn reset(&self, flow: &Flow, expected: u32, outbox: &mut Outbox) {
+        let caller = (*flow.caller.ip(), self.caller_port).into();
+        outbox.push_copy(caller, |buffer| self.codec.reset(flow, expected, buffer));
+    }
+
+    /// Uses the view that was published last.
+    fn refresh(&mut self) {
+        let view = self.shared.view.load();
         if !Arc::ptr_eq(&view, self.forwarder.view()) {
-            self.forwarder.set_view(view);
+            self.forwarder.set_view(view.clone());
         }
+    }
+
+    fn handle(&mut self, count: usize, inbox: &Inbox, outbox: &mut Outbox) {
+        let now = Instant::now();
+        self.refresh();
         for index in 0..count {
             let Some((_, datagram)) = inbox.datagram(index) else {
                 continue;
@@ -130,10 +151,7 @@
                         self.codec.deliver(datagram, &delivery, buffer);
                     });
                 }
-                Verdict::Reset(_) => {
-                    let caller = (*packet.flow.caller.ip(), self.caller_port).into();
-                    outbox.push_copy(caller, |buffer| self.codec.reset(&packet, buffer));
-                }
+                Verdict::Reset(_) => self.reset(&packet.flow, packet.acknowledged, outbox),
                 Verdict::Drop(_) => {}
             }
         }
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -226,7 +226,7 @@
     }
     let copy = Packet { kind: Kind::Open { attempt: 1 }, ..open(waiting) };
     assert_ne!(delivery(bench.decide(&copy)).cookie, silent);
-    bench.after(ms(600));
+    bench.after(ms(400));
     let (number, _) = opened[0];
     assert_eq!(bench.send(number, silent, 1000), Verdict::Reset(Reason::TargetSilent));
     // One flow gets through, so the target answers again.
@@ -236,6 +236,61 @@
     assert!(again > 0);
 }
 
+/// The pattern: targets end without a word while callers hold long flows to them, some idle, some
+/// waiting for an answer that was never sent. Guards against callers that wait until their deadline,
+/// and against requests that are sent on a flow which is already lost.
+#[test]
+fn flows_of_lost_targets_are_reset_without_a_packet_of_theirs() {
+    let all = targets("web", 2, 0);
+    let mut bench = Bench::new(all.clone());
+    let ended = cookie(&all[0]);
+    let opened: Vec<_> = (0..20).map(|number| (number, bench.establish(number))).collect();
+    assert!(bench.forwarder.give_up(bench.now).is_empty());
+    let mut held: Vec<_> =
+        opened.iter().filter(|(_, to)| to.cookie == ended).map(|(n, _)| flow(*n, 1)).collect();
+    bench.after(Duration::from_secs(4)).list(all[1..].to_vec());
+    let mut given_up = bench.forwarder.give_up(bench.now);
+    given_up.sort();
+    held.sort();
+    let flows: Vec<_> = given_up.iter().map(|(flow, _)| *flow).collect();
+    assert_eq!(flows, held);
+    assert!(given_up.iter().all(|(_, expected)| *expected == 100));
+    assert!(bench.forwarder.give_up(bench.now).is_empty());
+}
+
+/// The same before the store notices: two callers repeat packets for 600 ms.
+#[test]
+fn flows_of_silent_targets_are_reset_without_a_packet_of_theirs() {
+    let all = targets("web", 2, 0);
+    let mut bench = Bench::new(all.clone());
+    let silent = cookie(&all[0]);
+    let opened: Vec<_> = (0..20).map(|number| (number, bench.establish(number))).collect();
+    let held: Vec<_> = opened.iter().filter(|(_, to)| to.cookie == silent).collect();
+    for wait in [100, 200, 300] {
+        bench.after(ms(wait));
+        assert!(bench.forwarder.give_up(bench.now).is_empty());
+        for (number, _) in &held[..2] {
+            bench.send(*number, silent, 1000);
+        }
+    }
+    bench.after(ms(100));
+    assert_eq!(bench.forwarder.give_up(bench.now).len(), held.len());
+}
+
+/// Guards against packets that overtake each other and are taken for repeated ones.
+#[test]
+fn reordered_packets_are_no_evidence() {
+    let all = targets("web", 1, 0);
+    let mut bench = Bench::new(all.clone());
+    let own = cookie(&all[0]);
+    for number in 0..4 {
+        bench.establish(number);
+        bench.send(number, own, 1050);
+        bench.after(ms(2)).send(number, own, 1000);
+    }
+    assert_eq!(bench.forwarder.counters().silences, 0);
+}
+
 /// Guards against a target that is given up because of single lost packets.
 #[test]
 fn lost_packets_do_not_make_a_target_silent() {
