Spill new flows to other zones when the own zone has no free slot

Cause: after a fault of all daemons the first one to return gets the callers of all zones and gave them all to the targets of its own zone, which shed.

--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -13,6 +13,8 @@
     is_open: bool,
     /// Whether the caller has closed its side. The flow is then no longer counted.
     is_closing: bool,
+    /// Whether the caller has sent something that was not answered yet.
+    is_waiting: bool,
     /// When the last packet came.
     last: Instant,
     /// The sequence number after the last new data.
@@ -36,24 +38,34 @@
     Neutral,
 }
 
-/// A bounded table of the flows that passed through this daemon.
+/// The flows of one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Load {
+    /// The open flows.
+    pub(super) open: u32,
+    /// The open flows whose callers wait for an answer.
+    pub(super) waiting: u32,
+}
+
+/// A bounded table of the flows that passed through this daemon, and their number by target.
 ///
 /// Losing it costs precision of the load and nothing else.
 #[derive(Debug, Clone)]
 pub(super) struct Flows {
     seen: HashMap<Flow, Seen>,
+    loads: HashMap<Cookie, Load>,
     maximum: usize,
 }
 
 impl Flows {
     /// Creates an empty table of up to `maximum` flows.
     pub(super) fn new(maximum: usize) -> Flows {
-        Flows { seen: HashMap::new(), maximum }
+        Flows { seen: HashMap::new(), loads: HashMap::new(), maximum }
     }
 
-    /// Returns a flow.
-    pub(super) fn get(&self, flow: &Flow) -> Option<&Seen> {
-        self.seen.get(flow)
+    /// Returns the cookie of a flow's target.
+    pub(super) fn cookie(&self, flow: &Flow) -> Option<Cookie> {
+        self.seen.get(flow).map(|seen| seen.cookie)
     }
 
     /// Returns the number of flows.
@@ -61,33 +73,35 @@
         self.seen.len()
     }
 
-    /// Removes a flow and returns the cookie of its target if it was counted.
-    pub(super) fn remove(&mut self, flow: &Flow) -> Option<Cookie> {
-        self.seen.remove(flow).and_then(|seen| seen.counted())
+    /// Returns the flows of a target.
+    pub(super) fn load(&self, cookie: Cookie) -> Load {
+        self.loads.get(&cookie).copied().unwrap_or_default()
     }
 
-    /// Notes that the caller closes its side. Returns the cookie of the target if the flow was
-    /// counted until now.
-    pub(super) fn close(&mut self, flow: &Flow) -> Option<Cookie> {
-        let seen = self.seen.get_mut(flow)?;
-        let counted = seen.counted();
-        seen.is_closing = true;
-        counted
+    /// Returns the targets that have flows.
+    pub(super) fn targets(&self) -> impl Iterator<Item = Cookie> {
+        self.loads.keys().copied()
     }
 
-    /// Notes that an opening packet was sent to a target. Returns the former target if there was
-    /// one, and whether the table took the flow.
-    pub(super) fn open(
-        &mut self,
-        now: Instant,
-        packet: &Packet,
-        cookie: Cookie,
-    ) -> (Option<Cookie>, bool) {
-        if self.seen.len() >= self.maximum && !self.seen.contains_key(&packet.flow) {
-            return (None, false);
+    /// Removes a flow.
+    pub(super) fn remove(&mut self, flow: &Flow) {
+        if let Some(seen) = self.seen.remove(flow) {
+            count(&mut self.loads, seen.counted(), None);
         }
-        let former = self.seen.insert(packet.flow, Seen::new(now, packet, cookie, false));
-        (former.and_then(|seen| seen.counted()), true)
+    }
+
+    /// Notes that the caller closes its side.
+    pub(super) fn close(&mut self, flow: &Flow) {
+        if let Some(seen) = self.seen.get_mut(flow) {
+            count(&mut self.loads, seen.counted(), None);
+            seen.is_closing = true;
+        }
+    }
+
+    /// Notes that an opening packet was sent to a target.
+    pub(super) fn open(&mut self, now: Instant, packet: &Packet, cookie: Cookie) {
+        self.remove(&packet.flow);
+        self.insert(now, packet, cookie, false);
     }
 
     /// Notes a copy of an opening packet.
@@ -100,57 +114,89 @@
         Sign::Repeat(seen.sent)
     }
 
-    /// Notes a later packet of a flow. Returns what it says, and whether the flow is new here.
-    pub(super) fn note(
-        &mut self,
-        now: Instant,
-        packet: &Packet,
-        retransmission: Duration,
-    ) -> (Sign, bool) {
+    /// Notes a later packet of a flow, and returns what it says. A packet that comes again sooner
+    /// than after `retransmission` is not taken for a repeated one.
+    pub(super) fn note(&mut self, now: Instant, packet: &Packet, retransmission: Duration) -> Sign {
         let Some(seen) = self.seen.get_mut(&packet.flow) else {
-            if self.seen.len() >= self.maximum {
-                return (Sign::Neutral, false);
-            }
-            self.seen.insert(packet.flow, Seen::new(now, packet, packet.cookie, true));
-            return (Sign::Neutral, true);
+            self.insert(now, packet, packet.cookie, true);
+            return Sign::Neutral;
         };
-        (seen.note(now, packet, retransmission), false)
+        let before = seen.counted();
+        let sign = seen.note(now, packet, retransmission);
+        count(&mut self.loads, before, seen.counted());
+        sign
     }
 
-    /// Removes up to `limit` flows whose target `is_lost`, and returns them with the acknowledgement
-    /// number that their callers sent last.
+    /// Removes up to `limit` flows whose target `is_lost`, and returns them with the cookies of
+    /// their targets and the acknowledgement numbers that their callers sent last.
     pub(super) fn give_up(
         &mut self,
         limit: usize,
         is_lost: impl Fn(Cookie) -> bool,
-    ) -> Vec<(Flow, u32, Seen)> {
-        self.seen
+    ) -> Vec<(Flow, Cookie, u32)> {
+        let lost: Vec<(Flow, Seen)> = self
+            .seen
             .extract_if(|_, seen| seen.is_open && is_lost(seen.cookie))
             .take(limit)
-            .map(|(flow, seen)| (flow, seen.acknowledged, seen))
-            .collect()
+            .collect();
+        for (_, seen) in &lost {
+            count(&mut self.loads, seen.counted(), None);
+        }
+        lost.into_iter().map(|(flow, seen)| (flow, seen.cookie, seen.acknowledged)).collect()
     }
 
-    /// Removes the flows without packets for `idle`, and returns the cookies of the targets of
-    /// those that were counted.
-    pub(super) fn sweep(&mut self, now: Instant, idle: Duration) -> Vec<Cookie> {
-        self.seen
-            .extract_if(|_, seen| now.saturating_duration_since(seen.last) >= idle)
-            .filter_map(|(_, seen)| seen.counted())
-            .collect()
+    /// Removes the flows without packets for `idle`.
+    pub(super) fn sweep(&mut self, now: Instant, idle: Duration) {
+        let loads = &mut self.loads;
+        self.seen.retain(|_, seen| {
+            let is_kept = now.saturating_duration_since(seen.last) < idle;
+            if !is_kept {
+                count(loads, seen.counted(), None);
+            }
+            is_kept
+        });
+    }
+
+    fn insert(&mut self, now: Instant, packet: &Packet, cookie: Cookie, is_open: bool) {
+        if self.seen.len() < self.maximum {
+            let seen = Seen::new(now, packet, cookie, is_open);
+            count(&mut self.loads, None, seen.counted());
+            self.seen.insert(packet.flow, seen);
+        }
     }
 }
 
-impl Seen {
-    pub(super) fn counted(&self) -> Option<Cookie> {
-        (!self.is_closing).then_some(self.cookie)
+/// What a flow adds to the load of its target.
+type Counted = Option<(Cookie, Load)>;
+
+/// Replaces what a flow adds to the load of its target.
+fn count(loads: &mut HashMap<Cookie, Load>, before: Counted, after: Counted) {
+    if before == after {
+        return;
+    }
+    if let Some((cookie, part)) = after {
+        let load = loads.entry(cookie).or_default();
+        load.open += part.open;
+        load.waiting += part.waiting;
     }
+    if let Some((cookie, part)) = before
+        && let Some(load) = loads.get_mut(&cookie)
+    {
+        load.open -= part.open;
+        load.waiting -= part.waiting;
+        if load.open == 0 {
+            loads.remove(&cookie);
+        }
+    }
+}
 
+impl Seen {
     fn new(now: Instant, packet: &Packet, cookie: Cookie, is_open: bool) -> Seen {
         Seen {
             cookie,
             is_open,
             is_closing: false,
+            is_waiting: !is_open || packet.length > 0,
             last: now,
             next_sequence: packet.sequence.wrapping_add(u32::from(packet.length)),
             acknowledged: if is_open { packet.acknowledged } else { 0 },
@@ -159,11 +205,17 @@
         }
     }
 
+    fn counted(&self) -> Counted {
+        let load = Load { open: 1, waiting: u32::from(self.is_waiting) };
+        (!self.is_closing).then_some((self.cookie, load))
+    }
+
     fn note(&mut self, now: Instant, packet: &Packet, retransmission: Duration) -> Sign {
         self.last = now;
         let end = packet.sequence.wrapping_add(u32::from(packet.length));
-        let is_advancing = !self.is_open || is_after(packet.acknowledged, self.acknowledged);
-        let is_new = !self.is_open || is_after(end, self.next_sequence);
+        let is_opening = !self.is_open;
+        let is_advancing = is_opening || is_after(packet.acknowledged, self.acknowledged);
+        let is_new = is_opening || is_after(end, self.next_sequence);
         if is_new {
             self.next_sequence = end;
         }
@@ -172,11 +224,14 @@
             self.acknowledged = packet.acknowledged;
             self.sent = now;
             self.is_repeating = false;
+            // The request follows the handshake at once.
+            self.is_waiting = is_opening || packet.length > 0;
             return Sign::Progress;
         }
         if packet.length == 0 {
             return Sign::Neutral;
         }
+        self.is_waiting = true;
         if is_new {
             if !self.is_repeating {
                 self.sent = now;
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -88,12 +88,13 @@
     /// is regarded as silent.
     pub fn observation(&self, cookie: Cookie) -> (u32, bool) {
         let observed = self.observed.get(&cookie);
-        observed.map_or((0, false), |target| (target.open, target.evidence.is_silent()))
+        let is_silent = observed.is_some_and(|target| target.evidence.is_silent());
+        (self.flows.load(cookie).open, is_silent)
     }
 
     /// Returns the target that a flow was last seen on.
     pub fn seen(&self, flow: &Flow) -> Option<&Entry> {
-        self.view.target(self.flows.get(flow)?.cookie)
+        self.view.target(self.flows.cookie(flow)?)
     }
 
     /// Takes the decisions since the last call.
@@ -105,13 +106,11 @@
     pub fn sweep(&mut self, now: Instant) {
         let idle = self.view.config.as_ref().map(|config| config.idle_timeout);
         let idle = idle.filter(|idle| !idle.is_zero()).unwrap_or(self.tuning.idle);
-        for cookie in self.flows.sweep(now, idle.min(self.tuning.idle)) {
-            self.closed(cookie);
-        }
+        self.flows.sweep(now, idle.min(self.tuning.idle));
         let memory = self.tuning.idle;
         self.unknown.retain(|_, since| now.saturating_duration_since(*since) < memory);
         let view = &self.view;
-        self.observed.retain(|cookie, target| target.open > 0 || view.target(*cookie).is_some());
+        self.observed.retain(|cookie, _| view.target(*cookie).is_some());
     }
 
     /// Gives up the flows whose targets have ended or do not answer, and returns them, each with
@@ -120,16 +119,14 @@
     pub fn give_up(&mut self, now: Instant) -> Vec<(Flow, u32)> {
         let is_proven = self.is_gone_for_sure(now);
         let lost: HashMap<Cookie, Reason> = self
-            .observed
-            .iter()
-            .filter(|(_, target)| target.open > 0)
-            .filter_map(|(cookie, target)| {
-                let entry = self.view.target(*cookie)?;
+            .flows
+            .targets()
+            .filter_map(|cookie| {
+                let entry = self.view.target(cookie)?;
                 if entry.standing == Standing::Gone && is_proven {
-                    return Some((*cookie, Reason::TargetGone));
+                    return Some((cookie, Reason::TargetGone));
                 }
-                let is_lost = target.evidence.is_lost(now, &self.tuning);
-                is_lost.then_some((*cookie, Reason::TargetSilent))
+                self.is_lost(now, cookie).then_some((cookie, Reason::TargetSilent))
             })
             .collect();
         if lost.is_empty() {
@@ -137,17 +134,14 @@
         }
         let limit = self.tuning.resets_at_once;
         let mut given_up = Vec::new();
-        for (flow, acknowledged, seen) in
+        for (flow, cookie, acknowledged) in
             self.flows.give_up(limit, |cookie| lost.contains_key(&cookie))
         {
-            if let Some(cookie) = seen.counted() {
-                self.closed(cookie);
-            }
-            let Some(reason) = lost.get(&seen.cookie).copied() else {
+            let Some(reason) = lost.get(&cookie).copied() else {
                 continue;
             };
             *self.counters.resets.entry(reason).or_default() += 1;
-            let target = self.view.target(seen.cookie).map(|entry| entry.target.name.clone());
+            let target = self.view.target(cookie).map(|entry| entry.target.name.clone());
             self.events.push(Event::Reset { flow, target, reason });
             given_up.push((flow, acknowledged));
         }
@@ -161,9 +155,7 @@
             Verdict::Forward(_) => self.counters.delivered += 1,
             Verdict::Reset(reason) => {
                 *self.counters.resets.entry(reason).or_default() += 1;
-                if let Some(cookie) = self.flows.remove(&packet.flow) {
-                    self.closed(cookie);
-                }
+                self.flows.remove(&packet.flow);
                 self.unknown.remove(&packet.flow);
                 let target = self.view.target(packet.cookie);
                 let target = target.map(|entry| entry.target.name.clone());
@@ -225,8 +217,7 @@
         if attempt == 0 {
             return None;
         }
-        let seen = self.flows.get(flow)?;
-        let cookie = seen.cookie;
+        let cookie = self.flows.cookie(flow)?;
         let sign = self.flows.repeat_open(now, flow);
         self.learn(now, *flow, cookie, sign);
         Some(cookie)
@@ -257,7 +248,7 @@
             zone: &self.zone,
             zone_daemons: self.zone_daemons,
         };
-        let choice = placing.choose(&mut self.observed, service, &flow, first);
+        let choice = placing.choose(&mut self.observed, &self.flows, service, &flow, first);
         let Some(choice) = choice else {
             return Verdict::Reset(Reason::NoTarget);
         };
@@ -265,15 +256,9 @@
         let Some(entry) = view.target(choice.cookie) else {
             return Verdict::Reset(Reason::NoTarget);
         };
-        let (former, is_tracked) = self.flows.open(now, packet, choice.cookie);
-        if let Some(former) = former {
-            self.closed(former);
-        }
+        let open = self.flows.load(choice.cookie).open;
+        self.flows.open(now, packet, choice.cookie);
         let target = self.observed.entry(choice.cookie).or_default();
-        let open = target.open;
-        if is_tracked {
-            target.open += 1;
-        }
         if entry.is_cold(now) {
             target.allowance.take(now);
         }
@@ -314,26 +299,19 @@
             return Verdict::Drop(Cause::WrongService);
         }
         if packet.kind == Kind::Reset {
-            if let Some(cookie) = self.flows.remove(&flow) {
-                self.closed(cookie);
-            }
+            self.flows.remove(&flow);
             return Verdict::Forward(entry.delivery());
         }
         if entry.standing == Standing::Gone && self.is_gone_for_sure(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let (sign, is_new) = self.flows.note(now, packet, self.tuning.retransmission);
-        if is_new {
-            self.observed.entry(packet.cookie).or_default().open += 1;
-        }
+        let sign = self.flows.note(now, packet, self.tuning.retransmission);
         self.learn(now, flow, packet.cookie, sign);
         if matches!(sign, Sign::Repeat(_)) && self.is_lost(now, packet.cookie) {
             return Verdict::Reset(Reason::TargetSilent);
         }
-        if packet.kind == Kind::Finish
-            && let Some(cookie) = self.flows.close(&flow)
-        {
-            self.closed(cookie);
+        if packet.kind == Kind::Finish {
+            self.flows.close(&flow);
         }
         Verdict::Forward(entry.delivery())
     }
@@ -394,12 +372,6 @@
             }
         }
     }
-
-    fn closed(&mut self, cookie: Cookie) {
-        if let Some(target) = self.observed.get_mut(&cookie) {
-            target.open = target.open.saturating_sub(1);
-        }
-    }
 }
 
 /// Returns a hash of a flow that is the same in every daemon.
--- a/src/cookie/placing.rs
+++ b/src/cookie/placing.rs
@@ -2,13 +2,16 @@
 
 use hashbrown::HashMap;
 
-use crate::cookie::{Cookie, Entry, Flow, Tuning, View, allowance::Allowance, evidence::Evidence};
+use crate::cookie::{
+    Cookie, Entry, Flow, Tuning, View,
+    allowance::Allowance,
+    evidence::Evidence,
+    flows::{Flows, Load},
+};
 
 /// What a daemon observes of one target.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Observed {
-    /// The open flows that passed through this daemon.
-    pub(super) open: u32,
     pub(super) evidence: Evidence,
     pub(super) allowance: Allowance,
 }
@@ -17,12 +20,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
     is_silent: bool,
-    is_away: bool,
+    /// Whether the target is in another zone, or in the own zone without a free slot.
+    tier: Tier,
     load: f64,
     /// Breaks ties in another order for each flow.
     tie: u64,
 }
 
+/// The order in which targets are preferred by zone and free slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    /// In the own zone, with a free slot as far as this daemon sees.
+    Home,
+    /// In the own zone without a free slot, or in another one.
+    Spill,
+}
+
 /// A target that was chosen for a new flow.
 pub(super) struct Choice {
     pub(super) cookie: Cookie,
@@ -48,6 +61,7 @@
     pub(super) fn choose(
         &self,
         observed: &mut HashMap<Cookie, Observed>,
+        flows: &Flows,
         service: &Arc<str>,
         flow: &Flow,
         avoid: Option<Cookie>,
@@ -65,9 +79,9 @@
             }
             choices += 1;
             let is_trial = target.evidence.may_try(self.now, entry.target.revision);
-            let rank = self.rank(entry, target, flow, is_trial);
+            let rank = self.rank(entry, target, flows, flow, is_trial);
             if best.as_ref().is_none_or(|(found, _)| rank < *found) {
-                let (cookie, is_away) = (entry.cookie, rank.is_away);
+                let (cookie, is_away) = (entry.cookie, *entry.target.zone != *self.zone);
                 best = Some((rank, Choice { cookie, choices: 0, is_away, is_trial }));
             }
         }
@@ -93,13 +107,31 @@
         *entry.target.zone == *self.zone && target.allowance.is_left(self.now, limit)
     }
 
-    fn rank(&self, entry: &Entry, target: &Observed, flow: &Flow, is_trial: bool) -> Rank {
-        let slots = f64::from(entry.target.slots.max(1));
+    fn rank(
+        &self,
+        entry: &Entry,
+        target: &Observed,
+        flows: &Flows,
+        flow: &Flow,
+        is_trial: bool,
+    ) -> Rank {
+        let Load { open, waiting } = flows.load(entry.cookie);
+        let is_home = *entry.target.zone == *self.zone;
+        let slots = entry.target.slots.max(1);
         let factor = if entry.is_cold(self.now) { self.tuning.cold_load } else { 1.0 };
+        let is_free = f64::from(waiting) * factor < f64::from(slots);
+        let (tier, count) = match is_home && is_free {
+            // Long flows are spread by their number.
+            true => (Tier::Home, open),
+            // A queue is shortened by what waits now.
+            false => (Tier::Spill, waiting),
+        };
+        let distance = if is_home { 0.0 } else { self.tuning.away_load };
+        let load = f64::from(count + 1) * factor / f64::from(slots) + distance;
         Rank {
             is_silent: target.evidence.is_silent() && !is_trial,
-            is_away: *entry.target.zone != *self.zone,
-            load: if is_trial { 0.0 } else { f64::from(target.open + 1) * factor / slots },
+            tier: if is_trial { Tier::Home } else { tier },
+            load: if is_trial { 0.0 } else { load },
             tie: tie(entry.cookie, flow),
         }
     }
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -45,6 +45,8 @@
     pub cold_slack: f64,
     /// The load of a cold target counts this much more.
     pub cold_load: f64,
+    /// What the way to another zone counts as load, in requests a slot.
+    pub away_load: f64,
     /// How long opening packets are dropped after a pause if the view is not read again.
     pub pause_hold: Duration,
 }
@@ -69,6 +71,7 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             cold_load: 2.0,
+            away_load: 0.25,
             pause_hold: Duration::from_millis(300),
         }
     }
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -322,6 +322,36 @@
     assert!(counts.values().all(|count| *count == 50), "{counts:?}");
 }
 
+/// The pattern: all daemons were down, and the first one to return gets the callers of all zones at
+/// once. Guards against the own zone's targets being overrun while those of other zones are idle.
+#[test]
+fn reconnecting_callers_of_all_zones_spill_over() {
+    let mut bench = Bench::new(targets("web", 3, 11));
+    let mut counts: HashMap<u64, u32> = HashMap::new();
+    for number in 0..280 {
+        bench.after(ms(1));
+        *counts.entry(bench.open(number).number).or_default() += 1;
+    }
+    let most = counts.values().max().copied();
+    // 14 targets of 4 slots each: 20 flows on average.
+    assert!(most <= Some(22), "{counts:?}");
+}
+
+/// The pattern: an ordinary load of short requests. Guards against flows that leave their zone by
+/// habit and end at the next partition.
+#[test]
+fn ordinary_load_stays_in_its_zone() {
+    let mut bench = Bench::new(targets("web", 3, 11));
+    for number in 0..300 {
+        bench.after(ms(10));
+        let opened = bench.establish(number);
+        assert!(opened.number <= 3);
+        bench.send(number, opened.cookie, 50);
+        bench.answered(number, opened.cookie, 2_000);
+    }
+    assert_eq!(bench.forwarder.counters().spilled, 0);
+}
+
 /// Guards against targets that have just started and get more than they bear, summed over all
 /// daemons of their zone.
 #[test]
