Deliver flows of a route's former service while the daemon is young

Cause: a configuration moved a route to another service; daemons that joined later dropped the packets of the flows that had stayed on the former service, because they had never seen the configuration that allowed it. Ruled out: the silent store and unread targets (no other cause was logged). The check stays in force once the daemon has run for the age of a flow. The configuration also counts as confirmed for 3 s, the time between two answers of the watch, so that unknown routes are refused at once.

--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -49,6 +49,8 @@
     /// Earlier starts of targets.
     replaced: Vec<Known>,
     former: Arc<HashMap<SocketAddrV4, Vec<Arc<str>>>>,
+    /// When the first configuration was read.
+    configured_at: Option<Instant>,
     revision: Revision,
     read_at: Option<Instant>,
     outage: Outage,
@@ -67,6 +69,7 @@
             known: BTreeMap::new(),
             replaced: Vec::new(),
             former: Arc::default(),
+            configured_at: None,
             revision: 0,
             read_at: None,
             outage: Outage::default(),
@@ -97,7 +100,7 @@
         let is_same = operator.revision == self.operator_revision;
         self.operator_revision = operator.revision;
         if let Some(config) = &operator.config {
-            self.set_config(config.clone());
+            self.set_config(now, config.clone());
         }
         let zones: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
         let back: Vec<Arc<str>> = self.zones_out.difference(&zones).cloned().collect();
@@ -114,7 +117,7 @@
             return Applied::Old;
         }
         match change {
-            Change::Config(config) => self.set_config(config),
+            Change::Config(config) => self.set_config(now, config),
             Change::ZoneOut(zone) => {
                 self.zones_back.remove(&zone);
                 self.zones_out.insert(zone);
@@ -221,6 +224,9 @@
             by_cookie,
             pools,
             former: self.former.clone(),
+            knows_former: self
+                .configured_at
+                .is_some_and(|at| now.saturating_duration_since(at) >= self.tuning.gone_memory),
             revision: self.revision,
             read_at: self.read_at,
             confirmed_at: self.confirmed_at,
@@ -241,7 +247,7 @@
         }
     }
 
-    fn set_config(&mut self, config: Arc<Config>) {
+    fn set_config(&mut self, now: Instant, config: Arc<Config>) {
         if self.config.as_ref().is_some_and(|held| config.revision <= held.revision) {
             return;
         }
@@ -255,6 +261,7 @@
                 }
             }
         }
+        self.configured_at.get_or_insert(now);
         self.config = Some(config);
     }
 
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -1,4 +1,7 @@
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use hashbrown::HashMap;
 
@@ -180,8 +183,9 @@
         }
     }
 
-    fn is_fresh(&self, now: Instant, moment: Option<Instant>) -> bool {
-        moment.is_some_and(|moment| now.saturating_duration_since(moment) < self.tuning.fresh)
+    /// Returns whether the configuration in force proves that a route does not exist.
+    fn is_confirmed(&self, now: Instant) -> bool {
+        is_within(now, self.view.confirmed_at, self.tuning.confirmed)
     }
 
     /// Decides on an opening packet.
@@ -192,7 +196,7 @@
         let flow = packet.flow;
         let hash = hash(&flow);
         let Some(route) = self.view.route(flow.service) else {
-            let is_proven = self.is_fresh(now, self.view.confirmed_at) || attempt > 0;
+            let is_proven = self.is_confirmed(now) || attempt > 0;
             return if is_proven {
                 Verdict::Reset(Reason::NoRoute)
             } else {
@@ -285,7 +289,7 @@
     fn deliver(&mut self, now: Instant, packet: &Packet) -> Verdict {
         let flow = packet.flow;
         if self.view.route(flow.service).is_none() {
-            return if self.is_fresh(now, self.view.confirmed_at) {
+            return if self.is_confirmed(now) {
                 Verdict::Reset(Reason::NoRoute)
             } else {
                 Verdict::Drop(Cause::StaleView)
@@ -295,7 +299,7 @@
         let Some(entry) = view.target(packet.cookie) else {
             return self.unknown(now, packet);
         };
-        if !view.ever_led(flow.service, &entry.target.service) {
+        if !view.may_have_led(flow.service, &entry.target.service) {
             return Verdict::Drop(Cause::WrongService);
         }
         if packet.kind == Kind::Reset {
@@ -339,7 +343,7 @@
     }
 
     fn is_gone_for_sure(&self, now: Instant) -> bool {
-        self.view.is_settled && self.is_fresh(now, self.view.read_at)
+        self.view.is_settled && is_within(now, self.view.read_at, self.tuning.fresh)
     }
 
     /// Updates what is known about the target `cookie` by what a packet of `flow` says.
@@ -374,6 +378,11 @@
     }
 }
 
+/// Returns whether `moment` was at most `span` ago.
+fn is_within(now: Instant, moment: Option<Instant>, span: Duration) -> bool {
+    moment.is_some_and(|moment| now.saturating_duration_since(moment) < span)
+}
+
 /// Returns a hash of a flow that is the same in every daemon.
 fn hash(flow: &Flow) -> u64 {
     let ends = [flow.caller, flow.service];
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -12,9 +12,12 @@
     /// The time after a failed read during which an entry that is missing does not prove that its
     /// target has ended.
     pub settle: Duration,
-    /// The age of the view up to which it proves that a route or target does not exist. Reads are
-    /// 0.5 s apart.
+    /// The age of the targets up to which they prove that a target does not exist. Reads are 0.5 s
+    /// apart.
     pub fresh: Duration,
+    /// The time since the configuration was confirmed up to which it proves that a route does not
+    /// exist. A watch confirms it every 2 s.
+    pub confirmed: Duration,
     /// How long a cookie may be unknown before its flow is reset, if the view was read again
     /// since: the lag of the store's stale reads and one period of reads.
     pub unknown_grace: Duration,
@@ -58,6 +61,7 @@
             gone_memory: Duration::from_secs(60),
             settle: Duration::from_secs(3),
             fresh: Duration::from_millis(1500),
+            confirmed: Duration::from_secs(3),
             unknown_grace: Duration::from_millis(1300),
             silent_flows: 2,
             lone_silence: Duration::from_millis(600),
--- a/src/cookie/view.rs
+++ b/src/cookie/view.rs
@@ -42,6 +42,8 @@
     pub(super) pools: HashMap<Arc<str>, Vec<usize>>,
     /// The services that any known configuration allowed for a service address.
     pub(super) former: Arc<HashMap<SocketAddrV4, Vec<Arc<str>>>>,
+    /// Whether `former` covers the largest age of a flow.
+    pub(super) knows_former: bool,
     /// The store's revision at the last read of the targets.
     pub revision: Revision,
     /// When the targets were last read.
@@ -89,9 +91,12 @@
         pool.iter().filter_map(|index| self.entries.get(*index))
     }
 
-    /// Returns whether any known configuration allowed flows from `address` to `service`.
-    pub(super) fn ever_led(&self, address: SocketAddrV4, service: &str) -> bool {
-        self.route(address).is_some_and(|route| route.leads_to(service))
+    /// Returns whether a flow from `address` may be on a target of `service`. A configuration leaves
+    /// open flows where they are, so a daemon that has not run for as long as a flow may live does
+    /// not know all services that a flow may be on.
+    pub(super) fn may_have_led(&self, address: SocketAddrV4, service: &str) -> bool {
+        !self.knows_former
+            || self.route(address).is_some_and(|route| route.leads_to(service))
             || self
                 .former
                 .get(&address)
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -46,11 +46,27 @@
     let mut all = targets("web", 2, 0);
     let files = target(9, "files", HOME);
     all.push(files.clone());
-    let mut bench = Bench::new(all);
+    let mut bench = Bench::new(all.clone());
+    bench.after(Duration::from_secs(60)).list(all);
+    bench.directory.confirm(bench.now);
+    bench.publish();
     let forged = packet(flow(1, 1), Kind::Data, cookie(&files));
     assert_eq!(bench.decide(&forged), Verdict::Drop(Cause::WrongService));
 }
 
+/// The pattern: a configuration gives a route to another service, and new daemons join while flows
+/// to the former service are open. Guards against daemons that drop the packets of these flows.
+#[test]
+fn new_daemon_delivers_flows_of_the_former_service() {
+    let mut all = targets("web", 1, 0);
+    let files = target(9, "files", HOME);
+    all.push(files.clone());
+    let mut bench = Bench::new(all);
+    bench.after(Duration::from_secs(5));
+    let held = packet(flow(1, 1), Kind::Data, cookie(&files));
+    assert_eq!(delivery(bench.decide(&held)).number, 9);
+}
+
 /// Guards against a caller that pretends to be a target.
 #[test]
 fn answers_from_callers_are_dropped() {
