Watch for 8 s with keep-alive probes, read again after a pause, handle SIGHUP

Ruled out: watching the targets as well (a call for each change and daemon). The settings file is also compared every 2 s, since it may change without a signal; settings with a problem leave the former ones in force.

--- a/src/bin/banyanwharfd.rs
+++ b/src/bin/banyanwharfd.rs
@@ -1,8 +1,13 @@
 //! The daemon: `banyanwharfd SETTINGS`.
 //!
-//! SIGTERM and SIGINT start a graceful shutdown; a second one ends the process at once.
+//! SIGHUP makes a daemon in gateway mode read its settings again. SIGTERM and SIGINT start a graceful shutdown; a second one ends the process at once.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
 
 use banyanwharf::{
     adapter::{self, Packets, Store},
@@ -18,8 +23,13 @@
 use tokio::{
     runtime::{Builder, Runtime},
     signal::unix::{Signal, SignalKind, signal},
+    time::sleep,
 };
 
+/// How often the settings file is compared with the settings in force, since it may change without
+/// a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+
 /// Runs one daemon of the banyanwharf load balancer.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -38,15 +48,17 @@
     if arguments.check {
         return Ok(ExitCode::SUCCESS);
     }
-    let _logs = Logs::install(file.log().clone()).into_diagnostic()?;
+    let logs = Logs::install(file.log().clone()).into_diagnostic()?;
     match file {
         File::Tunnel(settings) => {
             runtime(Builder::new_multi_thread().worker_threads(2))?.block_on(tunnel(*settings))
         }
-        // One thread does all the work, since such a VM has a part of one core.
-        File::Gateway(settings) => {
-            runtime(&mut Builder::new_current_thread())?.block_on(gateway(*settings))
-        }
+        // Such a VM has a part of one core.
+        File::Gateway(settings) => runtime(&mut Builder::new_current_thread())?.block_on(gateway(
+            *settings,
+            logs,
+            &arguments.settings,
+        )),
     }
 }
 
@@ -61,20 +73,88 @@
     signals.shut_down(node.stop()).await
 }
 
-async fn gateway(settings: settings::Gateway) -> miette::Result<ExitCode> {
+async fn gateway(
+    settings: settings::Gateway,
+    mut logs: Logs,
+    path: &Path,
+) -> miette::Result<ExitCode> {
     let mut signals = Signals::listen()?;
     let store = Store::new(settings.platform.clone(), Timeouts::gateway());
-    let gateway = Gateway::start(settings, store, Packets, adapter::READY_PATH).await?;
-    signals.next().await;
-    signals.shut_down(gateway.stop()).await
+    let mut gateway = Gateway::start(settings, store, Packets, adapter::READY_PATH).await?;
+    let mut file = Watched::new(path);
+    let mut hang_up = listen(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            () = signals.next() => return signals.shut_down(gateway.stop()).await,
+            _ = hang_up.recv() => reload(&mut file, &mut gateway, &mut logs, true),
+            () = sleep(SETTINGS_PERIOD) => reload(&mut file, &mut gateway, &mut logs, false),
+        }
+    }
 }
 
-/// The signals that end the process.
+/// Puts the settings file in force if it has changed. Settings with a problem leave the former ones
+/// in force.
+fn reload(file: &mut Watched, gateway: &mut Gateway, logs: &mut Logs, is_asked: bool) {
+    let text = match file.read() {
+        Ok(Some(text)) => text,
+        Ok(None) => {
+            if is_asked {
+                info!("settings have not changed");
+            }
+            return;
+        }
+        Err(error) => {
+            warn!("settings cannot be read; the former ones stay in force: {error}");
+            return;
+        }
+    };
+    match File::parse(&file.path.display().to_string(), &text) {
+        Ok(File::Gateway(settings)) => {
+            if let Err(error) = logs.set_level(settings.log.level) {
+                warn!("log level cannot be changed: {error}");
+            }
+            let waiting = gateway.reload(*settings).join(", ");
+            info!(needs_restart = waiting; "settings are in force");
+        }
+        Ok(File::Tunnel(_)) => warn!("settings are for another mode; the former ones stay"),
+        Err(error) => warn!("settings have a problem; the former ones stay in force: {error}"),
+    }
+}
+
+/// A settings file and its text when it was last read.
+struct Watched {
+    path: PathBuf,
+    text: io::Result<String>,
+}
+
+impl Watched {
+    fn new(path: &Path) -> Watched {
+        Watched { path: path.to_owned(), text: fs::read_to_string(path) }
+    }
+
+    /// Returns the text if it has changed. An error is returned once.
+    fn read(&mut self) -> io::Result<Option<String>> {
+        let text = fs::read_to_string(&self.path);
+        let former = std::mem::replace(&mut self.text, text);
+        match (&self.text, former) {
+            (Ok(text), Ok(former)) if *text == former => Ok(None),
+            (Ok(text), _) => Ok(Some(text.clone())),
+            (Err(_), Err(_)) => Ok(None),
+            (Err(error), Ok(_)) => Err(io::Error::new(error.kind(), error.to_string())),
+        }
+    }
+}
+
+/// The signals that the process handles.
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
 }
 
+fn listen(kind: SignalKind) -> miette::Result<Signal> {
+    signal(kind).into_diagnostic().wrap_err("signals cannot be received")
+}
+
 impl Signals {
     fn listen() -> miette::Result<Signals> {
         let listen = |kind| signal(kind).into_diagnostic().wrap_err("signals cannot be received");
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -16,7 +16,7 @@
     /// apart.
     pub fresh: Duration,
     /// The time since the configuration was confirmed up to which it proves that a route does not
-    /// exist. A watch confirms it every 2 s.
+    /// exist. A watch, which reports changes at once, confirms it every 8 s.
     pub confirmed: Duration,
     /// How long a cookie may be unknown before its flow is reset, if the view was read again
     /// since: the lag of the store's stale reads and one period of reads.
@@ -61,7 +61,7 @@
             gone_memory: Duration::from_secs(60),
             settle: Duration::from_secs(3),
             fresh: Duration::from_millis(1500),
-            confirmed: Duration::from_secs(3),
+            confirmed: Duration::from_secs(10),
             unknown_grace: Duration::from_millis(1300),
             silent_flows: 2,
             lone_silence: Duration::from_millis(600),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -87,6 +87,28 @@
         Ok(Gateway { settings, shared, keeper, tasks, _ready: ready, _scrape: scrape, _stop: stop })
     }
 
+    /// Puts changed settings in force and returns the names of those that need a new start.
+    pub fn reload(&mut self, settings: settings::Gateway) -> Vec<&'static str> {
+        let former = &self.settings;
+        let changed = [
+            ("name", former.name != settings.name),
+            ("zone", former.zone != settings.zone),
+            ("data", former.data != settings.data),
+            ("ready", former.ready != settings.ready),
+            ("admin", former.admin != settings.admin),
+            ("metrics", former.metrics != settings.metrics),
+            ("peer", former.peer != settings.peer),
+            ("platform", former.platform != settings.platform),
+            ("flow_ttl_seconds", former.flow_ttl_seconds != settings.flow_ttl_seconds),
+            ("cold_factor", former.cold_factor != settings.cold_factor),
+            ("cold_slack", former.cold_slack != settings.cold_slack),
+        ];
+        self.settings.drain_seconds = settings.drain_seconds;
+        self.settings.contacts = settings.contacts;
+        self.settings.log = settings.log;
+        changed.into_iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| name).collect()
+    }
+
     /// Stops gracefully: the daemon says at once that it is not ready, and forwards packets until
     /// the fabric sends elsewhere.
     pub async fn stop(self) {
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -17,9 +17,9 @@
 /// stale reads lag by up to 1 s.
 const TARGETS_PERIOD: Duration = Duration::from_millis(500);
 
-/// How long a watch waits. A connection that went silent is noticed after this time at the
-/// latest, and a configuration must be in force within 3 s.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// How long a watch waits. Keep-alive probes notice a connection that went silent within the 3 s
+/// in which a configuration must be in force.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
 
 /// The pace of calls: a failed call is repeated soon, since the daemon serves with an old view.
 const PACE: Pace = Pace {
@@ -48,14 +48,22 @@
     let mut calls = Calls::new(Call::Operator, seed);
     let mut known: Option<Revision> = None;
     loop {
-        calls.wait(&shared).await;
+        calls.wait().await;
         let request = match known {
             None => calls.finish(source.operator().await).map(|read| {
                 known = Some(read.value.revision);
                 Request::Operator(read)
             }),
             Some(after) => {
-                let result = source.changes(after, WATCH_WAIT).await;
+                let call = source.changes(after, WATCH_WAIT);
+                let result = tokio::select! {
+                    result = call => result,
+                    // The connection may not have survived a pause of the process.
+                    () = shared.read_now.notified() => {
+                        known = None;
+                        continue;
+                    }
+                };
                 if result.is_err() {
                     // Changes may have been missed, so everything is read again.
                     known = None;
@@ -83,7 +91,7 @@
     let mut calls = Calls::new(Call::Targets, seed);
     let mut lag = Lag::default();
     loop {
-        calls.wait(&shared).await;
+        calls.wait().await;
         let begun = Instant::now();
         let consistency = lag.next();
         let request = calls.finish(source.targets(consistency).await).map(|read| {
@@ -119,14 +127,9 @@
         Calls { call, schedule: Schedule::new(PACE, seed, Instant::now()), failed_at: None }
     }
 
-    async fn wait(&mut self, shared: &Shared) {
+    async fn wait(&mut self) {
         let next = tokio::time::Instant::from_std(self.schedule.next_start());
-        tokio::select! {
-            () = sleep_until(next) => {}
-            () = shared.read_now.notified(), if self.failed_at.is_none() => {
-                sleep_until(next).await;
-            }
-        }
+        sleep_until(next).await;
         self.schedule.started(Instant::now());
     }
 
