Test gateway mode from end to end and fuzz the adapter

A stand-in for the store, callers and targets with a packet codec of their own, and daemons as processes: requests through any daemon, planned stops, changes and broken changes, outages of the store, settings that change.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`Fabric`]: sprays the callers' packets over the daemons.
 //! - [`Target`] and [`Caller`]: endpoints with a whole TCP stack.
 //! - [`Responder`] and [`Probe`]: endpoints without a stack, for very many flows.
+//! - [`Store`]: the store of the users' platform, for daemons in gateway mode.
 //! - [`scenario`]: a run that changes everything while flows exchange data.
 
 mod caller;
@@ -20,6 +21,7 @@
 pub mod scenario;
 mod segment;
 mod stack;
+mod store;
 mod target;
 mod util;
 
@@ -31,5 +33,6 @@
 pub use probe::{Probe, ProbeConfig, ProbeRecord};
 pub use responder::{Responder, ResponderRecord};
 pub use segment::Segment;
+pub use store::{Answering, Store};
 pub use target::{Controls, Target, TargetConfig, TargetRecord};
 pub use util::free_address;
--- /dev/null
+++ b/testkit/src/store.rs
@@ -0,0 +1,197 @@
+use std::{
+    collections::BTreeMap,
+    io,
+    net::Ipv4Addr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::{
+    http::{Reply, Server, parameter},
+    util::lock,
+};
+
+/// The items of one page.
+const PAGE: usize = 50;
+
+/// How a [`Store`] responds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Answering {
+    /// As documented.
+    #[default]
+    Normal,
+    /// With status 503.
+    Unavailable,
+    /// Not at all.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    answering: Answering,
+    revision: u64,
+    items: BTreeMap<String, Value>,
+    /// All changes, the oldest first.
+    events: Vec<Value>,
+    /// The revision up to which the history was dropped.
+    dropped: u64,
+    calls: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: watch::Sender<()>,
+}
+
+/// A stand-in for the store of the users' platform, as far as daemons read it.
+#[derive(Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Store {
+    /// Starts a store on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the listener.
+    pub fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared { state: Mutex::default(), changed: watch::Sender::new(()) });
+        let handler = shared.clone();
+        let server = Server::start((Ipv4Addr::LOCALHOST, 0).into(), move |uri| {
+            handle(handler.clone(), uri)
+        })?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the base URL, without a slash at the end.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.server.address)
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, content: &[u8]) {
+        let mut state = lock(&self.shared.state);
+        state.revision += 1;
+        let revision = state.revision;
+        let created =
+            state.items.get(key).map_or(json!(revision), |item| item["createdRev"].clone());
+        let value = BASE64_STANDARD.encode(content);
+        let item = json!({
+            "key": key, "value": value, "rev": revision, "createdRev": created, "lease": 0,
+        });
+        state.items.insert(key.to_owned(), item.clone());
+        state.events.push(item);
+        drop(state);
+        self.shared.changed.send_replace(());
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = lock(&self.shared.state);
+        state.revision += 1;
+        let event = json!({ "key": key, "rev": state.revision, "deleted": true });
+        state.items.remove(key);
+        state.events.push(event);
+        drop(state);
+        self.shared.changed.send_replace(());
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut state = lock(&self.shared.state);
+        state.dropped = state.revision;
+        state.events.clear();
+    }
+
+    /// Sets how the store responds.
+    pub fn set_answering(&self, answering: Answering) {
+        lock(&self.shared.state).answering = answering;
+    }
+
+    /// Returns the number of calls.
+    pub fn calls(&self) -> u64 {
+        lock(&self.shared.state).calls
+    }
+}
+
+async fn handle(shared: Arc<Shared>, uri: String) -> Reply {
+    let answering = {
+        let mut state = lock(&shared.state);
+        state.calls += 1;
+        state.answering
+    };
+    match answering {
+        Answering::Normal => {}
+        Answering::Unavailable => return Reply::Json(503, json!({ "error": "unavailable" })),
+        Answering::Silent => std::future::pending().await,
+    }
+    let prefix = text(&uri, "prefix").unwrap_or_default();
+    if uri.starts_with("/banyanwharf/kv-range?") {
+        Reply::Json(200, range(&shared, &prefix, text(&uri, "after").as_deref()))
+    } else if uri.starts_with("/banyanwharf/kv-watch?") {
+        watch(&shared, &prefix, &uri).await
+    } else {
+        Reply::Json(404, json!({ "error": "not found" }))
+    }
+}
+
+fn range(shared: &Shared, prefix: &str, after: Option<&str>) -> Value {
+    let state = lock(&shared.state);
+    let all: Vec<&Value> = state
+        .items
+        .iter()
+        .filter(|(key, _)| {
+            key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
+        })
+        .map(|(_, item)| item)
+        .collect();
+    let page = &all[..all.len().min(PAGE)];
+    json!({ "items": page, "hasMore": all.len() > PAGE, "storeRevision": state.revision })
+}
+
+async fn watch(shared: &Shared, prefix: &str, uri: &str) -> Reply {
+    let after = parameter(uri, "after").unwrap_or(0);
+    let wait = Duration::from_millis(parameter(uri, "waitMs").unwrap_or(0));
+    let mut changed = shared.changed.subscribe();
+    let found = async {
+        loop {
+            changed.mark_unchanged();
+            let reply = events(shared, prefix, after);
+            if matches!(&reply, Reply::Json(200, body) if body["events"] == json!([])) {
+                // The sender lives as long as the server.
+                let _ = changed.changed().await;
+            } else {
+                return reply;
+            }
+        }
+    };
+    let found = tokio::time::timeout(wait, found).await;
+    found.unwrap_or_else(|_| events(shared, prefix, after))
+}
+
+fn events(shared: &Shared, prefix: &str, after: u64) -> Reply {
+    let state = lock(&shared.state);
+    if after < state.dropped {
+        return Reply::Json(410, json!({ "error": "history is gone" }));
+    }
+    let is_wanted = |event: &&Value| {
+        event["rev"].as_u64() > Some(after)
+            && event["key"].as_str().is_some_and(|key| key.starts_with(prefix))
+    };
+    let events: Vec<&Value> = state.events.iter().filter(is_wanted).collect();
+    Reply::Json(200, json!({ "events": events, "storeRevision": state.revision }))
+}
+
+/// Returns the value of a query parameter; slashes are the only characters that are escaped.
+fn text(uri: &str, name: &str) -> Option<String> {
+    let (_, query) = uri.split_once('?')?;
+    let pair = query.split('&').filter_map(|pair| pair.split_once('='));
+    pair.filter(|(key, _)| *key == name).map(|(_, value)| value.replace("%2F", "/")).next()
+}
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,183 @@
+//! What comes from the platform is decoded whole or refused with a typed error; no bytes may panic.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use banyanwharf::{
+    adapter::{Error, HEAD_BYTES, Item, PREFIX_BYTES, Packets, decode_config, decode_entry},
+    cookie::{Availability, Delivery, Flow, Kind, Packet},
+    gateway::{Codec as _, Malformed},
+};
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use bolero::check;
+use serde_json::{Value, json};
+
+/// An opening packet, written by hand: sequence 0x01020304, second copy, from 192.0.2.7:4660 to
+/// 198.51.100.9:443.
+const OPENING: [u8; HEAD_BYTES] = [
+    4, 3, 2, 1, 2, 0, 0, 0, 9, 9, 9, 9, 0, 0, 0, 0, 64, 9, 100, 51, 198, 7, 2, 0, 192, 0x34, 0x12,
+    0xbb, 1, 0, 0,
+];
+
+fn item(key: &str, content: &str) -> Item {
+    let value = BASE64_STANDARD.encode(content);
+    Item { key: key.to_owned(), value, rev: 7, created: 5, deleted: false }
+}
+
+fn entry() -> Value {
+    json!({
+        "service": "web", "address": "10.0.0.9:8080", "zone": "zone-a", "version": "v1",
+        "slots": 4, "state": "ready", "warmupLeftMs": 250, "seqNo": 4, "born": 99,
+    })
+}
+
+fn decode(entry: &Value) -> Result<banyanwharf::cookie::Target, Error> {
+    decode_entry(&item("servers/i-00ff", &entry.to_string()))
+}
+
+/// Guards against fields that are read from the wrong place.
+#[test]
+fn opening_packet_is_decoded() {
+    let packet = Packets.decode(&OPENING).expect("a packet");
+    let flow = Flow {
+        caller: SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 7), 4660),
+        service: SocketAddrV4::new(Ipv4Addr::new(198, 51, 100, 9), 443),
+    };
+    let kind = Kind::Open { attempt: 2 };
+    let (sequence, acknowledged) = (0x0102_0304, 2);
+    assert_eq!(packet, Packet { flow, kind, sequence, acknowledged, cookie: 0, length: 0 });
+}
+
+/// Guards against packets that are changed on their way, other than in the token.
+#[test]
+fn delivery_changes_the_token_only() {
+    let delivery = Delivery {
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+        number: 0x0102_0304_0506_0708,
+        cookie: 0xaabb_ccdd,
+    };
+    let mut buffer = Vec::new();
+    Packets.deliver(&OPENING, &delivery, &mut buffer);
+    assert_eq!(buffer[..PREFIX_BYTES], [1, 2, 3, 4, 5, 6, 7, 8]);
+    let mut expected = OPENING;
+    expected[12..16].copy_from_slice(&[0xdd, 0xcc, 0xbb, 0xaa]);
+    assert_eq!(buffer[PREFIX_BYTES..], expected);
+}
+
+/// Guards against resets that a caller does not accept.
+#[test]
+fn reset_goes_from_service_to_caller() {
+    let packet = Packets.decode(&OPENING).expect("a packet");
+    let mut buffer = Vec::new();
+    Packets.reset(&packet.flow, 0x0a0b_0c0d, &mut buffer);
+    assert_eq!(buffer.len(), HEAD_BYTES);
+    assert_eq!(buffer[..4], [0x0d, 0x0c, 0x0b, 0x0a]);
+    assert_eq!(buffer[8..12], [0; 4], "a reset of the system has no sum");
+    assert_eq!(buffer[16], 4);
+    let reset = Packets.decode(&buffer).expect("a packet");
+    assert_eq!((reset.flow.caller, reset.flow.service), (packet.flow.service, packet.flow.caller));
+}
+
+/// Guards against datagrams that are cut off or padded.
+#[test]
+fn malformed_datagrams_are_refused() {
+    assert_eq!(Packets.decode(&OPENING[..30]), Err(Malformed::Short { length: 30 }));
+    let mut padded = OPENING.to_vec();
+    padded.push(0);
+    assert_eq!(Packets.decode(&padded), Err(Malformed::Length { stated: 0, found: 1 }));
+}
+
+/// Guards against a caller's bytes that end the daemon, and against packets that are delivered in
+/// another form than they came.
+#[test]
+fn no_datagram_panics() {
+    check!().for_each(|bytes: &[u8]| {
+        let Ok(packet) = Packets.decode(bytes) else {
+            return;
+        };
+        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+        let delivery = Delivery { address, number: 1, cookie: packet.cookie };
+        let mut buffer = Vec::new();
+        Packets.deliver(bytes, &delivery, &mut buffer);
+        assert_eq!(&buffer[PREFIX_BYTES..], bytes);
+    });
+}
+
+/// Guards against entries and configurations of foreign writers that end the daemon.
+#[test]
+fn no_item_panics() {
+    check!().for_each(|bytes: &[u8]| {
+        let content = String::from_utf8_lossy(bytes);
+        let _ = decode_entry(&item("servers/i-1", &content));
+        let _ = decode_entry(&item(&content, "{}"));
+        let _ = decode_config(&item("op/config", &content));
+        let value = content.into_owned();
+        let _ = decode_entry(&Item { key: "servers/i-1".to_owned(), value, ..Item::default() });
+    });
+}
+
+#[test]
+fn entry_is_decoded() {
+    let target = decode(&entry()).expect("a target");
+    assert_eq!((target.number, target.born, target.revision), (0xff, 99, 7));
+    assert_eq!(target.cold_for.as_millis(), 250);
+    assert_eq!(target.availability, Availability::Ready);
+    let mut unborn = entry();
+    unborn.as_object_mut().expect("an object").remove("born");
+    assert_eq!(decode(&unborn).expect("a target").born, 5, "the creation stands for the start");
+}
+
+/// Guards against foreign entries that get flows.
+#[test]
+fn foreign_entries_name_no_target() {
+    for field in ["service", "address", "zone", "version", "slots", "state", "seqNo"] {
+        let mut foreign = entry();
+        foreign.as_object_mut().expect("an object").remove(field);
+        assert!(matches!(decode(&foreign), Err(Error::Fields(_))), "without {field}");
+        foreign[field] = json!([1]);
+        assert!(decode(&foreign).is_err(), "{field} of another type");
+    }
+    for (field, value) in [
+        ("state", json!("sleeping")),
+        ("address", json!("10.0.0.9")),
+        ("warmupLeftMs", json!(-5)),
+        ("slots", json!(-1)),
+        ("born", json!("yesterday")),
+    ] {
+        let mut foreign = entry();
+        foreign[field] = value;
+        assert!(decode(&foreign).is_err(), "{field}");
+    }
+    let key = decode_entry(&item("servers/somebody", &entry().to_string()));
+    assert!(matches!(key, Err(Error::Id { .. })));
+}
+
+/// Guards against a part of a configuration in force.
+#[test]
+fn broken_configurations_are_refused_whole() {
+    let whole = json!({
+        "version": 4,
+        "routes": [
+            { "name": "a", "host": "198.51.100.9", "prefix": "/443/", "service": "web" },
+            { "name": "b", "host": "198.51.100.9", "prefix": "/80/",
+              "split": [{ "service": "web", "weight": 90 }, { "service": "files", "weight": 10 }] },
+        ],
+        "services": [{ "name": "web", "warmupS": 2.0, "warmupPerS": 8.0 }],
+        "limits": { "idleTimeoutMs": 15000 },
+    });
+    let decode = |value: &Value| decode_config(&item("op/config", &value.to_string()));
+    let config = decode(&whole).expect("a configuration");
+    assert_eq!((config.version, config.revision, config.routes.len()), (4, 7, 2));
+    assert_eq!(config.services["web"].cold_rate, 8.0);
+    for (pointer, value) in [
+        ("/routes/0/host", json!("nowhere")),
+        ("/routes/0/prefix", json!("443")),
+        ("/routes/0/service", json!(null)),
+        ("/routes/1/split/0/weight", json!(-1)),
+        ("/services/0/warmupS", json!(-1)),
+        ("/version", json!("four")),
+    ] {
+        let mut broken = whole.clone();
+        *broken.pointer_mut(pointer).expect("a field") = value;
+        assert!(decode(&broken).is_err(), "{pointer}");
+    }
+}
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,191 @@
+//! Daemons in gateway mode must serve requests from end to end, through changes and failures of the
+//! store, with stand-ins for store, callers and targets.
+
+#![allow(dead_code)]
+
+mod gateways;
+
+use std::{
+    fs,
+    net::Ipv4Addr,
+    sync::atomic::{AtomicU16, Ordering},
+};
+
+use banyanwharf_testkit::{Answering, Store};
+use gateways::{
+    caller::{Caller, Outcome},
+    daemon::{Daemon, until},
+    target::Target,
+};
+use serde_json::{Value, json};
+
+const WEB: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 80);
+const FILES: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8080);
+
+/// The ports of the next test, below the range of outgoing connections. Tests of one process run
+/// at the same time.
+static PORT: AtomicU16 = AtomicU16::new(0);
+
+fn port() -> u16 {
+    let first = 21_000 + (std::process::id() % 100) as u16 * 100;
+    first + PORT.fetch_add(10, Ordering::Relaxed)
+}
+
+fn config(version: u64, services: &[(u16, &str)]) -> Value {
+    let route = |(port, service): &(u16, &str)| {
+        json!({
+            "name": format!("r-{port}"), "host": "198.18.0.1", "prefix": format!("/{port}/"),
+            "routeType": "safe", "timeoutMs": 2000, "targetLatencyMs": 100, "priority": 1,
+            "service": service, "attempts": 2,
+        })
+    };
+    let service = |name: &str| {
+        json!({
+            "name": name, "healthPath": "/health", "maxConns": 100, "protocol": "h1",
+            "tls": false, "warmupS": 1.0, "warmupPerS": 0.0,
+        })
+    };
+    json!({
+        "version": version, "routes": services.iter().map(route).collect::<Vec<_>>(),
+        "services": [service("web"), service("files")],
+        "limits": { "idleTimeoutMs": 15_000 },
+    })
+}
+
+/// A store with both services, and two targets of each.
+async fn platform(port: u16) -> (Store, Vec<Target>) {
+    let store = Store::start().expect("a store");
+    let document = config(3, &[(80, "web"), (8080, "files")]);
+    store.put("op/config", document.to_string().as_bytes());
+    let mut targets = Vec::new();
+    for (number, service) in [(1, "web"), (2, "web"), (3, "files"), (4, "files")] {
+        let target = Target::start(number, service, "zone-a", port).await;
+        target.register(&store, "ready");
+        targets.push(target);
+    }
+    (store, targets)
+}
+
+/// Guards against a break anywhere on the way of a request, and against flows that depend on the
+/// daemon that opened them.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_through_any_daemon() {
+    let port = port();
+    let (store, targets) = platform(port).await;
+    let first = Daemon::start(1, "zone-a", port, &store, 2);
+    let second = Daemon::start(2, "zone-a", port, &store, 1);
+    first.until_ready().await;
+    second.until_ready().await;
+    for (number, service, allowed) in [(1, WEB, 1..=2), (2, FILES, 3..=4)] {
+        let mut caller = Caller::new(number, port, service).await;
+        let Outcome::Served(target) = caller.open_and_request(first.data).await else {
+            panic!("not served: {}", first.log())
+        };
+        assert!(allowed.contains(&target));
+        for daemon in [&second, &first, &second] {
+            assert_eq!(caller.request(daemon.data).await, Outcome::Served(target));
+        }
+    }
+    assert!(targets.iter().all(|target| target.seen.strays.load(Ordering::Relaxed) == 0));
+}
+
+/// Guards against planned stops that cut requests: the fabric hears at once, and packets are
+/// forwarded until it sends elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_daemon_forwards_until_the_fabric_sends_elsewhere() {
+    let port = port();
+    let (store, _targets) = platform(port).await;
+    let mut daemon = Daemon::start(1, "zone-a", port, &store, 2);
+    daemon.until_ready().await;
+    let mut caller = Caller::new(1, port, WEB).await;
+    let served = caller.open_and_request(daemon.data).await;
+    daemon.signal("-TERM");
+    until("not ready", async || daemon.readiness().await == 503).await;
+    assert_eq!(caller.request(daemon.data).await, served);
+    assert_eq!(daemon.exit_code().await, Some(0));
+}
+
+/// Guards against changes that do not take force, and against broken ones that do.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_take_force_and_broken_ones_do_not() {
+    let port = port();
+    let (store, targets) = platform(port).await;
+    let daemon = Daemon::start(1, "zone-a", port, &store, 2);
+    daemon.until_ready().await;
+    let mut caller = Caller::new(1, port, WEB).await;
+
+    // A foreign entry names no target.
+    store.put("servers/i-000000ff", b"{\"service\": \"web\"}");
+    daemon.until_logged("item of the store is ignored").await;
+
+    targets[0].register(&store, "draining");
+    daemon.until_logged("Draining").await;
+    for _ in 0..10 {
+        assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(2));
+    }
+
+    // History that is gone must not hide the next change.
+    store.compact();
+    store.put("op/evacuate/zone-a", b"{}");
+    until("nothing is left", async || caller.open(daemon.data).await == Outcome::Reset).await;
+    store.remove("op/evacuate/zone-a");
+    until("the zone is back", async || {
+        caller.open_and_request(daemon.data).await == Outcome::Served(2)
+    })
+    .await;
+
+    store.put("op/config", b"{\"version\": 9}");
+    daemon.until_logged("op/config").await;
+    assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(2));
+
+    store.put("op/config", config(12, &[(8080, "files")]).to_string().as_bytes());
+    until("the route is gone", async || caller.open(daemon.data).await == Outcome::Reset).await;
+}
+
+/// Guards against a daemon that stops to serve when the store does not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_serves_without_the_store() {
+    let port = port();
+    let (store, targets) = platform(port).await;
+    let daemon = Daemon::start(1, "zone-a", port, &store, 2);
+    daemon.until_ready().await;
+    let mut caller = Caller::new(1, port, WEB).await;
+    for answering in [Answering::Unavailable, Answering::Silent] {
+        store.set_answering(answering);
+        daemon.until_logged("store does not answer").await;
+        let outcome = caller.open_and_request(daemon.data).await;
+        assert!(matches!(outcome, Outcome::Served(1 | 2)), "{outcome:?}");
+        store.set_answering(Answering::Normal);
+        daemon.until_logged("store answers again").await;
+    }
+    // A target that ended while the store was away is noticed afterwards.
+    let Outcome::Served(held) = caller.open_and_request(daemon.data).await else {
+        panic!("not served")
+    };
+    let ended = &targets[held as usize - 1];
+    ended.seen.is_silent.store(true, Ordering::Relaxed);
+    ended.leave(&store);
+    until("the flow is reset", async || caller.request(daemon.data).await == Outcome::Reset).await;
+    assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(3 - held));
+}
+
+/// Guards against settings that change without effect, and against a signal that ends the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_read_again() {
+    let port = port();
+    let (store, _targets) = platform(port).await;
+    let mut daemon = Daemon::start(1, "zone-a", port, &store, 2);
+    daemon.until_ready().await;
+    daemon.signal("-HUP");
+    daemon.until_logged("settings have not changed").await;
+    fs::write(daemon.settings_file(), "{ \"mode\": ").expect("written");
+    daemon.until_logged("settings have a problem").await;
+    let mut settings = daemon.settings().clone();
+    settings["log"]["level"] = json!("info");
+    settings["zone"] = json!("zone-b");
+    fs::write(daemon.settings_file(), settings.to_string()).expect("written");
+    daemon.until_logged("settings are in force").await;
+    assert!(daemon.log().contains("\"needs_restart\":\"zone\""));
+    daemon.signal("-TERM");
+    assert_eq!(daemon.exit_code().await, Some(0));
+}
--- /dev/null
+++ b/tests/gateways/caller.rs
@@ -0,0 +1,123 @@
+//! A caller with one flow.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use tokio::{net::UdpSocket, time::timeout};
+
+use super::segment::{ACK, RST, SYN, Segment};
+
+/// The longest wait for a response on the loopback interface.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// How often a packet is sent before the caller gives up.
+const COPIES: u32 = 10;
+
+/// What a request came to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// The number of the target that answered.
+    Served(u64),
+    Reset,
+    TimedOut,
+}
+
+/// A caller at its own loopback address; it receives at the daemons' port.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    socket: UdpSocket,
+    address: (Ipv4Addr, u16),
+    service: (Ipv4Addr, u16),
+    token: u32,
+    sequence: u32,
+    acknowledged: u32,
+}
+
+impl Caller {
+    pub(crate) async fn new(number: u8, data_port: u16, service: (Ipv4Addr, u16)) -> Caller {
+        let ip = Ipv4Addr::new(127, 0, 9, number);
+        let socket = UdpSocket::bind((ip, data_port)).await.expect("a free address");
+        let address = (ip, 5_000);
+        Caller { socket, address, service, token: 0, sequence: 100, acknowledged: 0 }
+    }
+
+    /// Opens a new flow from another port.
+    pub(crate) async fn open(&mut self, daemon: SocketAddr) -> Outcome {
+        self.address.1 += 1;
+        self.token = 0;
+        self.sequence = 100;
+        for copy in 0..COPIES {
+            let mut segment = self.segment(SYN, Vec::new());
+            segment.acknowledged = copy;
+            match self.exchange(daemon, &segment).await {
+                Some(answer) if answer.flags & RST != 0 => return Outcome::Reset,
+                Some(answer) => {
+                    assert_eq!(answer.flags, SYN | ACK);
+                    self.token = answer.token;
+                    self.acknowledged = answer.sequence;
+                    return Outcome::Served(0);
+                }
+                None => {}
+            }
+        }
+        Outcome::TimedOut
+    }
+
+    /// Sends a request on the open flow through `daemon`.
+    pub(crate) async fn request(&mut self, daemon: SocketAddr) -> Outcome {
+        let segment = self.segment(ACK, b"request".to_vec());
+        for _ in 0..COPIES {
+            match self.exchange(daemon, &segment).await {
+                Some(answer) if answer.flags & RST != 0 => return Outcome::Reset,
+                Some(answer) => {
+                    self.token = answer.token;
+                    self.sequence += segment.data.len() as u32;
+                    self.acknowledged = answer.sequence + answer.data.len() as u32;
+                    let text = String::from_utf8(answer.data).expect("a number");
+                    return Outcome::Served(text.parse().expect("a number"));
+                }
+                None => {}
+            }
+        }
+        Outcome::TimedOut
+    }
+
+    /// Opens a flow and sends a request on it.
+    pub(crate) async fn open_and_request(&mut self, daemon: SocketAddr) -> Outcome {
+        match self.open(daemon).await {
+            Outcome::Served(_) => self.request(daemon).await,
+            other => other,
+        }
+    }
+
+    fn segment(&self, flags: u8, data: Vec<u8>) -> Segment {
+        Segment {
+            sequence: self.sequence,
+            acknowledged: self.acknowledged,
+            token: self.token,
+            flags,
+            destination: self.service,
+            source: self.address,
+            data,
+        }
+    }
+
+    /// Sends a packet and returns the next one of this flow.
+    async fn exchange(&self, daemon: SocketAddr, segment: &Segment) -> Option<Segment> {
+        self.socket.send_to(&segment.encode(), daemon).await.expect("the packet is sent");
+        let mut buffer = [0; 2048];
+        let receive = async {
+            loop {
+                let received = self.socket.recv_from(&mut buffer).await;
+                let (length, _) = received.expect("the socket works");
+                let answer = Segment::decode(&buffer[..length]);
+                if answer.destination == self.address {
+                    return answer;
+                }
+            }
+        };
+        timeout(PATIENCE, receive).await.ok()
+    }
+}
--- /dev/null
+++ b/tests/gateways/daemon.rs
@@ -0,0 +1,120 @@
+//! The daemon as a process in gateway mode.
+
+use std::{
+    fs::{self, File},
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use banyanwharf_testkit::{Store, get};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::{
+    process::{Child, Command as Spawner},
+    time::{sleep, timeout},
+};
+
+/// The longest wait for a condition.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The offsets of a daemon's ports from the data port.
+const READY: u16 = 1;
+const ADMIN: u16 = 2;
+const PEER: u16 = 3;
+const METRICS: u16 = 4;
+
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    pub(crate) data: SocketAddr,
+    folder: TempDir,
+    settings: Value,
+    child: Child,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.folder.disable_cleanup(std::thread::panicking());
+    }
+}
+
+/// Returns the address of daemon `number`.
+pub(crate) fn address(number: u8, port: u16) -> SocketAddr {
+    (Ipv4Addr::new(127, 0, 8, number), port).into()
+}
+
+impl Daemon {
+    /// Starts a daemon. All daemons use the same ports at their own addresses.
+    pub(crate) fn start(number: u8, zone: &str, port: u16, store: &Store, contact: u8) -> Daemon {
+        let folder = TempDir::new().expect("a folder");
+        let at = |offset: u16| address(number, port + offset).to_string();
+        let settings = json!({
+            "mode": "gateway", "name": format!("entry-{number}"), "region": "here", "zone": zone,
+            "data": at(0), "ready": at(READY), "admin": at(ADMIN), "peer": at(PEER),
+            "metrics": at(METRICS), "platform": store.url(),
+            "contacts": [address(contact, port + ADMIN).to_string()],
+            "log": { "format": "json", "stream": "stdout", "level": "debug" },
+        });
+        fs::write(folder.path().join("settings.jsonc"), settings.to_string()).expect("written");
+        let log = File::create(folder.path().join("log")).expect("a file");
+        let mut command = Spawner::new(env!("CARGO_BIN_EXE_banyanwharfd"));
+        command.arg(folder.path().join("settings.jsonc")).stdout(log).kill_on_drop(true);
+        let child = command.spawn().expect("the daemon starts");
+        Daemon { data: address(number, port), folder, settings, child }
+    }
+
+    pub(crate) fn admin(&self) -> SocketAddr {
+        (self.data.ip(), self.data.port() + ADMIN).into()
+    }
+
+    pub(crate) fn metrics(&self) -> String {
+        format!("http://{}:{}/metrics", self.data.ip(), self.data.port() + METRICS)
+    }
+
+    pub(crate) fn settings_file(&self) -> PathBuf {
+        self.folder.path().join("settings.jsonc")
+    }
+
+    pub(crate) fn settings(&self) -> &Value {
+        &self.settings
+    }
+
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(self.folder.path().join("log")).expect("a log")
+    }
+
+    /// Returns the status that the fabric gets, or 0 if there is no answer.
+    pub(crate) async fn readiness(&self) -> u16 {
+        let ready = SocketAddr::from((self.data.ip(), self.data.port() + READY));
+        get(&format!("http://{ready}/banyanwharf/ready")).await.map_or(0, |(status, _)| status)
+    }
+
+    pub(crate) async fn until_ready(&self) {
+        until("ready", async || self.readiness().await == 200).await;
+    }
+
+    pub(crate) async fn until_logged(&self, text: &str) {
+        until(text, async || self.log().contains(text)).await;
+    }
+
+    pub(crate) fn signal(&self, signal: &str) {
+        let process = self.child.id().expect("it runs").to_string();
+        let status = Command::new("kill").args([signal, &process]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub(crate) async fn exit_code(&mut self) -> Option<i32> {
+        let exit = timeout(PATIENCE, self.child.wait()).await;
+        exit.expect("it exits").expect("a child").code()
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < PATIENCE, "{what}: not after {PATIENCE:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/tests/gateways/mod.rs
@@ -0,0 +1,6 @@
+//! Callers and targets that speak the packets of the users' platform, and daemons as processes.
+
+pub(crate) mod caller;
+pub(crate) mod daemon;
+pub(crate) mod segment;
+pub(crate) mod target;
--- /dev/null
+++ b/tests/gateways/segment.rs
@@ -0,0 +1,53 @@
+//! A packet as its ends write it. This codec is written apart from the one under test.
+
+use std::net::Ipv4Addr;
+
+pub(crate) const SYN: u8 = 64;
+pub(crate) const ACK: u8 = 8;
+pub(crate) const RST: u8 = 4;
+
+const HEAD: usize = 31;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Segment {
+    pub(crate) sequence: u32,
+    pub(crate) acknowledged: u32,
+    pub(crate) token: u32,
+    pub(crate) flags: u8,
+    pub(crate) destination: (Ipv4Addr, u16),
+    pub(crate) source: (Ipv4Addr, u16),
+    pub(crate) data: Vec<u8>,
+}
+
+impl Segment {
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        for field in [self.sequence, self.acknowledged, 0x5eed, self.token] {
+            bytes.extend(field.to_le_bytes());
+        }
+        bytes.push(self.flags);
+        bytes.extend(self.destination.0.to_bits().to_le_bytes());
+        bytes.extend(self.source.0.to_bits().to_le_bytes());
+        for field in [self.source.1, self.destination.1, self.data.len() as u16] {
+            bytes.extend(field.to_le_bytes());
+        }
+        bytes.extend(&self.data);
+        bytes
+    }
+
+    pub(crate) fn decode(bytes: &[u8]) -> Segment {
+        let long = |at: usize| u32::from_le_bytes(bytes[at..at + 4].try_into().expect("4 bytes"));
+        let short = |at: usize| u16::from_le_bytes(bytes[at..at + 2].try_into().expect("2 bytes"));
+        let data = bytes[HEAD..].to_vec();
+        assert_eq!(usize::from(short(29)), data.len());
+        Segment {
+            sequence: long(0),
+            acknowledged: long(4),
+            token: long(12),
+            flags: bytes[16],
+            destination: (Ipv4Addr::from_bits(long(17)), short(27)),
+            source: (Ipv4Addr::from_bits(long(21)), short(25)),
+            data,
+        }
+    }
+}
