--- a/src/admin/member.rs
+++ b/src/admin/member.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::member::{Incarnation, Status};
+use crate::member::{self, Incarnation, Status};
 
 /// A member as the answering daemon knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,3 +25,18 @@
     /// The time in this state in seconds.
     pub since_seconds: u64,
 }
+
+impl From<&member::Member> for Member {
+    fn from(member: &member::Member) -> Member {
+        Member {
+            name: member.info.name.clone(),
+            region: member.info.region.clone(),
+            zone: member.info.zone.clone(),
+            peer: member.info.peer,
+            admin: member.info.admin,
+            state: member.status,
+            incarnation: member.incarnation,
+            since_seconds: member.since.elapsed().as_secs(),
+        }
+    }
+}
--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -2,7 +2,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddrV4,
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use crate::cookie::{
@@ -143,8 +143,14 @@
             return Applied::Old;
         }
         let is_same = listing.revision == self.revision && self.read_at.is_some();
-        self.revision = listing.revision;
+        self.replace(now, listing);
         self.read_at = Some(now);
+        if is_same { Applied::Same } else { Applied::New }
+    }
+
+    /// Replaces the targets by those of a newer read.
+    fn replace(&mut self, now: Instant, listing: Listing) {
+        self.revision = listing.revision;
         let mut missing: BTreeSet<Arc<str>> = self.known.keys().cloned().collect();
         for target in listing.targets {
             missing.remove(&target.name);
@@ -162,7 +168,32 @@
         };
         self.known.retain(|_, known| is_remembered(known));
         self.replaced.retain(is_remembered);
-        if is_same { Applied::Same } else { Applied::New }
+    }
+
+    /// Applies what another daemon knows, which read the targets `age` ago.
+    ///
+    /// It says nothing about whether the store answers this daemon.
+    pub fn apply_peer(
+        &mut self,
+        now: Instant,
+        age: Duration,
+        operator: &Operator,
+        listing: Listing,
+    ) -> Applied {
+        let applied = self.apply_operator(now, operator);
+        let read_at = now.checked_sub(age);
+        let is_older = read_at < self.read_at && self.read_at.is_some();
+        if read_at.is_none() || is_older || listing.revision < self.revision {
+            return applied;
+        }
+        self.replace(now, listing);
+        self.read_at = read_at;
+        Applied::New
+    }
+
+    /// Returns the time since the targets were read.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.read_at.map(|read_at| now.saturating_duration_since(read_at))
     }
 
     /// Returns what operators published, for another daemon.
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -40,9 +40,9 @@
     pub fn new(zone: Arc<str>, tuning: Tuning) -> Forwarder {
         let flows = Flows::new(tuning.flows);
         Forwarder {
+            zone_daemons: tuning.unknown_zone_daemons,
             tuning,
             zone,
-            zone_daemons: 1,
             view: Arc::default(),
             flows,
             observed: HashMap::new(),
@@ -61,9 +61,9 @@
         self.view = view;
     }
 
-    /// Sets the number of daemons in the own zone, with this one.
+    /// Sets the number of daemons in the own zone, with this one; 0 if it is not known.
     pub fn set_zone_daemons(&mut self, count: usize) {
-        self.zone_daemons = count.max(1);
+        self.zone_daemons = if count == 0 { self.tuning.unknown_zone_daemons } else { count };
     }
 
     /// Notes that the process was paused: opening packets that waited are dropped until the view
@@ -89,12 +89,23 @@
 
     /// Returns the open flows at a target that passed through this daemon, and whether the target
     /// is regarded as silent.
-    pub fn observation(&self, cookie: Cookie) -> (u32, bool) {
+    fn observation(&self, cookie: Cookie) -> (u32, bool) {
         let observed = self.observed.get(&cookie);
         let is_silent = observed.is_some_and(|target| target.evidence.is_silent());
         (self.flows.load(cookie).open, is_silent)
     }
 
+    /// Returns the open flows of each target, and whether the target is regarded as silent.
+    pub fn observations(&self) -> Vec<(Cookie, u32, bool)> {
+        let entries = self.view.entries().iter();
+        entries
+            .map(|entry| {
+                let (open, is_silent) = self.observation(entry.cookie);
+                (entry.cookie, open, is_silent)
+            })
+            .collect()
+    }
+
     /// Returns the target that a flow was last seen on.
     pub fn seen(&self, flow: &Flow) -> Option<&Entry> {
         self.view.target(self.flows.cookie(flow)?)
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -46,6 +46,9 @@
     pub cold_factor: f64,
     /// The new flows a second that a cold target bears on top.
     pub cold_slack: f64,
+    /// The daemons that a zone is taken to have while the others are not known, so that cold
+    /// targets are not overrun after a start.
+    pub unknown_zone_daemons: usize,
     /// The load of a cold target counts this much more.
     pub cold_load: f64,
     /// What the way to another zone counts as load, in requests a slot.
@@ -74,6 +77,7 @@
             flows: 100_000,
             cold_factor: 1.5,
             cold_slack: 5.0,
+            unknown_zone_daemons: 12,
             cold_load: 2.0,
             away_load: 0.25,
             pause_hold: Duration::from_millis(300),
--- /dev/null
+++ b/src/gateway/answers.rs
@@ -0,0 +1,248 @@
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use ractor::{ActorRef, RpcReplyPort, rpc::CallResult};
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    admin::{
+        Accepted, Explanation, Flows, InForce, Member, Platform, Question, Receiver, Request,
+        Status, Target, TargetFlows, TicketState, Tickets, Zone,
+    },
+    cookie::{Availability, Entry, Flow, Standing, View},
+    flow::Protocol,
+    gateway::{command::Command, keeper, members, shared::Shared},
+    load::Class,
+    member::{self, Info},
+    ticket::{TargetState, ZoneState},
+};
+
+/// How long an actor may take to answer.
+const ACTOR_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The object that a configuration sets, in the words of the admin API.
+const CONFIG_OBJECT: &str = "configuration";
+
+/// Answers the calls of the admin API. A version of the configuration takes the place of a ticket.
+#[derive(Clone)]
+pub(super) struct Answerer {
+    pub(super) info: Info,
+    pub(super) incarnation: member::Incarnation,
+    pub(super) started: Instant,
+    pub(super) shared: Arc<Shared>,
+    pub(super) keeper: ActorRef<keeper::Request>,
+    pub(super) members: Option<ActorRef<members::Request>>,
+    pub(super) commands: mpsc::Sender<Command>,
+}
+
+impl Answerer {
+    /// Answers requests until the server has stopped. A request that cannot be answered loses its
+    /// reply channel, which the server reports to the client.
+    pub(super) async fn run(self, mut requests: Receiver) {
+        while let Some(request) = requests.recv().await {
+            let answerer = self.clone();
+            tokio::spawn(async move { answerer.answer(request).await });
+        }
+    }
+
+    async fn answer(&self, request: Request) -> Option<()> {
+        match request {
+            Request::Status(reply) => reply.send(self.status()).ok(),
+            Request::Members(reply) => reply.send(self.members()).ok(),
+            Request::Zones(reply) => reply.send(self.zones().await?).ok(),
+            Request::Targets(reply) => reply.send(self.targets().await?).ok(),
+            Request::Tickets(reply) => reply.send(self.tickets()).ok(),
+            Request::TicketInForce(number, reply) => {
+                let state = match self.shared.view.load().version() {
+                    Some(version) if version >= number => TicketState::InForce,
+                    _ => TicketState::Unknown,
+                };
+                reply.send(InForce { name: self.info.name.clone(), number, state }).ok()
+            }
+            Request::Explain(question, reply) => reply.send(self.explain(question).await?).ok(),
+            Request::Flows(reply) => reply.send(self.flows().await?).ok(),
+            Request::MemberSnapshot(reply) => {
+                let members = self.members.as_ref()?;
+                reply.send(value(&call(members, members::Request::Snapshot).await?)?).ok()
+            }
+            Request::StateSnapshot(reply) => {
+                reply.send(value(&call(&self.keeper, keeper::Request::State).await?)?).ok()
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let view = self.shared.view.load();
+        let members = self.shared.members.load();
+        let alive = members.iter().filter(|(_, member)| member.status == member::Status::Alive);
+        let own = members.get(self.info.id());
+        Status {
+            name: self.info.name.clone(),
+            region: self.info.region.clone(),
+            zone: self.info.zone.clone(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            state: own.map_or(member::Status::Alive, |member| member.status),
+            incarnation: self.incarnation,
+            is_ready: self.shared.is_ready(),
+            is_stale: !view.is_settled,
+            uptime_seconds: self.started.elapsed().as_secs(),
+            members_alive: alive.count().max(1) as u64,
+            highest_ticket: view.version(),
+            digest: self.digest(&view),
+            platform: Platform {
+                is_reader: true,
+                index: view.revision,
+                failures: self.shared.failing_calls(),
+                last_success_seconds: view.read_at.map(|read| read.elapsed().as_secs()),
+            },
+        }
+    }
+
+    fn digest(&self, view: &View) -> Arc<str> {
+        format!("{:x}-{:x}", view.version().unwrap_or(0), view.revision).into()
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let view = self.shared.members.load();
+        let mut members: Vec<Member> =
+            view.iter().map(|(_, member)| Member::from(member)).collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+
+    async fn zones(&self) -> Option<Vec<Zone>> {
+        let operator = call(&self.keeper, keeper::Request::State).await?.operator;
+        let view = self.shared.view.load();
+        let members = self.shared.members.load();
+        let mut names: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
+        names.extend(members.iter().map(|(_, member)| member.info.zone.clone()));
+        names.extend(present(&view).map(|entry| entry.target.zone.clone()));
+        let zone = |name: Arc<str>| {
+            let alive = members.iter().filter(|(_, member)| {
+                member.status == member::Status::Alive && member.info.zone == name
+            });
+            let state = match operator.zones_out.contains(&name) {
+                true => ZoneState::Out,
+                false => ZoneState::In,
+            };
+            let targets = present(&view).filter(|entry| entry.target.zone == name).count();
+            let (members_alive, targets) = (alive.count() as u64, targets as u64);
+            Zone { state, ticket: None, members_alive, targets, name }
+        };
+        Some(names.into_iter().map(zone).collect())
+    }
+
+    async fn targets(&self) -> Option<Vec<Target>> {
+        let observations = self.observations().await?;
+        let view = self.shared.view.load();
+        let now = Instant::now();
+        let mut targets: Vec<Target> = present(&view)
+            .map(|entry| {
+                let target = &entry.target;
+                let found = observations.iter().find(|(cookie, ..)| *cookie == entry.cookie);
+                let (flows, is_silent) = found.map_or((0, false), |(_, open, is)| (*open, *is));
+                Target {
+                    service: target.service.clone(),
+                    name: target.name.clone(),
+                    zone: target.zone.clone(),
+                    address: SocketAddr::V4(target.address),
+                    state: match target.availability {
+                        Availability::Ready => TargetState::Active,
+                        Availability::Draining => TargetState::Draining,
+                    },
+                    class: if entry.is_cold(now) { Class::Cold } else { Class::Normal },
+                    is_ejected: is_silent,
+                    is_placeable: entry.is_usable && !is_silent,
+                    weight: target.slots.try_into().unwrap_or(u16::MAX),
+                    flows: flows.into(),
+                    ticket: view.version().unwrap_or(0),
+                }
+            })
+            .collect();
+        targets.sort_by(|a, b| (&a.service, &a.name).cmp(&(&b.service, &b.name)));
+        Some(targets)
+    }
+
+    fn tickets(&self) -> Tickets {
+        let view = self.shared.view.load();
+        let accepted =
+            view.version().map(|number| Accepted { number, objects: vec![CONFIG_OBJECT.into()] });
+        Tickets {
+            digest: self.digest(&view),
+            accepted: accepted.into_iter().collect(),
+            refused: Vec::new(),
+        }
+    }
+
+    async fn explain(&self, question: Question) -> Option<Explanation> {
+        let Question { protocol: Protocol::Tcp, caller, service } = question else {
+            return None;
+        };
+        let (SocketAddr::V4(caller), SocketAddr::V4(address)) = (caller, service) else {
+            return None;
+        };
+        let flow = Flow { caller, service: address };
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(Command::Seen(flow, reply)).await.ok()?;
+        let seen = answer.await.ok()?;
+        let view = self.shared.view.load();
+        let route = view.route(address);
+        let cookie = seen.as_ref().map_or(0, |entry| entry.cookie);
+        Some(Explanation {
+            name: self.info.name.clone(),
+            service: route.and_then(|route| route.shares.first()).map(|s| s.service.clone()),
+            fingerprint: format!("{cookie:08x}").into(),
+            slot: 0,
+            primary: None,
+            secondary: None,
+            former: Vec::new(),
+            is_unsettled: !view.is_settled,
+            record: None,
+            cached: seen.map(|entry| entry.target.name.clone()),
+            bases: Vec::new(),
+        })
+    }
+
+    async fn flows(&self) -> Option<Flows> {
+        let observations = self.observations().await?;
+        let view = self.shared.view.load();
+        let targets = observations.into_iter().filter(|(_, open, _)| *open > 0);
+        let targets = targets.filter_map(|(cookie, open, _)| {
+            let target = &view.target(cookie)?.target;
+            let (service, target) = (target.service.clone(), target.name.clone());
+            Some(TargetFlows { service, target, flows: open.into() })
+        });
+        let cached = self.shared.observed.load().flows;
+        Some(Flows { cached, targets: targets.collect(), ..Flows::default() })
+    }
+
+    async fn observations(&self) -> Option<Vec<(crate::cookie::Cookie, u32, bool)>> {
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(Command::Observations(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
+
+fn present(view: &View) -> impl Iterator<Item = &Entry> {
+    view.entries().iter().filter(|entry| entry.standing != Standing::Gone)
+}
+
+async fn call<M: ractor::Message, T: Send + 'static>(
+    actor: &ActorRef<M>,
+    request: impl FnOnce(RpcReplyPort<T>) -> M,
+) -> Option<T> {
+    match actor.call(request, Some(ACTOR_TIMEOUT)).await {
+        Ok(CallResult::Success(answer)) => Some(answer),
+        _ => None,
+    }
+}
+
+fn value(snapshot: &impl Serialize) -> Option<Box<RawValue>> {
+    to_raw_value(snapshot).ok()
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -1,35 +1,46 @@
 use std::{
     net::{SocketAddr, UdpSocket},
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use log::info;
+use log::{info, warn};
 use ractor::{Actor, ActorRef};
 use rand::RngExt as _;
-use tokio::{sync::oneshot, task::AbortHandle};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::AbortHandle,
+};
 
 use crate::{
+    admin,
     cookie::{Forwarder, Tuning},
     gateway::{
-        Codec, Error, Result, Source, keeper, keeper::Keeper, metrics, packets::PacketLoop, reader,
-        readiness, shared::Shared,
+        Codec, Error, Result, Source, answers::Answerer, help::Helper, keeper, keeper::Keeper,
+        members, members::Members, metrics, packets::PacketLoop, reader, readiness, shared::Shared,
     },
+    member::{self, Detector, Info},
     settings,
     telemetry::{Metrics, Server},
     util::Listener,
+    wire::{Keyring, Sender},
 };
 
 /// How long the fabric needs to send elsewhere: two misses at two checks a second, and one check
 /// that was on its way.
 const WITHDRAWAL: Duration = Duration::from_millis(1700);
 
+/// The questions to the packet loop that may wait.
+const COMMANDS: usize = 64;
+
 /// A running daemon in gateway mode.
 pub struct Gateway {
     settings: settings::Gateway,
     shared: Arc<Shared>,
     keeper: ActorRef<keeper::Request>,
+    members: Option<ActorRef<members::Request>>,
     tasks: Vec<AbortHandle>,
+    _admin: Option<admin::Server>,
     _ready: Listener,
     _scrape: Option<Server>,
     /// Ends the packet loop when it is dropped.
@@ -57,7 +68,10 @@
         socket.set_nonblocking(true).map_err(bind_error)?;
         let arguments = keeper::Arguments { tuning: tuning.clone(), shared: shared.clone() };
         let (keeper, _) = Actor::spawn(None, Keeper, arguments).await?;
+        let (commands, waiting) = mpsc::channel(COMMANDS);
+        shared.contacts.store(Arc::new(settings.contacts.clone()));
         let packet_loop = PacketLoop {
+            commands: waiting,
             codec,
             forwarder: Forwarder::new(settings.zone.clone(), tuning),
             shared: shared.clone(),
@@ -76,6 +90,39 @@
         ];
         let mut tasks: Vec<AbortHandle> =
             tasks.iter().map(tokio::task::JoinHandle::abort_handle).collect();
+        let own = info(&settings);
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = since_epoch.as_millis() as member::Incarnation;
+        let mut members = None;
+        if let Some(peer) = settings.peer {
+            let started = start_members(&settings, peer, &own, incarnation, &shared).await?;
+            let (actor, receiver) = started;
+            let helper = Helper {
+                own: own.clone(),
+                shared: shared.clone(),
+                keeper: keeper.clone(),
+                members: actor.clone(),
+            };
+            tasks.push(receiver);
+            tasks.push(tokio::spawn(helper.clone().join()).abort_handle());
+            tasks.push(tokio::spawn(helper.help()).abort_handle());
+            members = Some(actor);
+        }
+        let mut admin = None;
+        if let Some(address) = settings.admin {
+            let (requester, requests) = admin::channel();
+            let answerer = Answerer {
+                info: own,
+                incarnation,
+                started: Instant::now(),
+                shared: shared.clone(),
+                keeper: keeper.clone(),
+                members: members.clone(),
+                commands,
+            };
+            tasks.push(tokio::spawn(answerer.run(requests)).abort_handle());
+            admin = Some(admin::Server::start(address, requester).await?);
+        }
         let metrics = Metrics::new()?;
         let scrape = match settings.metrics {
             Some(address) => Some(metrics.serve(address).await?),
@@ -84,7 +131,17 @@
         tasks.push(tokio::spawn(metrics::run(metrics, shared.clone())).abort_handle());
         let ready = readiness::serve(settings.ready, ready_path, shared.clone()).await?;
         info!(name = &*settings.name, zone = &*settings.zone; "daemon started");
-        Ok(Gateway { settings, shared, keeper, tasks, _ready: ready, _scrape: scrape, _stop: stop })
+        Ok(Gateway {
+            settings,
+            shared,
+            keeper,
+            members,
+            tasks,
+            _admin: admin,
+            _ready: ready,
+            _scrape: scrape,
+            _stop: stop,
+        })
     }
 
     /// Puts changed settings in force and returns the names of those that need a new start.
@@ -104,7 +161,7 @@
             ("cold_slack", former.cold_slack != settings.cold_slack),
         ];
         self.settings.drain_seconds = settings.drain_seconds;
-        self.settings.contacts = settings.contacts;
+        self.shared.contacts.store(Arc::new(settings.contacts));
         self.settings.log = settings.log;
         changed.into_iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| name).collect()
     }
@@ -113,6 +170,11 @@
     /// the fabric sends elsewhere.
     pub async fn stop(self) {
         self.shared.is_leaving.store(true, Ordering::Relaxed);
+        if let Some(members) = &self.members
+            && members.cast(members::Request::Leave).is_err()
+        {
+            warn!("members have ended; others do not hear that the daemon leaves");
+        }
         let begun = Instant::now();
         let drain = Duration::from_secs(u64::from(self.settings.drain_seconds));
         tokio::time::sleep(WITHDRAWAL.min(drain)).await;
@@ -126,6 +188,9 @@
             task.abort();
         }
         self.keeper.kill();
+        if let Some(members) = &self.members {
+            members.kill();
+        }
     }
 }
 
@@ -137,3 +202,45 @@
         ..Tuning::default()
     }
 }
+
+fn info(settings: &settings::Gateway) -> Info {
+    let settings::Gateway { name, region, zone, data, peer, admin, .. } = settings;
+    Info {
+        name: name.clone(),
+        region: region.clone(),
+        zone: zone.clone(),
+        peer: peer.unwrap_or(SocketAddr::V4(*data)),
+        admin: admin.unwrap_or(SocketAddr::V4(*data)),
+    }
+}
+
+/// Starts the actor that knows the other daemons, and the task that receives their frames at
+/// `address`.
+async fn start_members(
+    settings: &settings::Gateway,
+    address: SocketAddr,
+    own: &Info,
+    incarnation: member::Incarnation,
+    shared: &Arc<Shared>,
+) -> Result<(ActorRef<members::Request>, AbortHandle)> {
+    let bind_error = |source| Error::Bind { name: "peer", address, source };
+    let keys = settings.keys.iter().map(|key| (key.number, *key.key.bytes()));
+    let keyring = Arc::new(Keyring::new(keys)?);
+    let socket = UdpSocket::bind(address).map_err(bind_error)?;
+    socket.set_nonblocking(true).map_err(bind_error)?;
+    let outgoing = socket.try_clone().map_err(bind_error)?;
+    let socket = tokio::net::UdpSocket::from_std(socket).map_err(bind_error)?;
+    let seed = rand::rng().random();
+    let config = member::Config::default();
+    let detector = Detector::new(config, own.clone(), incarnation, seed, Instant::now());
+    let arguments = members::Arguments {
+        detector,
+        info: own.clone(),
+        sender: Sender::new(Arc::new(outgoing), keyring.clone(), own.id()),
+        shared: shared.clone(),
+        started: Instant::now(),
+    };
+    let (actor, _) = Actor::spawn(None, Members, arguments).await?;
+    let receiver = tokio::spawn(members::receive(socket, keyring, actor.clone()));
+    Ok((actor, receiver.abort_handle()))
+}
--- a/src/gateway/error.rs
+++ b/src/gateway/error.rs
@@ -1,6 +1,6 @@
 use std::{io, net::SocketAddr};
 
-use crate::telemetry;
+use crate::{admin, telemetry, wire};
 
 /// Why a daemon could not start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -21,6 +21,12 @@
     /// Metrics cannot be set up.
     #[error("telemetry cannot be set up")]
     Telemetry(#[from] telemetry::Error),
+    /// The keys cannot be used.
+    #[error("keys cannot be used")]
+    Keys(#[from] wire::Error),
+    /// The admin API cannot be served.
+    #[error(transparent)]
+    Admin(#[from] admin::Error),
     /// The thread of the packet loop cannot be started.
     #[error("packet loop cannot be started")]
     Thread(#[source] io::Error),
--- /dev/null
+++ b/src/gateway/help.rs
@@ -0,0 +1,150 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use log::{debug, info};
+use ractor::ActorRef;
+use rand::seq::SliceRandom as _;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    admin::{self, ApiClient as _},
+    gateway::{keeper, members, peer_state::PeerState, shared::Shared},
+    member::{Info, Snapshot, Status},
+};
+
+/// How often the helper looks whether the daemon needs help.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// The time between two states that are fetched from a peer: changes must be in force within 3 s.
+const FETCH_PERIOD: Duration = Duration::from_millis(1000);
+
+/// How long one peer may take to answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The peers that are asked in one attempt.
+const ATTEMPTS: usize = 3;
+
+/// The pauses between two attempts to find members; each is twice the one before.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const MAXIMUM_PAUSE: Duration = Duration::from_secs(8);
+
+/// What the tasks that ask other daemons need.
+#[derive(Clone)]
+pub(super) struct Helper {
+    pub(super) own: Info,
+    pub(super) shared: Arc<Shared>,
+    pub(super) keeper: ActorRef<keeper::Request>,
+    pub(super) members: ActorRef<members::Request>,
+}
+
+/// Why a peer did not help.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Client(#[from] admin::Error),
+    #[error("peer did not answer")]
+    Call(#[from] jsonrpsee::core::ClientError),
+    #[error("answer does not follow the protocol")]
+    Malformed(#[from] serde_json::Error),
+    #[error("no answer after {} ms", PEER_TIMEOUT.as_millis())]
+    Timeout(#[from] tokio::time::error::Elapsed),
+}
+
+impl Helper {
+    /// Asks the contacts for the other daemons while none is known.
+    pub(super) async fn join(self) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            if self.peers().is_empty() {
+                for contact in self.contacts() {
+                    match self.snapshot(contact).await {
+                        Ok(snapshot) => {
+                            if self.members.cast(members::Request::Merge(snapshot)).is_err() {
+                                return;
+                            }
+                        }
+                        Err(error) => debug!("{contact} did not send its members: {error}"),
+                    }
+                }
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(MAXIMUM_PAUSE);
+        }
+    }
+
+    /// Asks peers for what they know while the store does not answer this daemon.
+    pub(super) async fn help(self) {
+        let mut is_helped = false;
+        loop {
+            sleep(PERIOD).await;
+            if !self.shared.needs_help() {
+                is_helped = false;
+                continue;
+            }
+            for peer in self.candidates().into_iter().take(ATTEMPTS) {
+                match self.state(peer).await {
+                    Ok(state) if state.age_ms.is_some() => {
+                        if !is_helped {
+                            info!(
+                                peer:% = peer, age_ms = state.age_ms, revision = state.listing.revision,
+                                operator_revision = state.operator.revision;
+                                "state is fetched from a peer, since the store does not answer"
+                            );
+                            is_helped = true;
+                        }
+                        if self.keeper.cast(keeper::Request::Peer(state)).is_err() {
+                            return;
+                        }
+                        break;
+                    }
+                    Ok(_) => debug!("{peer} knows nothing yet"),
+                    Err(error) => debug!("{peer} did not send its state: {error}"),
+                }
+            }
+            sleep(FETCH_PERIOD).await;
+        }
+    }
+
+    /// Returns the admin addresses of the other daemons that are alive, those of the own zone
+    /// first.
+    fn peers(&self) -> Vec<SocketAddr> {
+        let view = self.shared.members.load();
+        let mut peers: Vec<(bool, SocketAddr)> = view
+            .iter()
+            .filter(|(id, member)| {
+                *id != self.own.id() && matches!(member.status, Status::Alive | Status::Leaving)
+            })
+            .map(|(_, member)| (member.info.zone != self.own.zone, member.info.admin))
+            .collect();
+        // Daemons that need help together must not all ask the same one.
+        peers.shuffle(&mut rand::rng());
+        peers.sort_by_key(|(is_away, _)| *is_away);
+        peers.into_iter().map(|(_, admin)| admin).collect()
+    }
+
+    fn contacts(&self) -> Vec<SocketAddr> {
+        let contacts = self.shared.contacts.load();
+        contacts.iter().copied().filter(|contact| *contact != self.own.admin).collect()
+    }
+
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let mut candidates = self.peers();
+        for contact in self.contacts() {
+            if !candidates.contains(&contact) {
+                candidates.push(contact);
+            }
+        }
+        candidates
+    }
+
+    async fn snapshot(&self, address: SocketAddr) -> Result<Snapshot, Error> {
+        let client = admin::connect(address, PEER_TIMEOUT)?;
+        let answer = timeout(PEER_TIMEOUT, client.member_snapshot()).await??;
+        Ok(serde_json::from_str(answer.get())?)
+    }
+
+    async fn state(&self, address: SocketAddr) -> Result<PeerState, Error> {
+        let client = admin::connect(address, PEER_TIMEOUT)?;
+        let answer = timeout(PEER_TIMEOUT, client.state_snapshot()).await??;
+        Ok(serde_json::from_str(answer.get())?)
+    }
+}
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -1,11 +1,15 @@
-use std::{collections::HashMap, sync::Arc, time::Instant};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use log::{info, warn};
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 
 use crate::{
     cookie::{Applied, Directory, Listing, Operator, Revision, Standing, Tuning, View},
-    gateway::{Changes, Consistency, Read, Rejected, shared::Shared},
+    gateway::{Changes, Consistency, Read, Rejected, peer_state::PeerState, shared::Shared},
 };
 
 /// The largest number of rejected items that are remembered, so that each is logged once.
@@ -20,6 +24,10 @@
     Changes(Read<Changes>),
     /// All targets were read.
     Targets(Read<Listing>, Consistency),
+    /// Another daemon has sent what it knows.
+    Peer(PeerState),
+    /// Returns what is known, for another daemon.
+    State(RpcReplyPort<PeerState>),
     /// A call failed.
     Failed,
     /// The process was paused, so nothing that is known proves that something is missing.
@@ -96,6 +104,21 @@
                     );
                 }
             }
+            Request::Peer(state) => {
+                let age = Duration::from_millis(state.age_ms.unwrap_or(u64::MAX));
+                self.directory.apply_peer(now, age, &state.operator, state.listing);
+            }
+            Request::State(reply) => {
+                let state = PeerState {
+                    operator: self.directory.operator(),
+                    listing: self.directory.listing(),
+                    age_ms: self.directory.age(now).map(|age| age.as_millis() as u64),
+                };
+                if reply.send(state).is_err() {
+                    info!("the client that asked for the state has gone");
+                }
+                return;
+            }
             Request::Failed | Request::Paused => self.directory.failed(now),
         }
         let view = self.directory.view(now);
--- /dev/null
+++ b/src/gateway/members.rs
@@ -0,0 +1,168 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use tokio::net::UdpSocket;
+
+use crate::{
+    gateway::shared::Shared,
+    member::{Detector, Id, Info, Message, Output, Snapshot, Status},
+    wire::{Body, Frame, Keyring, MAX_FRAME_BYTES, Sender},
+};
+
+/// How often the detector's timers run.
+const TICK: Duration = Duration::from_millis(200);
+
+/// A daemon that has found no other after this time is regarded as the only one of its zone.
+const LONE_AFTER: Duration = Duration::from_secs(10);
+
+/// What the actor can be told.
+#[derive(Debug)]
+pub(super) enum Request {
+    /// Runs the timers.
+    Tick,
+    /// A message of another member's detector has arrived.
+    Received { from: Id, address: SocketAddr, message: Message },
+    /// Another member's view has arrived.
+    Merge(Snapshot),
+    /// The daemon is about to stop.
+    Leave,
+    /// Returns the view for a joiner.
+    Snapshot(RpcReplyPort<Snapshot>),
+}
+
+/// The actor that knows the other daemons.
+pub(super) struct Members;
+
+/// What the actor starts with, and its state.
+pub(super) struct Arguments {
+    pub(super) detector: Detector,
+    pub(super) info: Info,
+    pub(super) sender: Sender,
+    pub(super) shared: Arc<Shared>,
+    pub(super) started: Instant,
+}
+
+impl Actor for Members {
+    type Msg = Request;
+    type State = Arguments;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        own: ActorRef<Request>,
+        arguments: Arguments,
+    ) -> Result<Arguments, ActorProcessingErr> {
+        own.send_interval(TICK, || Request::Tick);
+        Ok(arguments)
+    }
+
+    async fn handle(
+        &self,
+        _own: ActorRef<Request>,
+        request: Request,
+        state: &mut Arguments,
+    ) -> Result<(), ActorProcessingErr> {
+        state.handle(Instant::now(), request);
+        Ok(())
+    }
+}
+
+impl Arguments {
+    fn handle(&mut self, now: Instant, request: Request) {
+        let mut outputs = Vec::new();
+        match request {
+            Request::Tick => {
+                self.detector.on_tick(now, &mut outputs);
+                if self.shared.zone_daemons.load(Ordering::Relaxed) == 0 {
+                    self.publish();
+                }
+            }
+            Request::Received { from, address, message } => {
+                self.detector.on_message(now, from, address, message, &mut outputs);
+            }
+            Request::Merge(snapshot) => {
+                self.detector.merge_snapshot(now, snapshot);
+                outputs.push(Output::ViewChanged);
+            }
+            Request::Leave => {
+                self.detector.leave(now);
+                outputs.push(Output::ViewChanged);
+            }
+            Request::Snapshot(reply) => {
+                if reply.send(self.detector.snapshot(now)).is_err() {
+                    info!("the client that asked for the members has gone");
+                }
+            }
+        }
+        let mut is_changed = false;
+        for output in outputs {
+            match output {
+                Output::Send { address, message, .. } => {
+                    self.sender.send(address, Body::Member(message));
+                }
+                Output::ViewChanged => is_changed = true,
+                Output::Confirmed { .. } => {}
+            }
+        }
+        if is_changed {
+            self.publish();
+        }
+    }
+
+    fn publish(&self) {
+        let view = self.detector.view();
+        let former = self.shared.members.swap(Arc::new(view.clone()));
+        for (id, member) in view.iter() {
+            if former.get(id).map(|member| member.status) != Some(member.status) {
+                info!(
+                    member = &*member.info.name, zone = &*member.info.zone,
+                    status:? = member.status;
+                    "member has changed"
+                );
+            }
+        }
+        // A member that does not answer may serve its part of a partition, so it counts.
+        let in_zone = view.iter().filter(|(_, member)| {
+            member.info.zone == self.info.zone && member.status != Status::Left
+        });
+        let is_known = view.len() > 1 || self.started.elapsed() >= LONE_AFTER;
+        let count = if is_known { in_zone.count().max(1) } else { 0 };
+        self.shared.zone_daemons.store(count, Ordering::Relaxed);
+    }
+}
+
+/// Receives frames from members until the actor has stopped.
+pub(super) async fn receive(socket: UdpSocket, keyring: Arc<Keyring>, actor: ActorRef<Request>) {
+    let mut buffer = vec![0; MAX_FRAME_BYTES];
+    let mut is_logged = false;
+    loop {
+        let (length, address) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // The error belongs to a datagram that was sent before.
+                log::debug!("frame could not be received: {error}");
+                continue;
+            }
+        };
+        match Frame::decode(&buffer[..length], &keyring) {
+            Ok(Frame { sender, body: Body::Member(message), .. }) => {
+                let request = Request::Received { from: sender, address, message };
+                if actor.cast(request).is_err() {
+                    return;
+                }
+            }
+            Ok(_) => {}
+            Err(error) => {
+                if !is_logged {
+                    warn!("frame from {address} is dropped: {error}; further ones are not logged");
+                    is_logged = true;
+                }
+            }
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,14 +5,19 @@
 //! [`View`](crate::cookie::View), which the packet loop uses without waiting for anybody. The
 //! platform's formats are behind two traits, [`Source`] and [`Codec`].
 
+mod answers;
 mod boot_clock;
 mod codec;
+mod command;
 mod daemon;
 mod error;
+mod help;
 mod keeper;
 mod lag;
+mod members;
 mod metrics;
 mod packets;
+mod peer_state;
 mod reader;
 mod readiness;
 mod report;
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -1,7 +1,7 @@
 use std::{
     io,
     net::{SocketAddr, UdpSocket},
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -9,13 +9,19 @@
 use log::{error, warn};
 use ractor::ActorRef;
 use tokio::{
-    io::Interest, net::UdpSocket as AsyncSocket, runtime::Builder, sync::oneshot,
+    io::Interest,
+    net::UdpSocket as AsyncSocket,
+    runtime::Builder,
+    sync::{mpsc, oneshot},
     time::MissedTickBehavior,
 };
 
 use crate::{
     cookie::{Flow, Forwarder, Verdict},
-    gateway::{Codec, boot_clock::PauseWatch, keeper::Request, report::Reporter, shared::Shared},
+    gateway::{
+        Codec, boot_clock::PauseWatch, command::Command, keeper::Request, report::Reporter,
+        shared::Shared,
+    },
     util::{Inbox, Outbox},
 };
 
@@ -34,6 +40,7 @@
     /// The port at which callers receive packets.
     pub(super) caller_port: u16,
     pub(super) socket: UdpSocket,
+    pub(super) commands: mpsc::Receiver<Command>,
 }
 
 impl<C: Codec> PacketLoop<C> {
@@ -70,6 +77,8 @@
                     self.notice_pause(&mut pauses);
                     pauses.tick();
                     self.refresh();
+                    self.forwarder
+                        .set_zone_daemons(self.shared.zone_daemons.load(Ordering::Relaxed));
                     self.give_up(&inbox, &mut outbox);
                     tick = tick.wrapping_add(1);
                     if tick.is_multiple_of(SWEEP_TICKS) {
@@ -77,6 +86,7 @@
                         self.shared.observe(&self.forwarder, reporter.suppressed());
                     }
                 }
+                Some(command) = self.commands.recv() => self.answer(command),
                 result = ready.readable() => {
                     if let Err(error) = result {
                         warn!("data socket failed: {error}");
@@ -109,6 +119,18 @@
         }
     }
 
+    fn answer(&self, command: Command) {
+        // An asker that has gone is no event.
+        match command {
+            Command::Seen(flow, reply) => {
+                let _ = reply.send(self.forwarder.seen(&flow).cloned());
+            }
+            Command::Observations(reply) => {
+                let _ = reply.send(self.forwarder.observations());
+            }
+        }
+    }
+
     /// Resets the flows whose targets are lost.
     fn give_up(&mut self, inbox: &Inbox, outbox: &mut Outbox) {
         for (flow, expected) in self.forwarder.give_up(Instant::now()) {
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -45,7 +45,7 @@
     shared: Arc<Shared>,
     seed: u64,
 ) {
-    let mut calls = Calls::new(Call::Operator, seed);
+    let mut calls = Calls::new(Call::Operator, seed, shared.clone());
     let mut known: Option<Revision> = None;
     loop {
         calls.wait().await;
@@ -88,7 +88,7 @@
     shared: Arc<Shared>,
     seed: u64,
 ) {
-    let mut calls = Calls::new(Call::Targets, seed);
+    let mut calls = Calls::new(Call::Targets, seed, shared.clone());
     let mut lag = Lag::default();
     loop {
         calls.wait().await;
@@ -120,11 +120,13 @@
     call: Call,
     schedule: Schedule,
     failed_at: Option<Instant>,
+    shared: Arc<Shared>,
 }
 
 impl Calls {
-    fn new(call: Call, seed: u64) -> Calls {
-        Calls { call, schedule: Schedule::new(PACE, seed, Instant::now()), failed_at: None }
+    fn new(call: Call, seed: u64, shared: Arc<Shared>) -> Calls {
+        let schedule = Schedule::new(PACE, seed, Instant::now());
+        Calls { call, schedule, failed_at: None, shared }
     }
 
     async fn wait(&mut self) {
@@ -136,6 +138,11 @@
     /// Notes the result of a call. Lines are only written when the store goes or returns.
     fn finish<T>(&mut self, result: Result<T, Error>) -> Option<T> {
         let call = self.call;
+        let is_failing = match call {
+            Call::Operator => &self.shared.is_operator_failing,
+            Call::Targets => &self.shared.is_targets_failing,
+        };
+        is_failing.store(result.is_err(), Ordering::Relaxed);
         match result {
             Ok(value) => {
                 self.schedule.succeeded();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,12 +1,18 @@
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
 
-use crate::cookie::{Counters, Forwarder, View};
+use crate::{
+    cookie::{Counters, Forwarder, View},
+    member,
+};
 
 /// What the parts of a daemon publish for each other.
 #[derive(Debug, Default)]
@@ -15,6 +21,16 @@
     pub(super) view: ArcSwap<View>,
     /// Whether the daemon has begun to stop.
     pub(super) is_leaving: AtomicBool,
+    /// The members that are known.
+    pub(super) members: ArcSwap<member::View>,
+    /// The daemons in the own zone, with this one; 0 if they are not known yet.
+    pub(super) zone_daemons: AtomicUsize,
+    /// The admin addresses of other daemons from the settings.
+    pub(super) contacts: ArcSwap<Vec<SocketAddr>>,
+    /// Whether the last read of what operators published failed.
+    pub(super) is_operator_failing: AtomicBool,
+    /// Whether the last read of the targets failed.
+    pub(super) is_targets_failing: AtomicBool,
     /// The store's revision at the last answer to the watch.
     pub(super) known_revision: AtomicU64,
     /// Wakes the readers before their time.
@@ -43,6 +59,17 @@
         self.view.load().is_complete() && !self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the daemon cannot learn from the store what it needs.
+    pub(super) fn needs_help(&self) -> bool {
+        self.failing_calls() > 0 || !self.view.load().is_complete()
+    }
+
+    /// Returns how many of the two kinds of calls to the store failed last.
+    pub(super) fn failing_calls(&self) -> u32 {
+        let kinds = [&self.is_operator_failing, &self.is_targets_failing];
+        kinds.into_iter().map(|kind| u32::from(kind.load(Ordering::Relaxed))).sum()
+    }
+
     /// Puts a view in force.
     pub(super) fn publish(&self, view: View) {
         self.view.store(Arc::new(view));
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -100,19 +100,8 @@
 
     fn members(&self) -> Vec<Member> {
         let view = self.shared.view.load();
-        let mut members: Vec<Member> = view
-            .iter()
-            .map(|(_, member)| Member {
-                name: member.info.name.clone(),
-                region: member.info.region.clone(),
-                zone: member.info.zone.clone(),
-                peer: member.info.peer,
-                admin: member.info.admin,
-                state: member.status,
-                incarnation: member.incarnation,
-                since_seconds: member.since.elapsed().as_secs(),
-            })
-            .collect();
+        let mut members: Vec<Member> =
+            view.iter().map(|(_, member)| Member::from(member)).collect();
         members.sort_by(|a, b| a.name.cmp(&b.name));
         members
     }
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -25,7 +25,6 @@
         join::Joiner,
         members, metrics,
         packets::{Notice, Parts},
-        peers::Sender,
         shared::Shared,
         spans::Sampler,
         start::{bind, bind_error, forwarder, spawn_actors, spawn_packet_loop},
@@ -34,7 +33,7 @@
     platform::{Client, Timeouts},
     settings::Settings,
     telemetry::{Metrics, Server, Tracing},
-    wire::Body,
+    wire::{Body, Sender},
 };
 
 /// Commands and notices that may wait between the packet loop and the actors.
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     member::{Detector, Id, Info, Message, Output, Ranking, Snapshot, Status},
-    node::{command::Command, coordinator, peers::Sender, shared::Shared},
-    wire::Body,
+    node::{command::Command, coordinator, shared::Shared},
+    wire::{Body, Sender},
 };
 
 /// How often the detector's timers run.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -5,8 +5,9 @@
 
 use crate::{
     member::Status,
-    node::{packets::LoopCounters, peers::Sender, shared::Shared},
+    node::{packets::LoopCounters, shared::Shared},
     telemetry::{Instrument, Metrics, Snapshot},
+    wire::Sender,
 };
 
 /// How often the values are published for the next scrape.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,7 +21,6 @@
 mod members;
 mod metrics;
 mod packets;
-mod peers;
 mod shared;
 mod spans;
 mod start;
--- a/src/node/packets.rs
+++ b/src/node/packets.rs
@@ -14,12 +14,7 @@
     forward::{Action, Counters, Forwarder},
     load::Observation,
     member,
-    node::{
-        clock::Watch,
-        command::Command,
-        peers::{self, Addresses},
-        spans::Sampler,
-    },
+    node::{clock::Watch, command::Command, spans::Sampler},
     ticket::TargetId,
     util::{Inbox, Outbox},
     wire::{Body, Frame, Keyring, TAG_BYTES},
@@ -288,7 +283,7 @@
         let forwarder = &mut self.parts.forwarder;
         match command {
             Command::SetMembers { view, ranking } => {
-                self.addresses = peers::addresses(&view);
+                self.addresses = addresses(&view);
                 forwarder.placer_mut().set_members(&view, &self.parts.region);
                 forwarder.set_ranking(now, ranking);
             }
@@ -417,3 +412,11 @@
         (None, None) => {}
     }
 }
+
+/// The addresses that members receive frames on.
+type Addresses = HashMap<member::Id, SocketAddr>;
+
+/// Returns the addresses of all members of a view.
+fn addresses(view: &member::View) -> Addresses {
+    view.iter().map(|(id, member)| (id, member.info.peer)).collect()
+}
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -24,7 +24,6 @@
         coordinator::{self, Coordinator, Links},
         members::{self, Members},
         packets::{PacketLoop, Parts},
-        peers::Sender,
         shared::Shared,
         targets::{self, Targets},
         tickets::{self, Tickets},
@@ -34,6 +33,7 @@
     settings::Settings,
     spread::{self, Spreader},
     ticket::State,
+    wire::Sender,
 };
 
 /// The socket buffers, in bytes. The system may grant less.
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -10,11 +10,11 @@
 use crate::{
     load::{Class, Monitor, Observation, Reading, Report},
     member::{Status, View},
-    node::{command::Command, peers::Sender, shared::Shared},
+    node::{command::Command, shared::Shared},
     platform::{Endpoint, Health},
     ticket::TargetId,
     util::TokenBucket,
-    wire::Body,
+    wire::{Body, Sender},
 };
 
 /// How often targets are read and classes are decided.
--- a/src/node/tickets.rs
+++ b/src/node/tickets.rs
@@ -14,13 +14,12 @@
         command::Command,
         coordinator,
         handoff::{Handoff, Remaining},
-        peers::Sender,
         shared::Shared,
     },
     route::{Compiler, QUARANTINE},
     spread::{Action, Message, Spreader},
     ticket::{self, Content, Item, Number, State, ZoneState},
-    wire::Body,
+    wire::{Body, Sender},
 };
 
 /// How often the spreader's timers run.
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -2,7 +2,10 @@
 
 use url::Url;
 
-use crate::settings::{Gateway, Problem, Settings, Step};
+use crate::{
+    settings::{Gateway, Key, Problem, Settings, Step},
+    wire::KeyNumber,
+};
 
 use Step::{Field, Index};
 
@@ -22,7 +25,7 @@
         &[("admin", settings.admin), ("metrics", settings.metrics)],
     )?;
     platform(&settings.platform)?;
-    keys(settings)?;
+    keys(&settings.keys, settings.sign_with)?;
     figures(settings)
 }
 
@@ -39,6 +42,9 @@
     tcp.extend(settings.metrics.map(|metrics| ("metrics", metrics)));
     addresses(&udp, &tcp)?;
     platform(&settings.platform)?;
+    if settings.peer.is_some() || !settings.keys.is_empty() {
+        keys(&settings.keys, None)?;
+    }
     figure(&[Field("drain_seconds")], settings.drain_seconds, 0..=3_600, "seconds")?;
     figure(&[Field("flow_ttl_seconds")], settings.flow_ttl_seconds, 1..=86_400, "seconds")?;
     figure(&[Field("cold_factor")], settings.cold_factor, 0.0..=100.0, "times the rate")?;
@@ -150,13 +156,13 @@
     Ok(())
 }
 
-fn keys(settings: &Settings) -> Check {
-    if settings.keys.is_empty() {
+fn keys(keys: &[Key], sign_with: Option<KeyNumber>) -> Check {
+    if keys.is_empty() {
         let message = "list of keys is empty".to_owned();
         return Err(problem(&[Field("keys")], message, "add at least one key"));
     }
     let mut numbers = HashSet::new();
-    for (index, key) in settings.keys.iter().enumerate() {
+    for (index, key) in keys.iter().enumerate() {
         if !numbers.insert(key.number) {
             return Err(problem(
                 &[Field("keys"), Index(index), Field("number")],
@@ -165,7 +171,7 @@
             ));
         }
     }
-    if let Some(number) = settings.sign_with
+    if let Some(number) = sign_with
         && !numbers.contains(&number)
     {
         let message = format!("key {number} is not in the list of keys");
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use url::Url;
 
-use crate::settings::{Log, Mode, Result, check, locate, parse_text, strict::strict};
+use crate::settings::{Key, Log, Mode, Result, check, locate, parse_text, strict::strict};
 
 /// The settings of one daemon in gateway mode.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -41,6 +41,9 @@
     /// Admin addresses of other daemons.
     #[serde(default)]
     pub contacts: Vec<SocketAddr>,
+    /// The keys that authenticate frames between daemons. `peer` needs one.
+    #[serde(default)]
+    pub keys: Vec<Key>,
     /// The longest time that a stopping daemon forwards packets, in seconds.
     #[serde(default = "default_drain_seconds", deserialize_with = "strict")]
     pub drain_seconds: u32,
--- a/src/node/peers.rs
+++ b/src/wire/sender.rs
@@ -1,5 +1,4 @@
 use std::{
-    collections::HashMap,
     net::{SocketAddr, UdpSocket},
     sync::{
         Arc,
@@ -8,21 +7,13 @@
 };
 
 use crate::{
-    member::{Id, View},
+    member::Id,
     wire::{Body, Frame, Keyring},
 };
 
-/// The addresses that members receive frames on.
-pub(super) type Addresses = HashMap<Id, SocketAddr>;
-
-/// Returns the addresses of all members of a view.
-pub(super) fn addresses(view: &View) -> Addresses {
-    view.iter().map(|(id, member)| (id, member.info.peer)).collect()
-}
-
 /// Sends control frames to members.
 #[derive(Debug, Clone)]
-pub(super) struct Sender {
+pub(crate) struct Sender {
     socket: Arc<UdpSocket>,
     keyring: Arc<Keyring>,
     own: Id,
@@ -32,13 +23,13 @@
 
 impl Sender {
     /// Creates a sender for the member `own`.
-    pub(super) fn new(socket: Arc<UdpSocket>, keyring: Arc<Keyring>, own: Id) -> Sender {
+    pub(crate) fn new(socket: Arc<UdpSocket>, keyring: Arc<Keyring>, own: Id) -> Sender {
         Sender { socket, keyring, own, sent_bytes: Arc::default(), failed: Arc::default() }
     }
 
     /// Sends a frame and returns its length in bytes. A frame that cannot be sent is lost like
     /// one that the network loses.
-    pub(super) fn send(&self, to: SocketAddr, body: Body) -> usize {
+    pub(crate) fn send(&self, to: SocketAddr, body: Body) -> usize {
         let mut buffer = Vec::new();
         let frame = Frame { sender: self.own, body, packet: &[] };
         let encoded = frame.encode(&self.keyring, &mut buffer);
@@ -51,12 +42,12 @@
     }
 
     /// Returns the bytes of control frames sent so far.
-    pub(super) fn sent_bytes(&self) -> u64 {
+    pub(crate) fn sent_bytes(&self) -> u64 {
         self.sent_bytes.load(Ordering::Relaxed)
     }
 
     /// Returns the number of frames that could not be sent.
-    pub(super) fn failed(&self) -> u64 {
+    pub(crate) fn failed(&self) -> u64 {
         self.failed.load(Ordering::Relaxed)
     }
 }
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -410,6 +410,29 @@
     assert!(matches!(bench.decide(&open(2)), Verdict::Forward(_)));
 }
 
+/// The pattern: a zone is cut off with its daemon, whose state others fetch. Guards against an old
+/// state of a peer that takes back what was read since.
+#[test]
+fn state_of_a_peer_is_used_if_it_is_newer() {
+    let all = targets("web", 2, 0);
+    let mut bench = Bench::new(all.clone());
+    bench.after(Duration::from_secs(5)).fail();
+    let operator = bench.directory.operator();
+    let older = Listing { revision: bench.revision - 1, targets: Vec::new() };
+    let second = Duration::from_secs(1);
+    bench.directory.apply_peer(bench.now, second, &operator, older);
+    assert_eq!(bench.directory.listing().targets.len(), 2);
+    let mut drained = all;
+    drained[0].availability = Availability::Draining;
+    drained[0].revision = 9;
+    let newer = Listing { revision: 9, targets: drained };
+    bench.directory.apply_peer(bench.now, second, &operator, newer);
+    assert_eq!(bench.directory.age(bench.now), Some(second));
+    bench.publish();
+    assert_eq!(bench.open(1).number, 2);
+    assert!(!bench.directory.is_settled(bench.now), "a peer does not speak for the store");
+}
+
 /// Guards against flows that are broken because an unknown number of flows fills the table.
 #[test]
 fn table_of_flows_is_bounded() {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -189,3 +189,57 @@
     daemon.signal("-TERM");
     assert_eq!(daemon.exit_code().await, Some(0));
 }
+
+/// Guards against a daemon that starts while the store refuses it, and cannot serve although others
+/// know everything.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_learns_from_another_one() {
+    let port = port();
+    let (store, targets) = platform(port).await;
+    let refusing = Store::start().expect("a store");
+    refusing.set_answering(Answering::Unavailable);
+    let first = Daemon::start(1, "zone-a", port, &store, 2);
+    first.until_ready().await;
+    let second = Daemon::start(2, "zone-a", port, &refusing, 1);
+    second.until_ready().await;
+    second.until_logged("state is fetched from a peer").await;
+    let mut caller = Caller::new(1, port, WEB).await;
+    let outcome = caller.open_and_request(second.data).await;
+    assert!(matches!(outcome, Outcome::Served(1 | 2)), "{outcome:?}");
+
+    // Changes arrive by the same way.
+    targets[0].register(&store, "draining");
+    second.until_logged("Draining").await;
+    assert_eq!(caller.open_and_request(second.data).await, Outcome::Served(2));
+}
+
+/// Guards against a daemon that operators cannot ask.
+#[tokio::test(flavor = "multi_thread")]
+async fn tool_shows_what_a_daemon_knows() {
+    let port = port();
+    let (store, targets) = platform(port).await;
+    targets[3].register(&store, "draining");
+    let first = Daemon::start(1, "zone-a", port, &store, 2);
+    let second = Daemon::start(2, "zone-b", port, &store, 1);
+    first.until_ready().await;
+    second.until_ready().await;
+    let mut caller = Caller::new(7, port, WEB).await;
+    let Outcome::Served(held) = caller.open_and_request(first.data).await else {
+        panic!("not served")
+    };
+    let status = first.ask("status").await;
+    assert_eq!((&status[0]["is_ready"], &status[0]["highest_ticket"]), (&json!(true), &json!(3)));
+    until("both members are known", async || {
+        let members = first.ask("members").await;
+        members.as_array().is_some_and(|members| members.len() == 2)
+    })
+    .await;
+    let listed = first.ask("targets").await;
+    let listed = listed.as_array().expect("a list");
+    assert_eq!(listed.len(), 4);
+    let draining = listed.iter().find(|target| target["name"] == targets[3].id.as_str());
+    assert_eq!(draining.expect("it is listed")["is_placeable"], false);
+    let explained = first.ask("explain 127.0.9.7:5001 198.18.0.1:80").await;
+    let explained = if explained.is_array() { explained[0].clone() } else { explained };
+    assert_eq!(explained["cached"], targets[held as usize - 1].id.as_str(), "{explained}");
+}
--- a/tests/gateways/daemon.rs
+++ b/tests/gateways/daemon.rs
@@ -53,6 +53,7 @@
             "mode": "gateway", "name": format!("entry-{number}"), "region": "here", "zone": zone,
             "data": at(0), "ready": at(READY), "admin": at(ADMIN), "peer": at(PEER),
             "metrics": at(METRICS), "platform": store.url(),
+            "keys": [{ "number": 1, "key": "a5".repeat(32) }],
             "contacts": [address(contact, port + ADMIN).to_string()],
             "log": { "format": "json", "stream": "stdout", "level": "debug" },
         });
@@ -76,6 +77,15 @@
         self.folder.path().join("settings.jsonc")
     }
 
+    /// Asks the daemon by the tool and returns the answer.
+    pub(crate) async fn ask(&self, arguments: &str) -> Value {
+        let mut command = Spawner::new(env!("CARGO_BIN_EXE_banyanwharf"));
+        let admin = format!("--admin={}", self.admin());
+        command.args(arguments.split(' ')).arg(admin).arg("--json");
+        let output = command.output().await.expect("the tool runs");
+        serde_json::from_slice(&output.stdout).unwrap_or_default()
+    }
+
     pub(crate) fn settings(&self) -> &Value {
         &self.settings
     }
