Try: refuse opening packets of a daemon that has known too little for 1.4 s

Cause tried: callers are held while all daemons start anew without the store. The store may return within a caller's deadline, so the daemon does not know that the request cannot be served, and callers lose by the refusal.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -31,6 +31,8 @@
     unknown: HashMap<Flow, Instant>,
     /// Opening packets that came before this moment waited during a pause.
     held_until: Option<Instant>,
+    /// When the first packet came while the daemon knew too little to serve.
+    unready_since: Option<Instant>,
     counters: Counters,
     events: Vec<Event>,
 }
@@ -48,6 +50,7 @@
             observed: HashMap::new(),
             unknown: HashMap::new(),
             held_until: None,
+            unready_since: None,
             counters: Counters::default(),
             events: Vec::new(),
         }
@@ -185,7 +188,7 @@
 
     fn judge(&mut self, now: Instant, packet: &Packet) -> Verdict {
         if !self.view.is_complete() {
-            return Verdict::Drop(Cause::NotReady);
+            return self.refuse_unready(now, packet);
         }
         match packet.kind {
             Kind::Foreign => Verdict::Drop(Cause::Foreign),
@@ -194,6 +197,17 @@
         }
     }
 
+    /// Decides on a packet that comes before the daemon knows enough to serve.
+    fn refuse_unready(&mut self, now: Instant, packet: &Packet) -> Verdict {
+        let since = *self.unready_since.get_or_insert(now);
+        let is_opening = matches!(packet.kind, Kind::Open { .. });
+        if is_opening && now.saturating_duration_since(since) >= self.tuning.refuse_unready {
+            Verdict::Reset(Reason::NotReady)
+        } else {
+            Verdict::Drop(Cause::NotReady)
+        }
+    }
+
     /// Returns whether the configuration in force proves that a route does not exist.
     fn is_confirmed(&self, now: Instant) -> bool {
         is_within(now, self.view.confirmed_at, self.tuning.confirmed)
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -21,7 +21,15 @@
 /// in which a configuration must be in force.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
 
-/// The pace of calls: a failed call is repeated soon, since the daemon serves with an old view.
+/// The pace of calls while the daemon knows too little to serve: each attempt counts.
+const FIRST_PACE: Pace = Pace {
+    floor: Duration::from_millis(20),
+    first: Duration::from_millis(150),
+    limited: Duration::from_millis(200),
+    maximum: Duration::from_millis(200),
+};
+
+/// The pace of calls afterwards: a failed call is repeated soon, since the daemon serves with an old view.
 const PACE: Pace = Pace {
     floor: Duration::from_millis(20),
     first: Duration::from_millis(200),
@@ -119,17 +127,24 @@
 struct Calls {
     call: Call,
     schedule: Schedule,
+    seed: u64,
+    /// Whether the daemon has not known enough to serve yet.
+    is_first: bool,
     failed_at: Option<Instant>,
     shared: Arc<Shared>,
 }
 
 impl Calls {
     fn new(call: Call, seed: u64, shared: Arc<Shared>) -> Calls {
-        let schedule = Schedule::new(PACE, seed, Instant::now());
-        Calls { call, schedule, failed_at: None, shared }
+        let schedule = Schedule::new(FIRST_PACE, seed, Instant::now());
+        Calls { call, schedule, seed, is_first: true, failed_at: None, shared }
     }
 
     async fn wait(&mut self) {
+        if self.is_first && self.shared.view.load().is_complete() {
+            self.is_first = false;
+            self.schedule = Schedule::new(PACE, self.seed, Instant::now());
+        }
         let next = tokio::time::Instant::from_std(self.schedule.next_start());
         sleep_until(next).await;
         self.schedule.started(Instant::now());
--- a/src/platform/timeouts.rs
+++ b/src/platform/timeouts.rs
@@ -15,7 +15,7 @@
     /// about 100 times slower in trouble; a daemon whose connection is silent must notice within
     /// the 3 s in which a change must be in force.
     pub fn gateway() -> Timeouts {
-        Timeouts { connect: Duration::from_millis(500), read: Duration::from_millis(700) }
+        Timeouts { connect: Duration::from_millis(300), read: Duration::from_millis(700) }
     }
 }
 
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -122,6 +122,19 @@
     assert_eq!(bench.decide(&unrouted), Verdict::Reset(Reason::NoRoute));
 }
 
+/// The pattern: all daemons start anew while the store is down. Guards against callers that are held
+/// until their deadline, and against refusals in the moment before the first read.
+#[test]
+fn daemon_that_cannot_learn_refuses_after_one_attempt() {
+    let mut bench = Bench::new(Vec::new());
+    bench.forwarder = banyanwharf::cookie::Forwarder::new(HOME.into(), Tuning::default());
+    assert_eq!(bench.decide(&open(1)), Verdict::Drop(Cause::NotReady));
+    bench.after(ms(1400));
+    assert_eq!(bench.decide(&open(2)), Verdict::Reset(Reason::NotReady));
+    let held = packet(flow(3, 1), Kind::Data, 77);
+    assert_eq!(bench.decide(&held), Verdict::Drop(Cause::NotReady));
+}
+
 /// Guards against a refusal by an old view: the route may be new.
 #[test]
 fn old_view_does_not_refuse_a_route() {
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -142,7 +142,12 @@
 fn log_level_changes() {
     let directory = tempfile::tempdir().expect("a directory");
     let path = directory.path().join("daemon.log");
-    let settings = Log { level: Level::Warn, format: Format::Json, file: Some(path.clone()) };
+    let settings = Log {
+        level: Level::Warn,
+        format: Format::Json,
+        file: Some(path.clone()),
+        ..Log::default()
+    };
     let mut logs = Logs::install(settings.clone()).expect("the first log");
     assert!(matches!(Logs::install(settings), Err(Error::Installed(_))));
     log::info!("one");
