--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -31,8 +31,6 @@
     unknown: HashMap<Flow, Instant>,
     /// Opening packets that came before this moment waited during a pause.
     held_until: Option<Instant>,
-    /// When the first packet came while the daemon knew too little to serve.
-    unready_since: Option<Instant>,
     counters: Counters,
     events: Vec<Event>,
 }
@@ -50,7 +48,6 @@
             observed: HashMap::new(),
             unknown: HashMap::new(),
             held_until: None,
-            unready_since: None,
             counters: Counters::default(),
             events: Vec::new(),
         }
@@ -188,7 +185,8 @@
 
     fn judge(&mut self, now: Instant, packet: &Packet) -> Verdict {
         if !self.view.is_complete() {
-            return self.refuse_unready(now, packet);
+            // The store may answer before the caller gives up, so nothing is refused.
+            return Verdict::Drop(Cause::NotReady);
         }
         match packet.kind {
             Kind::Foreign => Verdict::Drop(Cause::Foreign),
@@ -197,17 +195,6 @@
         }
     }
 
-    /// Decides on a packet that comes before the daemon knows enough to serve.
-    fn refuse_unready(&mut self, now: Instant, packet: &Packet) -> Verdict {
-        let since = *self.unready_since.get_or_insert(now);
-        let is_opening = matches!(packet.kind, Kind::Open { .. });
-        if is_opening && now.saturating_duration_since(since) >= self.tuning.refuse_unready {
-            Verdict::Reset(Reason::NotReady)
-        } else {
-            Verdict::Drop(Cause::NotReady)
-        }
-    }
-
     /// Returns whether the configuration in force proves that a route does not exist.
     fn is_confirmed(&self, now: Instant) -> bool {
         is_within(now, self.view.confirmed_at, self.tuning.confirmed)
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -34,9 +34,6 @@
     /// A packet that comes again sooner was duplicated or reordered on its way; callers repeat
     /// packets after 200 ms.
     pub retransmission: Duration,
-    /// How long a daemon that knows too little to serve lets callers repeat their opening packets
-    /// before it refuses them: the life of one attempt of a caller.
-    pub refuse_unready: Duration,
     /// The largest number of flows that are reset at once without a packet of theirs.
     pub resets_at_once: usize,
     /// The time between two new flows that test a silent target.
@@ -74,7 +71,6 @@
             reset_after: Duration::from_millis(600),
             lone_reset_after: Duration::from_millis(1400),
             retransmission: Duration::from_millis(150),
-            refuse_unready: Duration::from_millis(1400),
             resets_at_once: 256,
             trial_period: Duration::from_secs(1),
             idle: Duration::from_secs(15),
--- a/src/cookie/verdict.rs
+++ b/src/cookie/verdict.rs
@@ -19,8 +19,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
-    /// The daemon has not learned enough to serve.
-    NotReady,
     /// No route leads from the service address.
     NoRoute,
     /// The route's service has no usable target.
