Put the messages of a daemon's actors into one module

Cause: coordinator, members, targets, tickets, watch and shared imported each other. Actors now know the messages, the counters and the progress of the watch from modules that know no actor. No behaviour changes.

--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -17,7 +17,11 @@
     flow::Key,
     load::Class,
     member::{self, Info},
-    node::{command::Command, coordinator::Links, members, shared::Shared, tickets},
+    node::{
+        command::Command,
+        request::{self, Links},
+        shared::Shared,
+    },
     ticket::{Number, TargetId, ZoneState},
 };
 
@@ -56,18 +60,18 @@
             Request::Explain(question, reply) => reply.send(self.explain(question).await?).ok(),
             Request::Flows(reply) => reply.send(self.flows()).ok(),
             Request::MemberSnapshot(reply) => {
-                let snapshot = call(&self.links.members, members::Request::Snapshot).await?;
+                let snapshot = call(&self.links.members, request::Members::Snapshot).await?;
                 reply.send(value(&snapshot)?).ok()
             }
             Request::StateSnapshot(reply) => {
-                let snapshot = call(&self.links.tickets, tickets::Request::Snapshot).await?;
+                let snapshot = call(&self.links.tickets, request::Tickets::Snapshot).await?;
                 reply.send(value(&snapshot)?).ok()
             }
         }
     }
 
-    async fn summary(&self) -> Option<tickets::Summary> {
-        call(&self.links.tickets, tickets::Request::Summary).await
+    async fn summary(&self) -> Option<request::Summary> {
+        call(&self.links.tickets, request::Tickets::Summary).await
     }
 
     async fn status(&self) -> Option<Status> {
--- a/src/node/coordinator.rs
+++ b/src/node/coordinator.rs
@@ -4,33 +4,11 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::mpsc;
 
-use crate::node::{command::Command, members, shared::Shared, targets, tickets};
-
-/// The actors that the coordinator tells of pauses.
-#[derive(Debug, Clone)]
-pub(super) struct Links {
-    /// The member view.
-    pub(super) members: ActorRef<members::Request>,
-    /// The ticket state.
-    pub(super) tickets: ActorRef<tickets::Request>,
-    /// The target classes.
-    pub(super) targets: ActorRef<targets::Request>,
-}
-
-/// What the actor [`Coordinator`] can be told.
-#[derive(Debug)]
-pub(super) enum Request {
-    /// The other actors have started.
-    Link(Box<Links>),
-    /// The daemon has the first state and may forward.
-    Joined,
-    /// The process was paused for about this time.
-    Paused(Duration),
-    /// The member view is confirmed, or nobody answered in time.
-    ViewConfirmed,
-    /// The ticket state is confirmed, or nobody answered in time.
-    StateConfirmed,
-}
+use crate::node::{
+    command::Command,
+    request::{self, Links},
+    shared::Shared,
+};
 
 /// The actor that lets the packet loop go on after a start or a pause.
 pub(super) struct Coordinator;
@@ -46,13 +24,13 @@
 }
 
 impl Actor for Coordinator {
-    type Msg = Request;
+    type Msg = request::Coordinator;
     type State = State;
     type Arguments = (mpsc::Sender<Command>, Arc<Shared>);
 
     async fn pre_start(
         &self,
-        _own: ActorRef<Request>,
+        _own: ActorRef<request::Coordinator>,
         (commands, shared): (mpsc::Sender<Command>, Arc<Shared>),
     ) -> Result<State, ActorProcessingErr> {
         Ok(State {
@@ -67,8 +45,8 @@
 
     async fn handle(
         &self,
-        _own: ActorRef<Request>,
-        request: Request,
+        _own: ActorRef<request::Coordinator>,
+        request: request::Coordinator,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         state.handle(request).await;
@@ -77,19 +55,19 @@
 }
 
 impl State {
-    async fn handle(&mut self, request: Request) {
+    async fn handle(&mut self, request: request::Coordinator) {
         match request {
-            Request::Link(links) => self.links = Some(*links),
-            Request::Joined => {
+            request::Coordinator::Link(links) => self.links = Some(*links),
+            request::Coordinator::Joined => {
                 self.is_joined = true;
                 self.resume().await;
             }
-            Request::Paused(gap) => self.confirm(gap),
-            Request::ViewConfirmed => {
+            request::Coordinator::Paused(gap) => self.confirm(gap),
+            request::Coordinator::ViewConfirmed => {
                 self.is_view_confirmed = true;
                 self.resume().await;
             }
-            Request::StateConfirmed => {
+            request::Coordinator::StateConfirmed => {
                 self.is_state_confirmed = true;
                 self.resume().await;
             }
@@ -103,8 +81,8 @@
         );
         let Some(links) = &self.links else { return };
         self.shared.is_ready.send_replace(false);
-        self.is_view_confirmed = links.members.cast(members::Request::Confirm).is_err();
-        self.is_state_confirmed = links.tickets.cast(tickets::Request::Confirm).is_err();
+        self.is_view_confirmed = links.members.cast(request::Members::Confirm).is_err();
+        self.is_state_confirmed = links.tickets.cast(request::Tickets::Confirm).is_err();
     }
 
     async fn resume(&mut self) {
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -21,14 +21,14 @@
         Error, Result,
         api::Answerer,
         command::Command,
-        coordinator::{self, Links},
         join::Joiner,
-        members, metrics,
+        metrics,
         packets::{Notice, Parts},
+        request::{self, Links},
         shared::Shared,
         spans::Sampler,
         start::{bind, bind_error, forwarder, spawn_actors, spawn_packet_loop},
-        targets, tickets, watch,
+        watch,
     },
     platform::{Client, Timeouts},
     settings::Settings,
@@ -54,7 +54,7 @@
     settings: Settings,
     commands: mpsc::Sender<Command>,
     links: Links,
-    coordinator: ActorRef<coordinator::Request>,
+    coordinator: ActorRef<request::Coordinator>,
     tasks: Vec<AbortHandle>,
     packet_thread: Option<JoinHandle<()>>,
     shared: Arc<Shared>,
@@ -164,7 +164,7 @@
         self.shared.is_leaving.store(true, Ordering::Relaxed);
         let begun = Instant::now();
         let drain = Duration::from_secs(u64::from(self.settings.drain_seconds));
-        let _ = self.links.members.cast(members::Request::Leave);
+        let _ = self.links.members.cast(request::Members::Leave);
         let _ = self.commands.send(Command::BeginLeave).await;
         loop {
             sleep(LEAVE_POLL).await;
@@ -177,7 +177,7 @@
                 break;
             }
         }
-        let _ = self.links.members.cast(members::Request::Left);
+        let _ = self.links.members.cast(request::Members::Left);
         let farewell = Instant::now();
         while farewell.elapsed() < FAREWELL_TIMEOUT && !self.is_departed().await {
             sleep(LEAVE_POLL).await;
@@ -198,7 +198,7 @@
     }
 
     async fn is_departed(&self) -> bool {
-        let request = members::Request::IsDeparted;
+        let request = request::Members::IsDeparted;
         match self.links.members.call(request, Some(LEAVE_POLL)).await {
             Ok(ractor::rpc::CallResult::Success(is_departed)) => is_departed,
             _ => false,
@@ -271,22 +271,22 @@
 async fn dispatch(
     mut notices: mpsc::Receiver<Notice>,
     links: Links,
-    coordinator: ActorRef<coordinator::Request>,
+    coordinator: ActorRef<request::Coordinator>,
 ) {
     while let Some(notice) = notices.recv().await {
         let is_passed = match notice {
             Notice::Frame { from, address, body: Body::Member(message) } => {
-                links.members.cast(members::Request::Received { from, address, message }).is_ok()
+                links.members.cast(request::Members::Received { from, address, message }).is_ok()
             }
             Notice::Frame { from, body: Body::Spread(message), .. } => {
-                links.tickets.cast(tickets::Request::Received { from, message }).is_ok()
+                links.tickets.cast(request::Tickets::Received { from, message }).is_ok()
             }
             Notice::Frame { body: Body::Load(reports), .. } => {
-                links.targets.cast(targets::Request::Reports(reports)).is_ok()
+                links.targets.cast(request::Targets::Reports(reports)).is_ok()
             }
             Notice::Frame { .. } => true,
-            Notice::Paused(gap) => coordinator.cast(coordinator::Request::Paused(gap)).is_ok(),
-            Notice::Observed(seen) => links.targets.cast(targets::Request::Observed(seen)).is_ok(),
+            Notice::Paused(gap) => coordinator.cast(request::Coordinator::Paused(gap)).is_ok(),
+            Notice::Observed(seen) => links.targets.cast(request::Targets::Observed(seen)).is_ok(),
         };
         if !is_passed {
             return;
--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -11,7 +11,7 @@
 use crate::{
     admin::{self, ApiClient as _},
     member::Info,
-    node::{coordinator, handoff::Handoff, members, shared::Shared, tickets, watch},
+    node::{handoff::Handoff, request, shared::Shared, watch},
     platform::Platform,
 };
 
@@ -37,9 +37,9 @@
     pub(super) own: Info,
     /// Admin addresses from the settings, for when the platform is down.
     pub(super) contacts: Vec<SocketAddr>,
-    pub(super) members: ActorRef<members::Request>,
-    pub(super) tickets: ActorRef<tickets::Request>,
-    pub(super) coordinator: ActorRef<coordinator::Request>,
+    pub(super) members: ActorRef<request::Members>,
+    pub(super) tickets: ActorRef<request::Tickets>,
+    pub(super) coordinator: ActorRef<request::Coordinator>,
     pub(super) shared: Arc<Shared>,
 }
 
@@ -53,8 +53,8 @@
         let mut fetch = std::pin::pin!(self.fetch());
         let is_complete = timeout(JOIN_TIMEOUT, &mut fetch).await.is_ok();
         // Requests of one sender arrive in order, so the state is merged before forwarding starts.
-        let _ = self.members.cast(members::Request::Joined);
-        let _ = self.coordinator.cast(coordinator::Request::Joined);
+        let _ = self.members.cast(request::Members::Joined);
+        let _ = self.coordinator.cast(request::Coordinator::Joined);
         if !is_complete {
             warn!("no first state after {} s; serving without", JOIN_TIMEOUT.as_secs());
             fetch.await;
@@ -82,7 +82,7 @@
                 Ok(Ok(vms)) => {
                     let infos: Vec<Info> = vms.vms.iter().map(watch::info).collect();
                     let addresses = self.nearest_first(&infos);
-                    let _ = self.members.cast(members::Request::Contacts(infos));
+                    let _ = self.members.cast(request::Members::Contacts(infos));
                     answers += self.fetch_from_peers(&addresses, PEERS - answers).await;
                 }
                 Ok(Err(error)) => warn!("list of VMs could not be read: {error}"),
@@ -129,8 +129,8 @@
         let members = serde_json::from_str(members.get()).map_err(snapshot_error)?;
         let tickets: Handoff = serde_json::from_str(tickets.get()).map_err(snapshot_error)?;
         let has_tickets = !tickets.snapshot.items.is_empty();
-        let _ = self.members.cast(members::Request::Merge(members));
-        let _ = self.tickets.cast(tickets::Request::Merge(tickets));
+        let _ = self.members.cast(request::Members::Merge(members));
+        let _ = self.tickets.cast(request::Tickets::Merge(tickets));
         Ok(has_tickets)
     }
 
@@ -141,7 +141,7 @@
             match timeout(PLATFORM_TIMEOUT, self.platform.tickets(index, Duration::ZERO)).await {
                 Ok(Ok(tickets)) => {
                     index = tickets.index;
-                    let _ = self.tickets.cast(tickets::Request::Published(tickets.tickets));
+                    let _ = self.tickets.cast(request::Tickets::Published(tickets.tickets));
                     if !tickets.more {
                         return true;
                     }
@@ -160,8 +160,8 @@
 
     /// Waits until the actors have taken over what was fetched.
     async fn wait_for_routes(&self) {
-        let _ = self.tickets.call(tickets::Request::Summary, Some(PEER_TIMEOUT)).await;
-        let _ = self.members.call(members::Request::IsDeparted, Some(PEER_TIMEOUT)).await;
+        let _ = self.tickets.call(request::Tickets::Summary, Some(PEER_TIMEOUT)).await;
+        let _ = self.members.call(request::Members::IsDeparted, Some(PEER_TIMEOUT)).await;
         info!(
             "{} members and {} services are known",
             self.shared.view.load().len(),
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -1,55 +1,22 @@
 use std::{
     collections::HashSet,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use log::{error, info, warn};
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::mpsc;
 
 use crate::{
-    member::{Detector, Id, Info, Message, Output, Ranking, Snapshot, Status},
-    node::{command::Command, coordinator, shared::Shared},
+    member::{Detector, Output, Ranking, Status},
+    node::{command::Command, request, shared::Shared},
     wire::{Body, Sender},
 };
 
 /// How often the detector's timers run.
 const TICK: Duration = Duration::from_millis(100);
 
-/// What the actor [`Members`] can be told.
-#[derive(Debug)]
-pub(super) enum Request {
-    /// Runs the timers.
-    Tick,
-    /// A message of another member's detector has arrived.
-    Received {
-        /// The sender.
-        from: Id,
-        /// The sender's address.
-        address: SocketAddr,
-        /// The message.
-        message: Message,
-    },
-    /// The platform's list of VMs has changed.
-    Contacts(Vec<Info>),
-    /// Another member's view has arrived.
-    Merge(Snapshot),
-    /// The first state is complete, so the daemon becomes an owner.
-    Joined,
-    /// The process was paused, so the view must be confirmed.
-    Confirm,
-    /// The daemon is about to stop.
-    Leave,
-    /// The daemon has handed over and stops.
-    Left,
-    /// Returns whether enough members know that this daemon has left.
-    IsDeparted(RpcReplyPort<bool>),
-    /// Returns the view for a joiner.
-    Snapshot(RpcReplyPort<Snapshot>),
-}
-
 /// What the actor starts with.
 pub(super) struct Arguments {
     /// The failure detector.
@@ -63,7 +30,7 @@
     /// Where the view is published.
     pub(super) shared: Arc<Shared>,
     /// Hears that the view is confirmed.
-    pub(super) coordinator: ActorRef<coordinator::Request>,
+    pub(super) coordinator: ActorRef<request::Coordinator>,
 }
 
 /// The actor that holds the view of the members and ranks the owners.
@@ -80,16 +47,16 @@
 }
 
 impl Actor for Members {
-    type Msg = Request;
+    type Msg = request::Members;
     type State = State;
     type Arguments = Arguments;
 
     async fn pre_start(
         &self,
-        own: ActorRef<Request>,
+        own: ActorRef<request::Members>,
         arguments: Arguments,
     ) -> Result<State, ActorProcessingErr> {
-        own.send_interval(TICK, || Request::Tick);
+        own.send_interval(TICK, || request::Members::Tick);
         let zones_out = arguments.shared.zones_out.load_full();
         let mut state =
             State { arguments, ranking: None, zones_out, outputs: Vec::new(), is_replaced: false };
@@ -99,8 +66,8 @@
 
     async fn handle(
         &self,
-        _own: ActorRef<Request>,
-        request: Request,
+        _own: ActorRef<request::Members>,
+        request: request::Members,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         state.handle(Instant::now(), request).await;
@@ -109,10 +76,10 @@
 }
 
 impl State {
-    async fn handle(&mut self, now: Instant, request: Request) {
+    async fn handle(&mut self, now: Instant, request: request::Members) {
         let detector = &mut self.arguments.detector;
         match request {
-            Request::Tick => {
+            request::Members::Tick => {
                 detector.on_tick(now, &mut self.outputs);
                 if detector.is_replaced() && !self.is_replaced {
                     self.is_replaced = true;
@@ -124,28 +91,28 @@
                     self.outputs.push(Output::ViewChanged);
                 }
             }
-            Request::Received { from, address, message } => {
+            request::Members::Received { from, address, message } => {
                 detector.on_message(now, from, address, message, &mut self.outputs);
             }
-            Request::Contacts(contacts) => detector.add_contacts(now, contacts),
-            Request::Merge(snapshot) => {
+            request::Members::Contacts(contacts) => detector.add_contacts(now, contacts),
+            request::Members::Merge(snapshot) => {
                 detector.merge_snapshot(now, snapshot);
                 self.outputs.push(Output::ViewChanged);
             }
-            Request::Joined => {
+            request::Members::Joined => {
                 self.join(now);
                 self.outputs.push(Output::ViewChanged);
             }
-            Request::Confirm => detector.confirm(now),
-            Request::Leave => {
+            request::Members::Confirm => detector.confirm(now),
+            request::Members::Leave => {
                 detector.leave(now);
                 self.outputs.push(Output::ViewChanged);
             }
-            Request::Left => detector.left(now),
-            Request::IsDeparted(reply) => {
+            request::Members::Left => detector.left(now),
+            request::Members::IsDeparted(reply) => {
                 let _ = reply.send(detector.is_departed());
             }
-            Request::Snapshot(reply) => {
+            request::Members::Snapshot(reply) => {
                 let _ = reply.send(detector.snapshot(now));
             }
         }
@@ -166,7 +133,7 @@
                             "member view could not be confirmed after a pause; it stays in force"
                         );
                     }
-                    let _ = self.arguments.coordinator.cast(coordinator::Request::ViewConfirmed);
+                    let _ = self.arguments.coordinator.cast(request::Coordinator::ViewConfirmed);
                 }
             }
         }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     member::Status,
-    node::{packets::LoopCounters, shared::Shared},
+    node::{counters::LoopCounters, shared::Shared},
     telemetry::{Instrument, Metrics, Snapshot},
     wire::Sender,
 };
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -9,7 +9,7 @@
 use crate::{
     load::Class,
     member::View,
-    node::{packets::LoopCounters, watch::Progress},
+    node::{counters::LoopCounters, progress::Progress},
     route::Table,
     ticket::TargetId,
 };
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -21,9 +21,10 @@
     node::{
         Error, Result,
         command::Command,
-        coordinator::{self, Coordinator, Links},
+        coordinator::Coordinator,
         members::{self, Members},
         packets::{PacketLoop, Parts},
+        request::{self, Links},
         shared::Shared,
         targets::{self, Targets},
         tickets::{self, Tickets},
@@ -90,7 +91,7 @@
     sender: &Sender,
     commands: &mpsc::Sender<Command>,
     random: &mut Pcg64,
-) -> Result<(ActorRef<coordinator::Request>, Links)> {
+) -> Result<(ActorRef<request::Coordinator>, Links)> {
     let start_error =
         |name| move |source: ractor::SpawnErr| Error::Start { name, source: source.into() };
     let (coordinator, _) = Actor::spawn(None, Coordinator, (commands.clone(), shared.clone()))
@@ -135,7 +136,7 @@
     let (targets, _) =
         Actor::spawn(None, Targets, arguments).await.map_err(start_error("target classes"))?;
     let links = Links { members, tickets, targets };
-    let _ = coordinator.cast(coordinator::Request::Link(Box::new(links.clone())));
+    let _ = coordinator.cast(request::Coordinator::Link(Box::new(links.clone())));
     Ok((coordinator, links))
 }
 
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -8,11 +8,10 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::{
-    load::{Class, Monitor, Observation, Reading, Report},
+    load::{Class, Monitor, Reading, Report},
     member::{Status, View},
-    node::{command::Command, shared::Shared},
+    node::{command::Command, request, shared::Shared},
     platform::{Endpoint, Health},
-    ticket::TargetId,
     util::TokenBucket,
     wire::{Body, Sender},
 };
@@ -29,19 +28,6 @@
 /// The burst of reports in bytes. One report to each member of a region of 275 takes about 14 KB.
 const REPORT_BURST: f64 = 32_768.0;
 
-/// What the actor [`Targets`] can be told.
-#[derive(Debug)]
-pub(super) enum Request {
-    /// Reads targets and decides classes.
-    Tick,
-    /// A target's endpoints were read.
-    Read(TargetId, Reading),
-    /// Reports of another member have arrived.
-    Reports(Vec<Report>),
-    /// The packet loop has seen this of targets.
-    Observed(Vec<(TargetId, Observation)>),
-}
-
 /// What the actor starts with.
 pub(super) struct Arguments {
     /// The classes of the targets.
@@ -72,16 +58,16 @@
 }
 
 impl Actor for Targets {
-    type Msg = Request;
+    type Msg = request::Targets;
     type State = State;
     type Arguments = Arguments;
 
     async fn pre_start(
         &self,
-        own: ActorRef<Request>,
+        own: ActorRef<request::Targets>,
         arguments: Arguments,
     ) -> Result<State, ActorProcessingErr> {
-        own.send_interval(TICK, || Request::Tick);
+        own.send_interval(TICK, || request::Targets::Tick);
         Ok(State {
             arguments,
             budget: TokenBucket::new(REPORT_RATE, REPORT_BURST, Instant::now()),
@@ -92,23 +78,23 @@
 
     async fn handle(
         &self,
-        own: ActorRef<Request>,
-        request: Request,
+        own: ActorRef<request::Targets>,
+        request: request::Targets,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         let now = Instant::now();
         match request {
-            Request::Tick => state.tick(now, &own).await,
-            Request::Read(target, reading) => {
+            request::Targets::Tick => state.tick(now, &own).await,
+            request::Targets::Read(target, reading) => {
                 let report = state.arguments.monitor.on_reading(now, target, &reading);
                 state.reports.extend(report);
             }
-            Request::Reports(reports) => {
+            request::Targets::Reports(reports) => {
                 for report in &reports {
                     state.arguments.monitor.on_report(now, report);
                 }
             }
-            Request::Observed(observations) => {
+            request::Targets::Observed(observations) => {
                 for (target, observation) in observations {
                     state.arguments.monitor.on_observation(now, target, observation);
                 }
@@ -119,7 +105,7 @@
 }
 
 impl State {
-    async fn tick(&mut self, now: Instant, own: &ActorRef<Request>) {
+    async fn tick(&mut self, now: Instant, own: &ActorRef<request::Targets>) {
         let view = self.arguments.shared.view.load_full();
         self.read(&view, own);
         self.report(now, &view);
@@ -141,7 +127,7 @@
     }
 
     /// Starts to read the targets that this daemon is the reader of.
-    fn read(&self, view: &View, own: &ActorRef<Request>) {
+    fn read(&self, view: &View, own: &ActorRef<request::Targets>) {
         let routes = self.arguments.shared.routes.load_full();
         for target in routes.targets() {
             if target.health.is_none() && target.load.is_none() {
@@ -159,7 +145,7 @@
             tokio::spawn(async move {
                 let reading = read(&endpoint, health.as_deref(), load.as_deref()).await;
                 drop(permit);
-                let _ = own.cast(Request::Read(id, reading));
+                let _ = own.cast(request::Targets::Read(id, reading));
             });
         }
     }
--- a/src/node/tickets.rs
+++ b/src/node/tickets.rs
@@ -1,24 +1,22 @@
 use std::{
-    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use log::{info, warn};
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::mpsc;
 
 use crate::{
-    member::Id,
     node::{
         command::Command,
-        coordinator,
         handoff::{Handoff, Remaining},
+        request::{self, Summary},
         shared::Shared,
     },
     route::{Compiler, QUARANTINE},
-    spread::{Action, Message, Spreader},
-    ticket::{self, Content, Item, Number, State, ZoneState},
+    spread::{Action, Spreader},
+    ticket::{self, Content, Item, Number, State},
     wire::{Body, Sender},
 };
 
@@ -28,47 +26,6 @@
 /// The refused tickets that are kept for the API.
 const MAX_REFUSED: usize = 64;
 
-/// What the actor [`Tickets`] can be told.
-#[derive(Debug)]
-pub(super) enum Request {
-    /// Runs the timers.
-    Tick,
-    /// A message of another member's spreader has arrived.
-    Received {
-        /// The sender.
-        from: Id,
-        /// The message.
-        message: Message,
-    },
-    /// The platform has published these tickets.
-    Published(Vec<Arc<str>>),
-    /// Another member's state has arrived.
-    Merge(Handoff),
-    /// The process was paused, so the state must be confirmed.
-    Confirm,
-    /// Returns the state for a joiner.
-    Snapshot(RpcReplyPort<Handoff>),
-    /// Returns what the API shows of the tickets.
-    Summary(RpcReplyPort<Summary>),
-}
-
-/// What the API shows of the tickets.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Summary {
-    /// The numbers in force and refused.
-    pub(super) history: ticket::History,
-    /// The hash of the state; equal in daemons with the same state.
-    pub(super) digest: Arc<str>,
-    /// The highest number in force.
-    pub(super) highest: Option<Number>,
-    /// The objects in force with the number that set each.
-    pub(super) objects: Vec<(Number, Arc<str>)>,
-    /// Why tickets were refused, newest last.
-    pub(super) refused: Vec<(Option<Number>, Arc<str>)>,
-    /// The states of the zones that tickets have set, with the numbers.
-    pub(super) zones: BTreeMap<Arc<str>, (Number, ZoneState)>,
-}
-
 /// What the actor starts with.
 pub(super) struct Arguments {
     /// The dissemination.
@@ -82,7 +39,7 @@
     /// Where the routes are published.
     pub(super) shared: Arc<Shared>,
     /// Hears that the state is confirmed.
-    pub(super) coordinator: ActorRef<coordinator::Request>,
+    pub(super) coordinator: ActorRef<request::Coordinator>,
 }
 
 /// The actor that holds the ticket state.
@@ -99,16 +56,16 @@
 }
 
 impl Actor for Tickets {
-    type Msg = Request;
+    type Msg = request::Tickets;
     type State = Inner;
     type Arguments = Arguments;
 
     async fn pre_start(
         &self,
-        own: ActorRef<Request>,
+        own: ActorRef<request::Tickets>,
         arguments: Arguments,
     ) -> Result<Inner, ActorProcessingErr> {
-        own.send_interval(TICK, || Request::Tick);
+        own.send_interval(TICK, || request::Tickets::Tick);
         Ok(Inner {
             arguments,
             compiler: Compiler::new(),
@@ -121,8 +78,8 @@
 
     async fn handle(
         &self,
-        _own: ActorRef<Request>,
-        request: Request,
+        _own: ActorRef<request::Tickets>,
+        request: request::Tickets,
         state: &mut Inner,
     ) -> Result<(), ActorProcessingErr> {
         state.handle(Instant::now(), request).await;
@@ -131,16 +88,16 @@
 }
 
 impl Inner {
-    async fn handle(&mut self, now: Instant, request: Request) {
+    async fn handle(&mut self, now: Instant, request: request::Tickets) {
         let Arguments { spreader, state, .. } = &mut self.arguments;
         let mut is_changed = false;
         match request {
-            Request::Tick => self.tick(now),
-            Request::Received { from, message } => {
+            request::Tickets::Tick => self.tick(now),
+            request::Tickets::Received { from, message } => {
                 spreader.on_message(now, from, message, state, &mut self.actions);
             }
-            Request::Published(texts) => self.publish(now, &texts),
-            Request::Merge(handoff) => {
+            request::Tickets::Published(texts) => self.publish(now, &texts),
+            request::Tickets::Merge(handoff) => {
                 let quarantines = handoff.quarantines.into_iter();
                 let quarantines = quarantines.map(|left| left.quarantine(now, QUARANTINE));
                 self.compiler.adopt(quarantines.collect());
@@ -150,17 +107,17 @@
                 }
                 is_changed = true;
             }
-            Request::Confirm => {
+            request::Tickets::Confirm => {
                 spreader.confirm(now, state, &mut self.actions);
                 self.is_confirming = true;
             }
-            Request::Snapshot(reply) => {
+            request::Tickets::Snapshot(reply) => {
                 let quarantines = self.compiler.quarantines(now);
                 let left = quarantines.iter().map(|quarantine| Remaining::new(now, quarantine));
                 let handoff = Handoff { snapshot: state.snapshot(), quarantines: left.collect() };
                 let _ = reply.send(handoff);
             }
-            Request::Summary(reply) => {
+            request::Tickets::Summary(reply) => {
                 let _ = reply.send(self.summary());
             }
         }
@@ -170,7 +127,7 @@
         }
         if self.is_confirming && self.arguments.spreader.is_confirmed(now) {
             self.is_confirming = false;
-            let _ = self.arguments.coordinator.cast(coordinator::Request::StateConfirmed);
+            let _ = self.arguments.coordinator.cast(request::Coordinator::StateConfirmed);
         }
     }
 
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     member::Info,
-    node::{members, shared::Shared, tickets},
+    node::{progress::Progress, request, shared::Shared},
     platform::{Error, Index, Pace, Platform, Schedule, Vm},
 };
 
@@ -17,7 +17,7 @@
 pub(super) async fn tickets(
     platform: Arc<impl Platform>,
     shared: Arc<Shared>,
-    actor: ActorRef<tickets::Request>,
+    actor: ActorRef<request::Tickets>,
     seed: u64,
 ) {
     let mut is_reader = shared.is_reader.subscribe();
@@ -35,7 +35,7 @@
         }
         shared.platform.store(Arc::new(watch.progress()));
         if let Some(tickets) = tickets
-            && actor.cast(tickets::Request::Published(tickets.tickets)).is_err()
+            && actor.cast(request::Tickets::Published(tickets.tickets)).is_err()
         {
             return;
         }
@@ -46,7 +46,7 @@
 pub(super) async fn vms(
     platform: Arc<impl Platform>,
     shared: Arc<Shared>,
-    actor: ActorRef<members::Request>,
+    actor: ActorRef<request::Members>,
     seed: u64,
 ) {
     let mut is_reader = shared.is_reader.subscribe();
@@ -61,7 +61,7 @@
         if let Some(vms) = watch.finish(result) {
             watch.index = vms.index;
             let contacts = vms.vms.iter().map(info).collect();
-            if actor.cast(members::Request::Contacts(contacts)).is_err() {
+            if actor.cast(request::Members::Contacts(contacts)).is_err() {
                 return;
             }
         }
@@ -79,17 +79,6 @@
     }
 }
 
-/// How far the watch of the tickets has come.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Progress {
-    /// The index of the last tickets.
-    pub(super) index: Index,
-    /// Failed calls since the last success.
-    pub(super) failures: u32,
-    /// When the platform last answered.
-    pub(super) last_success: Option<std::time::Instant>,
-}
-
 /// The position and pace of one watch.
 struct Watch {
     list: &'static str,
