Be not ready while neither targets nor the path to other systems answer

The zone's daemons reached no usable target, and callers waited there although daemons of other zones could serve them. Ruled out: using the zone's own targets, which operators forbade; a silent store alone, which every daemon outlives with its old view. Lines about left-out lines are written once a second at most.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -29,6 +29,8 @@
     observed: HashMap<Cookie, Observed>,
     /// When a cookie of a flow was found to be unknown.
     unknown: HashMap<Flow, Instant>,
+    /// When a new flow of a service was last placed.
+    placed_at: HashMap<Arc<str>, Instant>,
     /// Opening packets that came before this moment waited during a pause.
     held_until: Option<Instant>,
     counters: Counters,
@@ -47,6 +49,7 @@
             flows,
             observed: HashMap::new(),
             unknown: HashMap::new(),
+            placed_at: HashMap::new(),
             held_until: None,
             counters: Counters::default(),
             events: Vec::new(),
@@ -111,6 +114,23 @@
         self.view.target(self.flows.cookie(flow)?)
     }
 
+    /// Returns whether none of the targets that callers ask for answers this daemon, or `None` if
+    /// nobody asks. Daemons of other zones may reach them.
+    pub fn is_cut_off(&self, now: Instant) -> Option<bool> {
+        let mut asked = self
+            .placed_at
+            .iter()
+            .filter(|(_, at)| now.saturating_duration_since(**at) < self.tuning.asked_recently)
+            .peekable();
+        asked.peek()?;
+        Some(asked.all(|(service, _)| {
+            self.view.pool(service).all(|entry| {
+                let observed = self.observed.get(&entry.cookie);
+                observed.is_some_and(|target| target.evidence.is_silent())
+            })
+        }))
+    }
+
     /// Takes the decisions since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
@@ -274,6 +294,11 @@
         };
         let open = self.flows.load(choice.cookie).open;
         self.flows.open(now, packet, choice.cookie);
+        if let Some(placed_at) = self.placed_at.get_mut(service) {
+            *placed_at = now;
+        } else {
+            self.placed_at.insert(service.clone(), now);
+        }
         let target = self.observed.entry(choice.cookie).or_default();
         if entry.is_cold(now) {
             target.allowance.take(now);
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -36,6 +36,9 @@
     pub retransmission: Duration,
     /// The largest number of flows that are reset at once without a packet of theirs.
     pub resets_at_once: usize,
+    /// How long a service counts as asked for after a new flow. Callers repeat opening packets
+    /// within 0.6 s.
+    pub asked_recently: Duration,
     /// The time between two new flows that test a silent target.
     pub trial_period: Duration,
     /// How long a flow without packets counts as open, unless the configuration says less.
@@ -72,6 +75,7 @@
             lone_reset_after: Duration::from_millis(1400),
             retransmission: Duration::from_millis(150),
             resets_at_once: 256,
+            asked_recently: Duration::from_secs(2),
             trial_period: Duration::from_secs(1),
             idle: Duration::from_secs(15),
             flows: 100_000,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -77,6 +77,7 @@
             shared: shared.clone(),
             keeper: keeper.clone(),
             caller_port: settings.data.port(),
+            zone: settings.zone.clone(),
             socket,
         };
         let source = Arc::new(source);
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use log::{error, warn};
+use log::{error, info, warn};
 use ractor::ActorRef;
 use tokio::{
     io::Interest,
@@ -39,6 +39,8 @@
     pub(super) keeper: ActorRef<Request>,
     /// The port at which callers receive packets.
     pub(super) caller_port: u16,
+    /// The daemon's availability zone.
+    pub(super) zone: Arc<str>,
     pub(super) socket: UdpSocket,
     pub(super) commands: mpsc::Receiver<Command>,
 }
@@ -79,6 +81,7 @@
                     self.refresh();
                     self.forwarder
                         .set_zone_daemons(self.shared.zone_daemons.load(Ordering::Relaxed));
+                    self.notice_cut();
                     self.give_up(&inbox, &mut outbox);
                     tick = tick.wrapping_add(1);
                     if tick.is_multiple_of(SWEEP_TICKS) {
@@ -119,6 +122,23 @@
         }
     }
 
+    /// Publishes whether the daemon is cut off: no target answers, and the path to the store or to
+    /// another zone is broken. The daemon is not ready meanwhile.
+    fn notice_cut(&self) {
+        let was_cut_off = self.shared.is_cut_off.load(Ordering::Relaxed);
+        let failing_calls = self.shared.failing_calls();
+        // When the fabric has sent the callers elsewhere, only the path can tell.
+        let is_silent = self.forwarder.is_cut_off(Instant::now()).unwrap_or(was_cut_off);
+        let is_cut_off = is_silent && self.shared.is_path_broken(&self.zone);
+        if self.shared.is_cut_off.swap(is_cut_off, Ordering::Relaxed) != is_cut_off {
+            if is_cut_off {
+                warn!(failing_calls = failing_calls; "daemon is cut off: no target answers");
+            } else {
+                info!(failing_calls = failing_calls; "daemon is no longer cut off");
+            }
+        }
+    }
+
     fn answer(&self, command: Command) {
         // An asker that has gone is no event.
         match command {
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use log::{debug, info, warn};
 
@@ -11,17 +11,22 @@
 const LINES_PER_SECOND: f64 = 100.0;
 const LINES_AT_ONCE: f64 = 300.0;
 
+/// The time between two lines that say how many were left out.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Writes a line for each decision about a flow, up to a rate.
 pub(super) struct Reporter {
     budget: TokenBucket,
     suppressed: u64,
+    /// When the suppressed lines were last reported.
+    reported_at: Instant,
 }
 
 impl Reporter {
     /// Creates a reporter.
     pub(super) fn new(now: Instant) -> Reporter {
         let budget = TokenBucket::new(LINES_PER_SECOND, LINES_AT_ONCE, now);
-        Reporter { budget, suppressed: 0 }
+        Reporter { budget, suppressed: 0, reported_at: now }
     }
 
     /// Writes the lines for `events`, which were decided with `view`.
@@ -31,7 +36,10 @@
                 self.suppressed += 1;
                 continue;
             }
-            if self.suppressed > 0 {
+            if self.suppressed > 0
+                && now.saturating_duration_since(self.reported_at) >= REPORT_PERIOD
+            {
+                self.reported_at = now;
                 warn!(lines = self.suppressed; "lines about packets were left out");
                 self.suppressed = 0;
             }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -27,6 +27,8 @@
     pub(super) zone_daemons: AtomicUsize,
     /// The admin addresses of other daemons from the settings.
     pub(super) contacts: ArcSwap<Vec<SocketAddr>>,
+    /// Whether the daemon reaches neither targets nor other systems.
+    pub(super) is_cut_off: AtomicBool,
     /// Whether the last read of what operators published failed.
     pub(super) is_operator_failing: AtomicBool,
     /// Whether the last read of the targets failed.
@@ -54,9 +56,20 @@
 }
 
 impl Shared {
-    /// Returns whether the fabric may send to this daemon.
+    /// Returns whether the fabric may send to this daemon. A daemon that reaches neither targets
+    /// nor the store is cut off, and the daemons of other zones may serve its callers.
     pub(super) fn is_ready(&self) -> bool {
-        self.view.load().is_complete() && !self.is_leaving.load(Ordering::Relaxed)
+        self.view.load().is_complete()
+            && !self.is_leaving.load(Ordering::Relaxed)
+            && !self.is_cut_off.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the store or a daemon of another zone does not answer this daemon.
+    pub(super) fn is_path_broken(&self, zone: &str) -> bool {
+        let members = self.members.load();
+        let mut others = members.iter().filter(|(_, member)| *member.info.zone != *zone);
+        self.failing_calls() > 0
+            || others.any(|(_, member)| member.status == member::Status::Suspect)
     }
 
     /// Returns whether the daemon cannot learn from the store what it needs.
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -319,6 +319,30 @@
     assert_eq!(bench.forwarder.counters().silences, 0);
 }
 
+/// The pattern: the own zone is out of service and is then cut off from the others. Guards against a
+/// daemon that keeps callers whom the daemons of other zones could serve.
+#[test]
+fn daemon_that_reaches_no_target_is_cut_off() {
+    let all = targets("web", 0, 3);
+    let mut bench = Bench::new(all);
+    assert_eq!(bench.forwarder.is_cut_off(bench.now), None, "nobody has asked");
+    for number in 0..9 {
+        bench.open(number);
+    }
+    assert_eq!(bench.forwarder.is_cut_off(bench.now), Some(false));
+    for attempt in 1..=2 {
+        bench.after(ms(210));
+        for number in 0..9 {
+            let copy = Packet { kind: Kind::Open { attempt }, ..open(number) };
+            bench.decide(&copy);
+        }
+    }
+    assert_eq!(bench.forwarder.is_cut_off(bench.now), Some(true));
+    let opened = bench.open(20);
+    bench.answered(20, opened.cookie, 100);
+    assert_eq!(bench.forwarder.is_cut_off(bench.now), Some(false), "a target answers");
+}
+
 /// Guards against a target that is given up because of single lost packets.
 #[test]
 fn lost_packets_do_not_make_a_target_silent() {
