--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -8,15 +8,27 @@
 #[path = "../examples/support/flows.rs"]
 mod flows;
 
+#[path = "../tests/cookies/mod.rs"]
+mod cookies;
+
 use std::{collections::HashMap, hint::black_box, time::Duration};
 
-use banyanwharf::flow::Key;
+use banyanwharf::{
+    cookie::{Kind, Packet},
+    flow::Key,
+};
 use criterion::{Criterion, criterion_group, criterion_main};
 use flows::{Held, Role};
 
 const HELD: [usize; 4] = [1_000, 30_000, 300_000, 1_000_000];
 const MAP_ENTRIES: usize = 300_000;
 
+/// The targets of the two deployments of today, of the grown ones, and of the design size.
+const TARGETS: [u64; 3] = [18, 150, 9_400];
+
+/// The flows that repeat in the measurements of gateway mode.
+const OPENED: u32 = 10_000;
+
 fn lookup(criterion: &mut Criterion) {
     let mut held = Held::new(1);
     let keys: Vec<Key> = (0..MAP_ENTRIES).map(|_| held.key_of(Role::Other)).collect();
@@ -55,12 +67,45 @@
     }
 }
 
+/// Measures gateway mode with `count` targets: delivery by the cookie, placement of a new flow, and
+/// the view that each read of the targets makes.
+fn cookie(criterion: &mut Criterion) {
+    for count in TARGETS {
+        let all = cookies::targets("web", count / 4, count - count / 4);
+        let mut bench = cookies::Bench::new(all.clone());
+        let opened: Vec<_> = (0..OPENED).map(|number| bench.establish(number)).collect();
+        let packets: Vec<Packet> = opened
+            .iter()
+            .zip(0..)
+            .map(|(opened, number)| {
+                cookies::packet(cookies::flow(number, 1), Kind::Data, opened.cookie)
+            })
+            .collect();
+        let mut packets = packets.iter().cycle();
+        criterion.bench_function(&format!("cookie/deliver/{count} targets"), |bencher| {
+            bencher.iter(|| bench.decide(black_box(packets.next().expect("they repeat"))));
+        });
+        let opening: Vec<Packet> = (0..OPENED).map(cookies::open).collect();
+        let mut opening = opening.iter().cycle();
+        criterion.bench_function(&format!("cookie/place/{count} targets"), |bencher| {
+            bencher.iter(|| {
+                let verdict = bench.decide(black_box(opening.next().expect("they repeat")));
+                bench.forwarder.take_events();
+                verdict
+            });
+        });
+        criterion.bench_function(&format!("cookie/read/{count} targets"), |bencher| {
+            bencher.iter(|| bench.list(black_box(all.clone())));
+        });
+    }
+}
+
 criterion_group! {
     name = benches;
     config = Criterion::default()
         .sample_size(20)
         .warm_up_time(Duration::from_millis(200))
         .measurement_time(Duration::from_secs(1));
-    targets = lookup, decision
+    targets = lookup, decision, cookie
 }
 criterion_main!(benches);
--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -30,6 +30,8 @@
 /// What a packet says about its flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Sign {
+    /// The target answered an opening packet, after this time.
+    Opened(Duration),
     /// The target answered.
     Progress,
     /// The caller repeats a packet that it sent first at this moment.
@@ -220,13 +222,14 @@
             self.next_sequence = end;
         }
         if is_advancing {
+            let waited = now.saturating_duration_since(self.sent);
             self.is_open = true;
             self.acknowledged = packet.acknowledged;
             self.sent = now;
             self.is_repeating = false;
             // The request follows the handshake at once.
             self.is_waiting = is_opening || packet.length > 0;
-            return Sign::Progress;
+            return if is_opening { Sign::Opened(waited) } else { Sign::Progress };
         }
         if packet.length == 0 {
             return Sign::Neutral;
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -35,6 +35,8 @@
     held_until: Option<Instant>,
     counters: Counters,
     events: Vec<Event>,
+    /// How long callers waited for the answer to an opening packet.
+    openings: Vec<Duration>,
 }
 
 impl Forwarder {
@@ -53,6 +55,7 @@
             held_until: None,
             counters: Counters::default(),
             events: Vec::new(),
+            openings: Vec::new(),
         }
     }
 
@@ -136,6 +139,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Takes the times that callers waited for the answer to an opening packet since the last call.
+    pub fn take_openings(&mut self) -> Vec<Duration> {
+        std::mem::take(&mut self.openings)
+    }
+
     /// Forgets flows that are over. It is called about once a second.
     pub fn sweep(&mut self, now: Instant) {
         let idle = self.view.config.as_ref().map(|config| config.idle_timeout);
@@ -388,10 +396,13 @@
         let Some(entry) = self.view.target(cookie) else {
             return;
         };
+        if let Sign::Opened(waited) = sign {
+            self.openings.push(waited);
+        }
         let observed = self.observed.entry(cookie).or_default();
         match sign {
             Sign::Neutral => {}
-            Sign::Progress => {
+            Sign::Opened(_) | Sign::Progress => {
                 if let Some(after) = observed.evidence.progress(now) {
                     let target = entry.target.name.clone();
                     let after_ms = after.as_millis() as u64;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -62,6 +62,7 @@
     ) -> Result<Gateway> {
         let tuning = tuning(&settings);
         let shared = Arc::new(Shared::default());
+        let metrics = Metrics::new()?;
         let data = SocketAddr::V4(settings.data);
         let bind_error = |source| Error::Bind { name: "data", address: data, source };
         let socket = UdpSocket::bind(data).map_err(bind_error)?;
@@ -72,6 +73,7 @@
         shared.contacts.store(Arc::new(settings.contacts.clone()));
         let packet_loop = PacketLoop {
             commands: waiting,
+            openings: metrics::openings(&metrics),
             codec,
             forwarder: Forwarder::new(settings.zone.clone(), tuning),
             shared: shared.clone(),
@@ -85,9 +87,16 @@
         let (seed, other) = (random.random(), random.random());
         let (stop, stopped) = oneshot::channel();
         packet_loop.spawn(stopped).map_err(Error::Thread)?;
+        let times = metrics::store_calls(&metrics);
         let tasks = [
-            tokio::spawn(reader::targets(source.clone(), keeper.clone(), shared.clone(), seed)),
-            tokio::spawn(reader::operator(source, keeper.clone(), shared.clone(), other)),
+            tokio::spawn(reader::targets(
+                source.clone(),
+                keeper.clone(),
+                shared.clone(),
+                times.clone(),
+                seed,
+            )),
+            tokio::spawn(reader::operator(source, keeper.clone(), shared.clone(), times, other)),
         ];
         let mut tasks: Vec<AbortHandle> =
             tasks.iter().map(tokio::task::JoinHandle::abort_handle).collect();
@@ -124,7 +133,6 @@
             tasks.push(tokio::spawn(answerer.run(requests)).abort_handle());
             admin = Some(admin::Server::start(address, requester).await?);
         }
-        let metrics = Metrics::new()?;
         let scrape = match settings.metrics {
             Some(address) => Some(metrics.serve(address).await?),
             None => None,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,7 +6,7 @@
 use crate::{
     cookie::Standing,
     gateway::shared::Shared,
-    telemetry::{Instrument, Metrics, Snapshot},
+    telemetry::{Histogram, Instrument, Metrics, Snapshot},
 };
 
 /// How often the values are published for the next scrape.
@@ -31,6 +31,19 @@
 const SUPPRESSED: Instrument =
     Instrument::gauge("gateway_suppressed_lines", "Log lines left out since the last line.");
 
+/// Returns the histogram of the time that callers wait for the answer to an opening packet.
+pub(super) fn openings(metrics: &Metrics) -> Histogram {
+    metrics.histogram(
+        "gateway_opening_seconds",
+        "Time from an opening packet to the first packet after the target's answer.",
+    )
+}
+
+/// Returns the histogram of the time of calls to the store.
+pub(super) fn store_calls(metrics: &Metrics) -> Histogram {
+    metrics.histogram("gateway_store_call_seconds", "Time of calls to the store, with waiting.")
+}
+
 /// Publishes the values of a daemon until the task is aborted.
 pub(super) async fn run(metrics: Metrics, shared: Arc<Shared>) {
     let mut period = tokio::time::interval(PERIOD);
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -22,6 +22,7 @@
         Codec, boot_clock::PauseWatch, command::Command, keeper::Request, report::Reporter,
         shared::Shared,
     },
+    telemetry::Histogram,
     util::{Inbox, Outbox},
 };
 
@@ -43,6 +44,8 @@
     pub(super) zone: Arc<str>,
     pub(super) socket: UdpSocket,
     pub(super) commands: mpsc::Receiver<Command>,
+    /// How long callers waited for the answer to an opening packet.
+    pub(super) openings: Histogram,
 }
 
 impl<C: Codec> PacketLoop<C> {
@@ -103,6 +106,9 @@
                     });
                 }
             }
+            for waited in self.forwarder.take_openings() {
+                self.openings.record(waited, "opening");
+            }
             let events = self.forwarder.take_events();
             if !events.is_empty() {
                 reporter.write(Instant::now(), self.forwarder.view(), events);
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -11,6 +11,7 @@
     cookie::Revision,
     gateway::{Lag, Source, keeper::Request, shared::Shared},
     platform::{Error, Pace, Schedule},
+    telemetry::Histogram,
 };
 
 /// The time between two reads of the targets. A change of a target must be known within 3 s, and
@@ -51,9 +52,10 @@
     source: Arc<impl Source>,
     keeper: ActorRef<Request>,
     shared: Arc<Shared>,
+    times: Histogram,
     seed: u64,
 ) {
-    let mut calls = Calls::new(Call::Operator, seed, shared.clone());
+    let mut calls = Calls::new(Call::Operator, seed, times, shared.clone());
     let mut known: Option<Revision> = None;
     loop {
         calls.wait().await;
@@ -94,9 +96,10 @@
     source: Arc<impl Source>,
     keeper: ActorRef<Request>,
     shared: Arc<Shared>,
+    times: Histogram,
     seed: u64,
 ) {
-    let mut calls = Calls::new(Call::Targets, seed, shared.clone());
+    let mut calls = Calls::new(Call::Targets, seed, times, shared.clone());
     let mut lag = Lag::default();
     loop {
         calls.wait().await;
@@ -131,13 +134,16 @@
     /// Whether the daemon has not known enough to serve yet.
     is_first: bool,
     failed_at: Option<Instant>,
+    begun_at: Instant,
+    times: Histogram,
     shared: Arc<Shared>,
 }
 
 impl Calls {
-    fn new(call: Call, seed: u64, shared: Arc<Shared>) -> Calls {
+    fn new(call: Call, seed: u64, times: Histogram, shared: Arc<Shared>) -> Calls {
+        let begun_at = Instant::now();
         let schedule = Schedule::new(FIRST_PACE, seed, Instant::now());
-        Calls { call, schedule, seed, is_first: true, failed_at: None, shared }
+        Calls { call, schedule, seed, is_first: true, failed_at: None, begun_at, times, shared }
     }
 
     async fn wait(&mut self) {
@@ -147,7 +153,8 @@
         }
         let next = tokio::time::Instant::from_std(self.schedule.next_start());
         sleep_until(next).await;
-        self.schedule.started(Instant::now());
+        self.begun_at = Instant::now();
+        self.schedule.started(self.begun_at);
     }
 
     /// Notes the result of a call. Lines are only written when the store goes or returns.
@@ -158,6 +165,12 @@
             Call::Targets => &self.shared.is_targets_failing,
         };
         is_failing.store(result.is_err(), Ordering::Relaxed);
+        let kind = match (call, &result) {
+            (Call::Operator, Ok(_)) => "watch",
+            (Call::Targets, Ok(_)) => "targets",
+            (_, Err(_)) => "failed",
+        };
+        self.times.record(self.begun_at.elapsed(), kind);
         match result {
             Ok(value) => {
                 self.schedule.succeeded();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -14,7 +14,10 @@
 use opentelemetry_sdk::metrics::{self, SdkMeterProvider, Stream};
 use prometheus::{Registry, TextEncoder};
 
-use crate::telemetry::{Instrument, Kind, Label, Result, Server, Snapshot};
+use crate::telemetry::{Histogram, Instrument, Kind, Label, Result, Server, Snapshot};
+
+/// The upper limits of the buckets of histograms in seconds: from one hop to a caller's patience.
+const BOUNDARIES: [f64; 12] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
 type Snapshots = Mutex<BTreeMap<&'static str, Arc<Snapshot>>>;
 
@@ -125,6 +128,30 @@
         Ok(TextEncoder::new().encode_to_string(&families)?)
     }
 
+    /// Returns a histogram of times in seconds, which shows the values from now on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use banyanwharf::telemetry::Metrics;
+    ///
+    /// let metrics = Metrics::new()?;
+    /// let histogram = metrics.histogram("call_seconds", "Time of calls.");
+    /// histogram.record(Duration::from_millis(4), "read");
+    /// assert!(metrics.text()?.contains("banyanwharf_call_seconds_count"));
+    /// # Ok::<(), banyanwharf::telemetry::Error>(())
+    /// ```
+    pub fn histogram(&self, name: &'static str, description: &'static str) -> Histogram {
+        lock(&self.inner.registered).insert(name, Instrument::gauge(name, description));
+        let histogram = self
+            .inner
+            .meter
+            .f64_histogram(name)
+            .with_description(description)
+            .with_boundaries(BOUNDARIES.to_vec())
+            .build();
+        Histogram::new(histogram)
+    }
+
     /// Serves `/metrics` and `/healthz` at `address` until the server is dropped.
     ///
     /// # Errors
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -7,6 +7,7 @@
 
 mod error;
 mod exporter;
+mod histogram;
 mod instrument;
 mod logs;
 mod metrics;
@@ -18,6 +19,7 @@
 mod tracing;
 
 pub use error::{Error, Result};
+pub use histogram::Histogram;
 pub use instrument::{Instrument, Kind};
 pub use logs::Logs;
 pub use metrics::Metrics;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::PathBuf};
 
 use banyanwharf::{
-    settings::{Error, Level, Located, MAXIMUM_BYTES, Output, Settings},
+    settings::{Error, File, Level, Located, MAXIMUM_BYTES, Output, Settings},
     ticket::Ticket,
 };
 use miette::Diagnostic as _;
@@ -23,6 +23,33 @@
     }
 }
 
+/// Guards against settings of gateway mode that are taken although they cannot work.
+#[test]
+fn gateway_settings_are_checked() {
+    let (path, text) = sample("gateway.jsonc");
+    let File::Gateway(settings) = File::load(&path).expect("the sample is correct") else {
+        panic!("the sample is for gateway mode")
+    };
+    assert_eq!((&*settings.zone, settings.drain_seconds), ("mvd-cerro", 5));
+    let (path, _) = sample("deployment-a.jsonc");
+    assert!(matches!(File::load(&path), Ok(File::Tunnel(_))));
+    for (from, to, message) in [
+        ("\"gateway\"", "\"router\"", "unknown variant"),
+        ("\"zone\": \"mvd-cerro\"", "\"zone\": \"mvd-cero\"", "not in the list of zones"),
+        ("\"192.0.2.11:6081\"", "\"0.0.0.0:6081\"", "is unspecified"),
+        ("\"192.0.2.11:7001\"", "\"192.0.2.11:6080\"", "already used"),
+        ("\"cold_factor\": 1.0", "\"cold_factor\": -1", "out of range"),
+        ("\"data\"", "\"dat\"", "unknown field"),
+    ] {
+        let broken = text.replacen(from, to, 1);
+        assert_ne!(broken, text);
+        let error = File::parse("gateway", &broken).expect_err("it has a problem");
+        let Error::Located(located) = error else { panic!("{error} has no place") };
+        assert!(located.message.contains(message), "{}", located.message);
+        assert!(located.line > 1);
+    }
+}
+
 /// Guards against samples that the program refuses.
 #[test]
 fn samples_load() {
