Let evidence against targets age

Packets that callers repeated during a partition still counted 8 to 15 s later, when the fabric sent their flows back to the daemon, and working flows were reset. Ruled out: the targets' entries (present all the time) and unknown cookies. Two tests failed before.

--- a/src/cookie/evidence.rs
+++ b/src/cookie/evidence.rs
@@ -22,6 +22,8 @@
     repeating: Vec<Flow>,
     /// When the first of the repeated packets was sent for the first time.
     first_sent: Option<Instant>,
+    /// When a packet was last repeated.
+    last_repeat: Option<Instant>,
     silence: Option<Silence>,
 }
 
@@ -39,7 +41,22 @@
         } else {
             tuning.lone_reset_after
         };
-        self.is_silent() && lasted.is_some_and(|lasted| lasted >= enough)
+        self.is_silent()
+            && self.is_recent(now, tuning)
+            && lasted.is_some_and(|lasted| lasted >= enough)
+    }
+
+    /// Forgets the packets that were repeated. A silent target stays silent for new flows.
+    pub(super) fn forget(&mut self) {
+        self.repeating.clear();
+        self.first_sent = None;
+        self.last_repeat = None;
+    }
+
+    /// Returns whether callers still repeat packets. They may have been sent elsewhere since.
+    fn is_recent(&self, now: Instant, tuning: &Tuning) -> bool {
+        self.last_repeat
+            .is_some_and(|last| now.saturating_duration_since(last) < tuning.evidence_life)
     }
 
     /// Returns the number of flows that repeat packets.
@@ -51,8 +68,7 @@
     /// was.
     pub(super) fn progress(&mut self, now: Instant) -> Option<Duration> {
         self.last_progress = Some(now);
-        self.repeating.clear();
-        self.first_sent = None;
+        self.forget();
         let silence = self.silence.take()?;
         Some(now.saturating_duration_since(silence.since))
     }
@@ -71,6 +87,10 @@
         if self.last_progress.is_some_and(|progress| progress >= sent) {
             return None;
         }
+        if !self.is_recent(now, tuning) {
+            self.forget();
+        }
+        self.last_repeat = Some(now);
         if !self.repeating.contains(&flow) && self.repeating.len() < MAXIMUM_FLOWS {
             self.repeating.push(flow);
         }
--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -2,7 +2,7 @@
 
 use hashbrown::HashMap;
 
-use crate::cookie::{Cookie, Flow, Packet};
+use crate::cookie::{Cookie, Flow, Packet, Tuning};
 
 /// What a daemon has seen of one flow.
 #[derive(Debug, Clone)]
@@ -116,19 +116,26 @@
         Sign::Repeat(seen.sent)
     }
 
-    /// Notes a later packet of a flow, and returns what it says. A packet that comes again sooner
-    /// than after `retransmission` is not taken for a repeated one.
-    pub(super) fn note(&mut self, now: Instant, packet: &Packet, retransmission: Duration) -> Sign {
+    /// Notes a later packet of a flow, and returns what it says.
+    pub(super) fn note(&mut self, now: Instant, packet: &Packet, tuning: &Tuning) -> Sign {
         let Some(seen) = self.seen.get_mut(&packet.flow) else {
             self.insert(now, packet, packet.cookie, true);
             return Sign::Neutral;
         };
         let before = seen.counted();
-        let sign = seen.note(now, packet, retransmission);
+        let sign = seen.note(now, packet, tuning);
         count(&mut self.loads, before, seen.counted());
         sign
     }
 
+    /// Regards all packets without an answer as sent at `now`.
+    pub(super) fn restart(&mut self, now: Instant) {
+        for seen in self.seen.values_mut() {
+            seen.sent = now;
+            seen.is_repeating = false;
+        }
+    }
+
     /// Removes up to `limit` flows whose target `is_lost`, and returns them with the cookies of
     /// their targets and the acknowledgement numbers that their callers sent last.
     pub(super) fn give_up(
@@ -212,8 +219,14 @@
         (!self.is_closing).then_some((self.cookie, load))
     }
 
-    fn note(&mut self, now: Instant, packet: &Packet, retransmission: Duration) -> Sign {
+    fn note(&mut self, now: Instant, packet: &Packet, tuning: &Tuning) -> Sign {
+        let was_away = now.saturating_duration_since(self.last) >= tuning.evidence_life;
         self.last = now;
+        if was_away && self.is_open {
+            // The flow was idle, or its packets went through other daemons.
+            self.sent = now;
+            self.is_repeating = false;
+        }
         let end = packet.sequence.wrapping_add(u32::from(packet.length));
         let is_opening = !self.is_open;
         let is_advancing = is_opening || is_after(packet.acknowledged, self.acknowledged);
@@ -241,7 +254,7 @@
             }
             return Sign::Neutral;
         }
-        if now.saturating_duration_since(self.sent) < retransmission {
+        if now.saturating_duration_since(self.sent) < tuning.retransmission {
             return Sign::Neutral;
         }
         self.is_repeating = true;
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -73,8 +73,12 @@
     }
 
     /// Notes that the process was paused: opening packets that waited are dropped until the view
-    /// is read again.
+    /// is read again, and packets that callers repeated meanwhile say nothing about targets.
     pub fn paused(&mut self, now: Instant) {
+        self.flows.restart(now);
+        for target in self.observed.values_mut() {
+            target.evidence.forget();
+        }
         self.held_until = Some(now + self.tuning.pause_hold);
     }
 
@@ -354,7 +358,7 @@
         if entry.standing == Standing::Gone && self.is_gone_for_sure(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let sign = self.flows.note(now, packet, self.tuning.retransmission);
+        let sign = self.flows.note(now, packet, &self.tuning);
         self.learn(now, flow, packet.cookie, sign);
         if matches!(sign, Sign::Repeat(_)) && self.is_lost(now, packet.cookie) {
             return Verdict::Reset(Reason::TargetSilent);
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -21,6 +21,9 @@
     /// How long a cookie may be unknown before its flow is reset, if the view was read again
     /// since: the lag of the store's stale reads and one period of reads.
     pub unknown_grace: Duration,
+    /// How long a repeated packet counts as evidence: the longest retransmission timeout of callers,
+    /// and some more.
+    pub evidence_life: Duration,
     /// The number of flows that must repeat packets before a target is regarded as silent.
     pub silent_flows: usize,
     /// How long a single flow must repeat packets before its target is regarded as silent: two
@@ -69,6 +72,7 @@
             fresh: Duration::from_millis(1500),
             confirmed: Duration::from_secs(10),
             unknown_grace: Duration::from_millis(1300),
+            evidence_life: Duration::from_secs(2),
             silent_flows: 2,
             lone_silence: Duration::from_millis(600),
             reset_after: Duration::from_millis(600),
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -305,6 +305,65 @@
     assert_eq!(bench.forwarder.give_up(bench.now).len(), held.len());
 }
 
+/// The pattern: a partition makes targets silent for a daemon, the fabric sends their callers elsewhere,
+/// and sends them back after the partition has ended. Guards against resets of flows that work, by
+/// evidence from the partition.
+#[test]
+fn old_evidence_does_not_reset_flows_that_come_back() {
+    let all = targets("web", 1, 0);
+    let mut bench = Bench::new(all.clone());
+    let silent = cookie(&all[0]);
+    (0..4).for_each(|number| {
+        bench.establish(number);
+    });
+    bench.after(ms(10));
+    (0..4).for_each(|number| {
+        bench.send(number, silent, 1000);
+    });
+    for wait in [200, 300] {
+        bench.after(ms(wait));
+        for number in 0..2 {
+            bench.send(number, silent, 1000);
+        }
+    }
+    assert!(bench.forwarder.counters().silences > 0);
+    // Meanwhile the flows went on through other daemons. A flow comes that was never seen here, and
+    // packets that say nothing of flows that were.
+    bench.after(Duration::from_secs(8)).list(all);
+    for number in [0, 1, 20] {
+        assert!(matches!(bench.answered(number, silent, 90), Verdict::Forward(_)));
+    }
+    assert!(bench.forwarder.give_up(bench.now).is_empty());
+    // One lost packet is no reason either.
+    bench.send(0, silent, 5000);
+    bench.after(ms(200));
+    assert!(matches!(bench.send(0, silent, 5000), Verdict::Forward(_)));
+    assert!(bench.forwarder.give_up(bench.now).is_empty());
+}
+
+/// The pattern: the daemon stands still, and the packets that callers repeated meanwhile are read at
+/// once. Guards against targets that are blamed for it.
+#[test]
+fn packets_repeated_during_a_pause_are_no_evidence() {
+    let all = targets("web", 1, 0);
+    let mut bench = Bench::new(all.clone());
+    let own = cookie(&all[0]);
+    (0..4).for_each(|number| {
+        bench.establish(number);
+    });
+    bench.after(ms(10));
+    (0..4).for_each(|number| {
+        bench.send(number, own, 1000);
+    });
+    bench.after(Duration::from_secs(4));
+    bench.forwarder.paused(bench.now);
+    for number in 0..4 {
+        assert!(matches!(bench.send(number, own, 1000), Verdict::Forward(_)));
+    }
+    assert!(bench.forwarder.give_up(bench.now).is_empty());
+    assert_eq!(bench.forwarder.counters().silences, 0);
+}
+
 /// Guards against packets that overtake each other and are taken for repeated ones.
 #[test]
 fn reordered_packets_are_no_evidence() {
