Share the way actors are asked; keep unwritten lines out of the log's rate

The admin answers of both modes asked actors by the same code twice. Dropped packets, which are logged at debug level only, used up the rate of lines.

--- /dev/null
+++ b/src/admin/ask.rs
@@ -0,0 +1,24 @@
+use std::time::Duration;
+
+use ractor::{ActorRef, Message, RpcReplyPort, rpc::CallResult};
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
+
+/// How long an actor may take to answer.
+const ACTOR_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Asks an actor for what a client of the API wants to know.
+pub(crate) async fn ask<M: Message, T: Send + 'static>(
+    actor: &ActorRef<M>,
+    request: impl FnOnce(RpcReplyPort<T>) -> M,
+) -> Option<T> {
+    match actor.call(request, Some(ACTOR_TIMEOUT)).await {
+        Ok(CallResult::Success(answer)) => Some(answer),
+        _ => None,
+    }
+}
+
+/// Encodes a snapshot as text. A tree of JSON values takes more than ten times the memory.
+pub(crate) fn encode(snapshot: &impl Serialize) -> Option<Box<RawValue>> {
+    to_raw_value(snapshot).ok()
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -9,6 +9,7 @@
 //! the answer, and the node answers in its own time.
 
 mod api;
+mod ask;
 mod client;
 mod error;
 mod explain;
@@ -23,6 +24,7 @@
 mod zone;
 
 pub use api::{ApiClient, ApiServer};
+pub(crate) use ask::{ask, encode};
 pub use client::{Client, connect};
 pub use error::{Error, Result};
 pub use explain::{Base, Explanation, Question};
--- a/src/gateway/answers.rs
+++ b/src/gateway/answers.rs
@@ -1,19 +1,12 @@
-use std::{
-    collections::BTreeSet,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
 
-use ractor::{ActorRef, RpcReplyPort, rpc::CallResult};
-use serde::Serialize;
-use serde_json::value::{RawValue, to_raw_value};
+use ractor::ActorRef;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     admin::{
         Accepted, Explanation, Flows, InForce, Member, Platform, Question, Receiver, Request,
-        Status, Target, TargetFlows, TicketState, Tickets, Zone,
+        Status, Target, TargetFlows, TicketState, Tickets, Zone, ask, encode,
     },
     cookie::{Availability, Entry, Flow, Standing, View},
     flow::Protocol,
@@ -23,9 +16,6 @@
     ticket::{TargetState, ZoneState},
 };
 
-/// How long an actor may take to answer.
-const ACTOR_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// The object that a configuration sets, in the words of the admin API.
 const CONFIG_OBJECT: &str = "configuration";
 
@@ -69,10 +59,10 @@
             Request::Flows(reply) => reply.send(self.flows().await?).ok(),
             Request::MemberSnapshot(reply) => {
                 let members = self.members.as_ref()?;
-                reply.send(value(&call(members, members::Request::Snapshot).await?)?).ok()
+                reply.send(encode(&ask(members, members::Request::Snapshot).await?)?).ok()
             }
             Request::StateSnapshot(reply) => {
-                reply.send(value(&call(&self.keeper, keeper::Request::State).await?)?).ok()
+                reply.send(encode(&ask(&self.keeper, keeper::Request::State).await?)?).ok()
             }
         }
     }
@@ -117,7 +107,7 @@
     }
 
     async fn zones(&self) -> Option<Vec<Zone>> {
-        let operator = call(&self.keeper, keeper::Request::State).await?.operator;
+        let operator = ask(&self.keeper, keeper::Request::State).await?.operator;
         let view = self.shared.view.load();
         let members = self.shared.members.load();
         let mut names: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
@@ -232,17 +222,3 @@
 fn present(view: &View) -> impl Iterator<Item = &Entry> {
     view.entries().iter().filter(|entry| entry.standing != Standing::Gone)
 }
-
-async fn call<M: ractor::Message, T: Send + 'static>(
-    actor: &ActorRef<M>,
-    request: impl FnOnce(RpcReplyPort<T>) -> M,
-) -> Option<T> {
-    match actor.call(request, Some(ACTOR_TIMEOUT)).await {
-        Ok(CallResult::Success(answer)) => Some(answer),
-        _ => None,
-    }
-}
-
-fn value(snapshot: &impl Serialize) -> Option<Box<RawValue>> {
-    to_raw_value(snapshot).ok()
-}
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -30,7 +30,8 @@
     maximum: Duration::from_millis(200),
 };
 
-/// The pace of calls afterwards: a failed call is repeated soon, since the daemon serves with an old view.
+/// The pace of calls afterwards: a failed call is repeated soon, since the daemon serves with an old
+/// view.
 const PACE: Pace = Pace {
     floor: Duration::from_millis(20),
     first: Duration::from_millis(200),
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use log::{debug, info, warn};
+use log::{Level, debug, info, log_enabled, warn};
 
 use crate::{
     cookie::{Event, View},
@@ -32,6 +32,10 @@
     /// Writes the lines for `events`, which were decided with `view`.
     pub(super) fn write(&mut self, now: Instant, view: &View, events: Vec<Event>) {
         for event in events {
+            // Lines that are not written must not use up the rate.
+            if matches!(event, Event::Dropped { .. }) && !log_enabled!(Level::Debug) {
+                continue;
+            }
             if !self.budget.take(now, 1.0) {
                 self.suppressed += 1;
                 continue;
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -1,18 +1,15 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
-use ractor::{ActorRef, RpcReplyPort, rpc::CallResult};
-use serde::Serialize;
-use serde_json::value::{RawValue, to_raw_value};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     admin::{
         Accepted, Base, Explanation, Flows, InForce, Member, Platform, Question, Receiver, Refused,
-        Request, Status, Target, TargetFlows, TicketState, Tickets, Zone,
+        Request, Status, Target, TargetFlows, TicketState, Tickets, Zone, ask, encode,
     },
     flow::Key,
     load::Class,
@@ -25,9 +22,6 @@
     ticket::{Number, TargetId, ZoneState},
 };
 
-/// How long an actor may take to answer.
-const ACTOR_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Answers the calls of the admin API from the published values and the actors.
 #[derive(Debug, Clone)]
 pub(super) struct Answerer {
@@ -60,18 +54,18 @@
             Request::Explain(question, reply) => reply.send(self.explain(question).await?).ok(),
             Request::Flows(reply) => reply.send(self.flows()).ok(),
             Request::MemberSnapshot(reply) => {
-                let snapshot = call(&self.links.members, request::Members::Snapshot).await?;
-                reply.send(value(&snapshot)?).ok()
+                let snapshot = ask(&self.links.members, request::Members::Snapshot).await?;
+                reply.send(encode(&snapshot)?).ok()
             }
             Request::StateSnapshot(reply) => {
-                let snapshot = call(&self.links.tickets, request::Tickets::Snapshot).await?;
-                reply.send(value(&snapshot)?).ok()
+                let snapshot = ask(&self.links.tickets, request::Tickets::Snapshot).await?;
+                reply.send(encode(&snapshot)?).ok()
             }
         }
     }
 
     async fn summary(&self) -> Option<request::Summary> {
-        call(&self.links.tickets, request::Tickets::Summary).await
+        ask(&self.links.tickets, request::Tickets::Summary).await
     }
 
     async fn status(&self) -> Option<Status> {
@@ -250,18 +244,3 @@
         }
     }
 }
-
-async fn call<M: ractor::Message, T: Send + 'static>(
-    actor: &ActorRef<M>,
-    request: impl FnOnce(RpcReplyPort<T>) -> M,
-) -> Option<T> {
-    match actor.call(request, Some(ACTOR_TIMEOUT)).await {
-        Ok(CallResult::Success(answer)) => Some(answer),
-        _ => None,
-    }
-}
-
-/// Encodes a snapshot as text. A tree of JSON values takes more than ten times the memory.
-fn value(snapshot: &impl Serialize) -> Option<Box<RawValue>> {
-    to_raw_value(snapshot).ok()
-}
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -76,8 +76,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Read`] if the file cannot be read, and the errors of
-    /// [`Settings::parse`].
+    /// Returns [`Error::Read`](crate::settings::Error::Read) if the file cannot be read, and the
+    /// errors of [`Settings::parse`].
     pub fn load(path: &Path) -> Result<Settings> {
         let text = read(path)?;
         Settings::parse(&path.display().to_string(), &text)
@@ -87,8 +87,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Long`] if the text exceeds [`MAXIMUM_BYTES`], and [`Error::Located`] with
-    /// the place of the first problem.
+    /// Returns [`Error::Long`](crate::settings::Error::Long) if the text exceeds
+    /// [`MAXIMUM_BYTES`](crate::settings::MAXIMUM_BYTES), and
+    /// [`Error::Located`](crate::settings::Error::Located) with the place of the first problem.
     pub fn parse(source_name: &str, text: &str) -> Result<Settings> {
         let settings: Settings = parse_text(source_name, text)?;
         settings.validate().map_err(|problem| locate::problem(source_name, text, problem))?;
