Write lean log lines, and one line for a mass change of members or targets

Cause: the JSON encoder of log4rs repeats source position, thread and an empty mdc in every line, about 260 of 420 bytes, and a start in a fleet of 119 wrote a line for each of 118 members and 600 targets. Lines now hold time, level, message and attributes. More than 8 changes of one view give one line with counts and the first ids. The test of the log level now checks the keys of a line; it failed with the former encoder.

--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -10,12 +10,12 @@
 use crate::{
     admin::Cursor,
     cookie::{
-        ApplyOutcome, Delta, Directory, Listing, OperatorState, Position, Presence, Revision,
-        Tuning, View,
+        ApplyOutcome, Delta, Directory, Entry, Listing, OperatorState, Position, Presence,
+        Revision, Tuning, View,
     },
     gateway::{
-        Changes, Consistency, ReadOutcome, RejectedItem, follow_response::FollowResponse,
-        peer_state::PeerState, shared::Shared,
+        Changes, Consistency, MAXIMUM_CHANGE_LINES, ReadOutcome, RejectedItem,
+        follow_response::FollowResponse, peer_state::PeerState, shared::Shared,
     },
 };
 
@@ -206,23 +206,41 @@
             "meaning of missing store entries has changed: they prove that \
              targets have ended if is_settled is true");
     }
-    for entry in view.entries() {
-        let previous_entry = previous.target(entry.cookie);
-        let state = (entry.presence, entry.is_usable);
-        if previous_entry.map(|entry| (entry.presence, entry.is_usable)) == Some(state) {
-            continue;
+    let state = |entry: &Entry| (entry.presence, entry.is_usable);
+    let changed: Vec<&Entry> = view
+        .entries()
+        .iter()
+        .filter(|entry| previous.target(entry.cookie).map(state) != Some(state(entry)))
+        .collect();
+    if changed.len() <= MAXIMUM_CHANGE_LINES {
+        for entry in changed {
+            log_target(entry, view.revision);
         }
-        let target = &entry.target;
-        let presence = match entry.presence {
-            Presence::Present => "present",
-            Presence::Lapsed => "lapsed",
-            Presence::Gone => "gone",
-        };
-        info!(
-            target_id = &*target.name, service = &*target.service, zone = &*target.zone,
-            availability:? = target.availability, standing = presence, usable = entry.is_usable,
-            cookie = entry.cookie, revision = target.revision, read = view.revision;
-            "target has changed"
-        );
+        return;
     }
+    let count = |presence| changed.iter().filter(|entry| entry.presence == presence).count();
+    let first: Vec<&str> =
+        changed.iter().take(MAXIMUM_CHANGE_LINES).map(|entry| &*entry.target.name).collect();
+    info!(
+        count = changed.len(), present = count(Presence::Present),
+        lapsed = count(Presence::Lapsed), gone = count(Presence::Gone),
+        usable = changed.iter().filter(|entry| entry.is_usable).count(),
+        first = first.join(" "), read = view.revision;
+        "targets have changed"
+    );
+}
+
+fn log_target(entry: &Entry, read: Revision) {
+    let target = &entry.target;
+    let presence = match entry.presence {
+        Presence::Present => "present",
+        Presence::Lapsed => "lapsed",
+        Presence::Gone => "gone",
+    };
+    info!(
+        target_id = &*target.name, service = &*target.service, zone = &*target.zone,
+        availability:? = target.availability, standing = presence, usable = entry.is_usable,
+        cookie = entry.cookie, revision = target.revision, read = read;
+        "target has changed"
+    );
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -9,8 +9,8 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    gateway::shared::Shared,
-    member::{Detector, Id, Info, Message, Output, Snapshot, Status},
+    gateway::{MAXIMUM_CHANGE_LINES, shared::Shared},
+    member::{self, Detector, Id, Info, Member, Message, Output, Snapshot, Status},
     wire::{Body, Frame, Keyring, MAX_FRAME_BYTES, Sender},
 };
 
@@ -117,15 +117,7 @@
     fn publish(&self) {
         let view = self.detector.view();
         let previous = self.shared.members.swap(Arc::new(view.clone()));
-        for (id, member) in view.iter() {
-            if previous.get(id).map(|member| member.status) != Some(member.status) {
-                info!(
-                    member = &*member.info.name, zone = &*member.info.zone,
-                    status:? = member.status;
-                    "member has changed"
-                );
-            }
-        }
+        log_changes(&previous, view);
         // A member that does not answer may still forward packets on its side of a network
         // partition, so it is counted.
         let in_zone = view.iter().filter(|(_, member)| {
@@ -137,6 +129,33 @@
     }
 }
 
+/// Logs the members whose status differs between two views: a line for each of a few, or one line
+/// for many.
+fn log_changes(previous: &member::View, view: &member::View) {
+    let changed: Vec<&Member> = view
+        .iter()
+        .filter(|(id, member)| previous.get(*id).map(|known| known.status) != Some(member.status))
+        .map(|(_, member)| member)
+        .collect();
+    if changed.len() <= MAXIMUM_CHANGE_LINES {
+        for member in changed {
+            info!(
+                member = &*member.info.name, zone = &*member.info.zone, status:? = member.status;
+                "member has changed"
+            );
+        }
+        return;
+    }
+    let count = |status| changed.iter().filter(|member| member.status == status).count();
+    let first: Vec<&str> =
+        changed.iter().take(MAXIMUM_CHANGE_LINES).map(|member| &*member.info.name).collect();
+    info!(
+        count = changed.len(), alive = count(Status::Alive), suspect = count(Status::Suspect),
+        failed = count(Status::Failed), first = first.join(" ");
+        "members have changed"
+    );
+}
+
 /// Receives frames from members until the actor has stopped.
 pub(super) async fn receive(socket: UdpSocket, keyring: Arc<Keyring>, actor: ActorRef<Request>) {
     let mut buffer = vec![0; MAX_FRAME_BYTES];
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,3 +37,7 @@
 pub use error::{Error, Result};
 pub use read_policy::ReadPolicy;
 pub use source::{Changes, Consistency, ReadOutcome, RejectedItem, Source};
+
+/// The largest number of changes of one view that are logged with a line each. More of them are
+/// logged as one line with their number.
+const MAXIMUM_CHANGE_LINES: usize = 8;
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -7,12 +7,12 @@
         file::FileAppender,
     },
     config::{Appender, Config, Root},
-    encode::{Encode, json::JsonEncoder, pattern::PatternEncoder},
+    encode::{Encode, pattern::PatternEncoder},
 };
 
 use crate::{
     settings::{Format, Level, Log, Stream},
-    telemetry::{Error, Result, stdout_appender::StdoutAppender},
+    telemetry::{Error, Result, json_encoder::JsonEncoder, stdout_appender::StdoutAppender},
 };
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t}: {m}{n}";
@@ -63,7 +63,7 @@
 fn config(settings: &Log) -> Result<Config> {
     let encoder: Box<dyn Encode> = match settings.format {
         Format::Text => Box::new(PatternEncoder::new(PATTERN)),
-        Format::Json => Box::new(JsonEncoder::new()),
+        Format::Json => Box::new(JsonEncoder),
     };
     let append: Box<dyn Append> = match &settings.file {
         Some(path) => {
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -9,6 +9,7 @@
 mod exporter;
 mod histogram;
 mod instrument;
+mod json_encoder;
 mod logs;
 mod metrics;
 mod server;
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -138,8 +138,9 @@
     assert_eq!(parse_trace_file(&text).expect("the trace file is valid").len(), 15);
 }
 
-/// Guards against a log level that cannot be changed while the daemon runs. The logger is global to
-/// the process, so this is the only test that installs one.
+/// Guards against a log level that cannot be changed while the daemon runs, and against log lines
+/// that lose their attributes or repeat what is the same in every line. The logger is global to the
+/// process, so this is the only test that installs one.
 #[test]
 fn log_level_changes() {
     let directory = tempfile::tempdir().expect("the directory is created");
@@ -155,7 +156,7 @@
     log::info!("one");
     log::warn!("two");
     logs.set_level(Level::Info).expect("the file opens");
-    log::info!("three");
+    log::info!(target_id = "i-7", open = 3; "three");
     logs.set_level(Level::Off).expect("the file opens");
     log::error!("four");
     assert_eq!(logs.level(), Level::Off);
@@ -165,6 +166,12 @@
         text.lines().map(|line| serde_json::from_str(line).expect("the line is JSON")).collect();
     let messages: Vec<_> = lines.iter().map(|line| &line["message"]).collect();
     assert_eq!(messages, ["two", "three"]);
+    // A fleet writes many lines, so none may carry keys that say nothing about its event.
+    let keys = |line: &serde_json::Value| {
+        line.as_object().map(|line| line.keys().cloned().collect::<Vec<_>>())
+    };
+    assert_eq!(keys(&lines[0]), Some(["level", "message", "time"].map(String::from).to_vec()));
+    assert_eq!(lines[1]["attributes"], serde_json::json!({ "target_id": "i-7", "open": "3" }));
     let missing = Log { file: Some(directory.path().join("a/../../missing/\0")), ..Log::default() };
     assert!(matches!(Logs::install(missing), Err(Error::Open { .. })));
 }
