Reset a flow for silence only if its target cannot be connected to

Two flows of one target whose packets are not answered for 0.6 s, or three ended targets among the few that it sees, were proof enough to reset flows of targets that run. Ruled out: entries that lapsed, reused addresses and old reads (no such line about the targets), pauses of the process.

Change: the first retransmission to a target requests a TCP connection attempt to it, without a request, at most one in 0.5 s for each target and 64 at the same time. A flow is reset for silence only after a recent attempt was refused or unanswered; an answer of the target discards the outcome. New flows still avoid a silent target as before. The evidence no longer depends on how many packets one daemon sees.

Tests: target_that_accepts_connections_keeps_its_flows and three_ended_targets_do_not_reset_the_flows_of_their_zone fail if outcomes are ignored.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     cookie::{
-        Cause, Cookie, Counters, Entry, Event, Flow, Kind, Packet, Presence, Reason, Tuning,
-        Verdict, View,
+        Cause, Check, CheckOutcome, Cookie, Counters, Entry, Event, Flow, Kind, Packet, Presence,
+        Reason, Tuning, Verdict, View,
         flows::{Flows, Signal},
         observer::Observer,
         selector::Selector,
@@ -83,7 +83,7 @@
     /// do not count against targets.
     pub fn record_pause(&mut self, now: Instant) {
         self.flows.restart_timers(now);
-        self.observer.forget_retransmissions();
+        self.observer.record_pause();
         self.drop_opens_until = Some(now + self.tuning.pause_drop_time);
     }
 
@@ -151,6 +151,17 @@
         std::mem::take(&mut self.opening_delays)
     }
 
+    /// Removes and returns the connection checks that are to be made. The outcome of each must be
+    /// passed to [`Forwarder::record_check`].
+    pub fn take_checks(&mut self) -> Vec<Check> {
+        self.observer.take_checks()
+    }
+
+    /// Records the outcome of a connection check.
+    pub fn record_check(&mut self, now: Instant, check: &Check, outcome: CheckOutcome) {
+        self.observer.record_check(now, check, outcome);
+    }
+
     /// Removes idle flows, outdated records of unknown cookies, and the observations of targets
     /// that are no longer in the view. Is to be called about once a second.
     pub fn sweep(&mut self, now: Instant) {
@@ -378,6 +389,9 @@
         }
         let signal = self.flows.record_packet(now, packet, &self.tuning);
         self.apply_signal(now, flow, packet.cookie, signal);
+        if self.observer.is_silent(entry) {
+            self.observer.request_check(now, entry);
+        }
         if matches!(signal, Signal::Retransmitted(_)) && self.is_reset_due(now, entry) {
             return Verdict::Reset(Reason::TargetSilent);
         }
@@ -413,8 +427,7 @@
     /// Returns whether the target or its zone has been silent for so long that a flow is reset when
     /// its caller retransmits.
     fn is_reset_due(&self, now: Instant, entry: &Entry) -> bool {
-        self.observer.is_reset_due(now, entry.cookie)
-            || self.observer.is_zone_reset_due(now, &entry.target.zone)
+        self.observer.is_reset_due(now, entry.cookie) || self.observer.is_zone_reset_due(now, entry)
     }
 
     /// Returns whether a missing store entry proves that its target has ended: the store has been
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -9,6 +9,7 @@
 //! This module does no I/O and reads no clock: functions that need the current time take it as an
 //! argument.
 
+mod check;
 mod config;
 mod counters;
 mod delta;
@@ -31,6 +32,7 @@
 mod verdict;
 mod view;
 
+pub use check::{Check, CheckOutcome};
 pub use config::{Config, Route, Service, Share};
 pub use counters::Counters;
 pub use delta::{Delta, InventoryEntry, Position};
--- a/src/cookie/observer.rs
+++ b/src/cookie/observer.rs
@@ -6,7 +6,8 @@
 use hashbrown::HashMap;
 
 use crate::cookie::{
-    Cookie, Entry, Event, Flow, Tuning, View,
+    Check, CheckOutcome, Cookie, Entry, Event, Flow, Tuning, View,
+    check::CheckHistory,
     flows::SentBy,
     rate_limiter::RateLimiter,
     silence_detector::{SilenceDetector, SilenceThreshold},
@@ -16,6 +17,7 @@
 #[derive(Debug, Clone, Default)]
 struct TargetObservation {
     detector: SilenceDetector<Flow>,
+    checks: CheckHistory,
     cold_flows: RateLimiter,
 }
 
@@ -23,17 +25,30 @@
 ///
 /// A partition makes all targets of a zone silent at once. A few silent targets therefore mark the
 /// whole zone as silent, so that callers need not run into a timeout at each target.
+///
+/// Silence only keeps new flows away. An open flow is reset only if a connection check, requested
+/// when its target's flows retransmitted, has also found that the target cannot be reached.
 #[derive(Debug, Clone)]
 pub(super) struct Observer {
     tuning: Tuning,
     targets: HashMap<Cookie, TargetObservation>,
     zones: HashMap<Arc<str>, SilenceDetector<Cookie>>,
+    /// The checks that were requested and not taken yet.
+    requested_checks: Vec<Check>,
+    /// The number of checks that were requested and whose outcomes are not recorded yet.
+    pending_checks: usize,
 }
 
 impl Observer {
     /// Creates an observer without observations.
     pub(super) fn new(tuning: Tuning) -> Observer {
-        Observer { tuning, targets: HashMap::new(), zones: HashMap::new() }
+        Observer {
+            tuning,
+            targets: HashMap::new(),
+            zones: HashMap::new(),
+            requested_checks: Vec::new(),
+            pending_checks: 0,
+        }
     }
 
     /// Returns whether a target, or its whole zone, is regarded as silent.
@@ -53,12 +68,48 @@
         self.zones.values().any(SilenceDetector::is_silent)
     }
 
+    /// Requests a connection check of a target, unless one was requested recently.
+    pub(super) fn request_check(&mut self, now: Instant, entry: &Entry) {
+        let checks = &mut self.targets.entry(entry.cookie).or_default().checks;
+        if self.pending_checks >= self.tuning.maximum_checks
+            || !checks.is_due(now, self.tuning.check_interval)
+        {
+            return;
+        }
+        checks.record_request(now);
+        self.pending_checks += 1;
+        let (cookie, address) = (entry.cookie, entry.target.address);
+        self.requested_checks.push(Check { cookie, address, requested_at: now });
+    }
+
+    /// Removes and returns the requested checks.
+    pub(super) fn take_checks(&mut self) -> Vec<Check> {
+        std::mem::take(&mut self.requested_checks)
+    }
+
+    /// Records the outcome of a check.
+    pub(super) fn record_check(&mut self, now: Instant, check: &Check, outcome: CheckOutcome) {
+        self.pending_checks = self.pending_checks.saturating_sub(1);
+        if let Some(target) = self.targets.get_mut(&check.cookie) {
+            target.checks.record_outcome(now, check.requested_at, outcome);
+        }
+    }
+
     /// Returns whether a target has been silent for so long that a flow is to be reset when its
     /// caller retransmits. One retransmitting flow suffices.
     pub(super) fn is_reset_due(&self, now: Instant, cookie: Cookie) -> bool {
         let threshold = self.target_threshold();
         let target = self.targets.get(&cookie);
         target.is_some_and(|target| target.detector.is_reset_due(now, threshold, &self.tuning))
+            && self.is_proven_unreachable(now, cookie)
+    }
+
+    /// Returns whether a recent connection check found that the target cannot be reached.
+    fn is_proven_unreachable(&self, now: Instant, cookie: Cookie) -> bool {
+        let maximum_age = self.tuning.retransmission_window;
+        self.targets
+            .get(&cookie)
+            .is_some_and(|target| target.checks.proves_unreachable(now, maximum_age))
     }
 
     /// Returns whether all open flows of a silent target are to be reset, also those that do not
@@ -71,11 +122,12 @@
         source_count >= self.tuning.target_silence_flows && self.is_reset_due(now, cookie)
     }
 
-    /// Returns whether a zone has been silent for so long that a retransmitting flow to one of its
-    /// targets is to be reset.
-    pub(super) fn is_zone_reset_due(&self, now: Instant, zone: &str) -> bool {
-        let detector = self.zones.get(zone);
+    /// Returns whether the zone of a target has been silent for so long that a retransmitting flow
+    /// to the target is to be reset.
+    pub(super) fn is_zone_reset_due(&self, now: Instant, entry: &Entry) -> bool {
+        let detector = self.zones.get(&entry.target.zone);
         detector.is_some_and(|zone| zone.is_reset_due(now, self.zone_threshold(), &self.tuning))
+            && self.is_proven_unreachable(now, entry.cookie)
     }
 
     /// Returns whether the target or its zone is silent and a new flow may now be a half-open probe
@@ -123,6 +175,7 @@
     ) -> Vec<Event> {
         let mut events = Vec::new();
         let target = self.targets.entry(entry.cookie).or_default();
+        target.checks.clear();
         if let Some(after) = target.detector.record_answer(now, sent_by) {
             let (target, after_ms) = (entry.target.name.clone(), millis(after));
             events.push(Event::TargetAnswered { target, after_ms });
@@ -163,6 +216,7 @@
         sent: Instant,
         entry: &Entry,
     ) -> Vec<Event> {
+        self.request_check(now, entry);
         let mut events = Vec::new();
         let (revision, tuning) = (Some(entry.target.revision), &self.tuning);
         let (threshold, zone_threshold) = (self.target_threshold(), self.zone_threshold());
@@ -190,9 +244,13 @@
         events
     }
 
-    /// Discards the recorded retransmissions, which are meaningless after a pause of the process.
-    pub(super) fn forget_retransmissions(&mut self) {
-        self.targets.values_mut().for_each(|target| target.detector.forget_retransmissions());
+    /// Discards the recorded retransmissions and checks, which are meaningless after a pause of the
+    /// process.
+    pub(super) fn record_pause(&mut self) {
+        for target in self.targets.values_mut() {
+            target.detector.forget_retransmissions();
+            target.checks.clear();
+        }
         self.zones.values_mut().for_each(SilenceDetector::forget_retransmissions);
     }
 
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -43,6 +43,11 @@
     /// How long fewer flows must retransmit to a silent target before each of these flows is reset:
     /// three retransmission timeouts of callers.
     pub single_flow_reset_after: Duration,
+    /// The minimum time between two connection checks of a target, which decide whether its flows
+    /// may be reset.
+    pub check_interval: Duration,
+    /// The maximum number of connection checks at the same time.
+    pub maximum_checks: usize,
     /// The minimum time between a packet and its retransmission. A copy that arrives sooner was
     /// duplicated or reordered by the network, since callers retransmit after 200 ms.
     pub minimum_retransmission_delay: Duration,
@@ -100,6 +105,8 @@
             single_flow_silence: Duration::from_millis(600),
             reset_after: Duration::from_millis(600),
             single_flow_reset_after: Duration::from_millis(1400),
+            check_interval: Duration::from_millis(500),
+            maximum_checks: 64,
             minimum_retransmission_delay: Duration::from_millis(150),
             reset_batch_limit: 256,
             recent_placement_window: Duration::from_secs(2),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! the packets of callers to the daemons that are ready.
 
 mod admin_handler;
+mod checker;
 mod codec;
 mod command;
 mod daemon;
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -19,8 +19,8 @@
 use crate::{
     cookie::{Flow, Forwarder, Verdict},
     gateway::{
-        Codec, command::Command, directory_actor::Request, event_logger::EventLogger,
-        pause_detector::PauseDetector, shared::Shared,
+        Codec, checker::Checker, command::Command, directory_actor::Request,
+        event_logger::EventLogger, pause_detector::PauseDetector, shared::Shared,
     },
     telemetry::Histogram,
     util::{ReceiveBatch, SendBatch},
@@ -77,6 +77,7 @@
         let mut event_logger = EventLogger::new(Instant::now());
         let mut receive_batch = ReceiveBatch::new();
         let mut send_batch = SendBatch::new();
+        let (checker, mut check_outcomes) = Checker::new();
         let mut tick: u32 = 0;
         loop {
             tokio::select! {
@@ -95,6 +96,9 @@
                         self.shared.publish_stats(&self.forwarder, event_logger.suppressed_lines());
                     }
                 }
+                Some((check, outcome)) = check_outcomes.recv() => {
+                    self.forwarder.record_check(Instant::now(), &check, outcome);
+                }
                 Some(command) = self.commands.recv() => self.handle_command(command),
                 result = async_socket.readable() => {
                     if let Err(error) = result {
@@ -109,6 +113,9 @@
                     });
                 }
             }
+            for check in self.forwarder.take_checks() {
+                checker.start(check);
+            }
             for opening_time in self.forwarder.take_opening_delays() {
                 self.opening_times.record(opening_time, "opening");
             }
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -6,8 +6,8 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use banyanwharf::cookie::{
-    ApplyOutcome, Availability, Cause, Change, Directory, Event, Kind, Listing, OperatorState,
-    Packet, Presence, Reason, Target, Tuning, Verdict, cookie,
+    ApplyOutcome, Availability, Cause, Change, CheckOutcome, Directory, Event, Kind, Listing,
+    OperatorState, Packet, Presence, Reason, Target, Tuning, Verdict, cookie,
 };
 use cookies::*;
 
@@ -566,6 +566,107 @@
     }
 }
 
+/// Guards against the reset of a flow whose target runs. One daemon of many sees the packets of two
+/// flows of a target, and the target's answers to them are late; no other flow of the target passes
+/// through this daemon and contradicts.
+#[test]
+fn target_that_accepts_connections_keeps_its_flows() {
+    let mut fixture = DaemonFixture::new(targets("web", 1, 0));
+    fixture.check_outcome = CheckOutcome::Accepted;
+    let opened = [1, 2].map(|number| (number, fixture.establish(number)));
+    for wait in [50, 200, 400, 800, 1600, 1600] {
+        fixture.advance(ms(wait));
+        for (number, to) in &opened {
+            assert_eq!(fixture.send_data(*number, to.cookie, 1000), Verdict::Forward(*to));
+        }
+        assert!(fixture.forwarder.take_lost_flows(fixture.now).is_empty());
+    }
+    let events = fixture.forwarder.take_events();
+    assert!(events.iter().any(|event| matches!(event, Event::TargetFellSilent { .. })));
+}
+
+/// Guards against the reset of flows whose targets run, by a daemon that regards a zone as silent
+/// although just three of its targets have ended: the daemon sees no flow of the other targets.
+#[test]
+fn three_ended_targets_do_not_reset_the_flows_of_their_zone() {
+    let mut fixture = DaemonFixture::new(targets("web", 0, 9));
+    let opened: Vec<_> = (0..9).map(|number| (number, fixture.establish(number))).collect();
+    let (lost, running) = opened.split_at(3);
+    for wait in [50, 200, 390, 20] {
+        fixture.advance(ms(wait));
+        for (number, to) in lost {
+            fixture.send_data(*number, to.cookie, 1000);
+        }
+    }
+    let events = fixture.forwarder.take_events();
+    assert!(events.iter().any(|event| matches!(event, Event::ZoneFellSilent { .. })));
+    fixture.check_outcome = CheckOutcome::Accepted;
+    for wait in [0, 200, 400] {
+        fixture.advance(ms(wait));
+        for (number, to) in lost {
+            fixture.send_data(*number, to.cookie, 1000);
+        }
+        let (number, to) = running[0];
+        assert_eq!(fixture.send_data(number, to.cookie, 1000), Verdict::Forward(to));
+    }
+}
+
+/// Guards against a reset that rests on a check from before a pause of the process, during which
+/// the daemon could not receive the answer.
+#[test]
+fn checks_from_before_a_pause_prove_nothing() {
+    let mut fixture = DaemonFixture::new(targets("web", 1, 0));
+    let opened = [1, 2].map(|number| (number, fixture.establish(number)));
+    let mut checks = Vec::new();
+    for wait in [50, 200] {
+        fixture.advance(ms(wait));
+        for (number, to) in &opened {
+            let packet = data_packet(*number, to.cookie, 1000);
+            fixture.forwarder.decide(fixture.now, &packet);
+            checks.extend(fixture.forwarder.take_checks());
+        }
+    }
+    assert_eq!(checks.len(), 1);
+    fixture.advance(ms(500));
+    fixture.forwarder.record_pause(fixture.now);
+    fixture.forwarder.record_check(fixture.now, &checks[0], CheckOutcome::Unanswered);
+    for wait in [200, 400, 800] {
+        fixture.advance(ms(wait));
+        for (number, to) in &opened {
+            let packet = data_packet(*number, to.cookie, 1000);
+            assert_eq!(fixture.forwarder.decide(fixture.now, &packet), Verdict::Forward(*to));
+        }
+    }
+}
+
+/// Guards against checks without bound while many targets retransmit, and against a target that is
+/// never checked again.
+#[test]
+fn connection_checks_are_limited() {
+    let maximum = Tuning::default().maximum_checks;
+    let mut fixture = DaemonFixture::new(targets("web", 200, 0));
+    let opened: Vec<_> = (0..200).map(|number| (number, fixture.establish(number))).collect();
+    let mut checks = Vec::new();
+    for wait in [50, 200, 10, 10] {
+        fixture.advance(ms(wait));
+        for (number, to) in &opened {
+            let packet = data_packet(*number, to.cookie, 1000);
+            fixture.forwarder.decide(fixture.now, &packet);
+        }
+        checks.extend(fixture.forwarder.take_checks());
+    }
+    assert_eq!(checks.len(), maximum);
+    for check in &checks {
+        fixture.forwarder.record_check(fixture.now, check, CheckOutcome::Accepted);
+    }
+    fixture.advance(Tuning::default().check_interval);
+    for (number, to) in &opened {
+        let packet = data_packet(*number, to.cookie, 1000);
+        fixture.forwarder.decide(fixture.now, &packet);
+    }
+    assert_eq!(fixture.forwarder.take_checks().len(), maximum);
+}
+
 /// Guards against a daemon that regards an unreachable zone as reachable again because of answers
 /// to packets which another daemon has forwarded. The fabric sends the flows of the zone through
 /// this daemon and others in turn.
--- a/tests/cookies/mod.rs
+++ b/tests/cookies/mod.rs
@@ -9,8 +9,8 @@
 };
 
 use banyanwharf::cookie::{
-    Availability, Config, Cookie, Destination, Directory, Flow, Forwarder, Kind, Listing,
-    OperatorState, Packet, Route, Service, Share, Target, Tuning, Verdict,
+    Availability, CheckOutcome, Config, Cookie, Destination, Directory, Flow, Forwarder, Kind,
+    Listing, OperatorState, Packet, Route, Service, Share, Target, Tuning, Verdict,
 };
 
 /// The zone of the daemon under test.
@@ -23,6 +23,8 @@
     pub(crate) directory: Directory,
     pub(crate) forwarder: Forwarder,
     pub(crate) revision: u64,
+    /// The outcome of all connection checks. Most tests use targets that are down with their host.
+    pub(crate) check_outcome: CheckOutcome,
 }
 
 pub(crate) fn ms(millis: u64) -> Duration {
@@ -82,6 +84,16 @@
     packet(flow(number, 1), Kind::Open { attempt: 0 }, 0)
 }
 
+/// Returns a data packet of a flow with the given sequence number.
+pub(crate) fn data_packet(number: u32, cookie: Cookie, sequence: u32) -> Packet {
+    Packet {
+        sequence,
+        acknowledged: 100,
+        length: 50,
+        ..packet(flow(number, 1), Kind::Data, cookie)
+    }
+}
+
 pub(crate) fn destination(verdict: Verdict) -> Destination {
     match verdict {
         Verdict::Forward(destination) => destination,
@@ -101,6 +113,7 @@
             directory: Directory::new(tuning.clone()),
             forwarder: Forwarder::new(OWN_ZONE.into(), tuning),
             revision: 1,
+            check_outcome: CheckOutcome::Unanswered,
         };
         let config = Some(Arc::new(config(1, cold_rate)));
         fixture.read_operator_state(OperatorState {
@@ -142,7 +155,11 @@
     }
 
     pub(crate) fn decide(&mut self, packet: &Packet) -> Verdict {
-        self.forwarder.decide(self.now, packet)
+        let verdict = self.forwarder.decide(self.now, packet);
+        for check in self.forwarder.take_checks() {
+            self.forwarder.record_check(self.now, &check, self.check_outcome);
+        }
+        verdict
     }
 
     /// Sends the opening packet of a flow and returns its destination.
@@ -170,12 +187,6 @@
 
     /// Sends a data packet of a flow with the given sequence number.
     pub(crate) fn send_data(&mut self, number: u32, cookie: Cookie, sequence: u32) -> Verdict {
-        let packet = Packet {
-            sequence,
-            acknowledged: 100,
-            length: 50,
-            ..packet(flow(number, 1), Kind::Data, cookie)
-        };
-        self.decide(&packet)
+        self.decide(&data_packet(number, cookie, sequence))
     }
 }
--- a/tests/gateways/target.rs
+++ b/tests/gateways/target.rs
@@ -7,12 +7,16 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use banyanwharf_testkit::Store;
 use serde_json::json;
-use tokio::{net::UdpSocket, task::JoinHandle};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 use super::segment::{ACK, FIN, RST, SYN, Segment};
 
@@ -21,6 +25,9 @@
 /// recognises packets meant for another one.
 const INITIAL_SEQUENCE_STEP: u32 = 1_000_000;
 
+/// The time between two looks at whether a target is silent, and between two attempts to listen.
+const LISTEN_PERIOD: Duration = Duration::from_millis(20);
+
 /// What a target received, and the faults that it simulates.
 #[derive(Debug, Default)]
 pub(crate) struct Record {
@@ -76,11 +83,13 @@
     pub(crate) zone: String,
     born: u64,
     task: JoinHandle<()>,
+    listener: JoinHandle<()>,
 }
 
 impl Drop for Target {
     fn drop(&mut self) {
         self.task.abort();
+        self.listener.abort();
     }
 }
 
@@ -106,10 +115,11 @@
             unreachable!("the address is an IPv4 address")
         };
         let record = Arc::new(Record::default());
+        let listener = tokio::spawn(accept(address, record.clone()));
         let task = tokio::spawn(run(socket, number, caller_port, record.clone()));
         let id = format!("i-{number:08x}");
         let (service, zone) = (service.to_owned(), zone.to_owned());
-        Target { id, number, address, record, service, zone, born, task }
+        Target { id, number, address, record, service, zone, born, task, listener }
     }
 
     /// Writes the target's entry to the store.
@@ -137,6 +147,8 @@
         self.task.abort();
         // The result is the error of a cancelled task.
         let _ = (&mut self.task).await;
+        self.listener.abort();
+        let _ = (&mut self.listener).await;
     }
 
     pub(crate) fn store_key(&self) -> String {
@@ -144,6 +156,25 @@
     }
 }
 
+/// Accepts TCP connections at the target's address, and refuses them while the target is silent, as
+/// after a crash of its process.
+async fn accept(address: SocketAddrV4, record: Arc<Record>) {
+    loop {
+        sleep(LISTEN_PERIOD).await;
+        if record.is_silent.load(Ordering::Relaxed) {
+            continue;
+        }
+        // The port may still be in use by a connection of another test.
+        let Ok(listener) = TcpListener::bind(address).await else {
+            continue;
+        };
+        while !record.is_silent.load(Ordering::Relaxed) {
+            // The connection is closed at once, since daemons send nothing on it.
+            let _ = timeout(LISTEN_PERIOD, listener.accept()).await;
+        }
+    }
+}
+
 async fn run(socket: UdpSocket, number: u64, caller_port: u16, record: Arc<Record>) {
     let initial_sequence = (number as u32).wrapping_mul(INITIAL_SEQUENCE_STEP);
     let mut flows: HashMap<(Ipv4Addr, u16), Flow> = HashMap::new();
