Compute the time without an answer in one place

is_reset_due and record_retransmission repeated what unanswered_for does. Behaviour is unchanged: without a retransmission the time is zero, which is below both thresholds.

--- a/src/cookie/silence_detector.rs
+++ b/src/cookie/silence_detector.rs
@@ -82,15 +82,12 @@
         threshold: SilenceThreshold,
         tuning: &Tuning,
     ) -> bool {
-        let lasted = self.first_sent_at.map(|first| now.saturating_duration_since(first));
         let required = if self.sources.len() >= threshold.source_count {
             tuning.reset_after
         } else {
             tuning.single_flow_reset_after
         };
-        self.is_silent()
-            && self.is_recent(now, tuning)
-            && lasted.is_some_and(|lasted| lasted >= required)
+        self.is_silent() && self.is_recent(now, tuning) && self.unanswered_for(now) >= required
     }
 
     /// Discards the recorded retransmissions. A silent target or zone remains silent, so it still
@@ -153,10 +150,8 @@
         if !self.sources.contains(&source) && self.sources.len() < MAXIMUM_SOURCES {
             self.sources.push(source);
         }
-        let first = *self.first_sent_at.get_or_insert(sent);
-        let first = first.min(sent);
-        self.first_sent_at = Some(first);
-        let lasted = now.saturating_duration_since(first);
+        self.first_sent_at = Some(self.first_sent_at.map_or(sent, |first| first.min(sent)));
+        let lasted = self.unanswered_for(now);
         let is_threshold_reached = self.sources.len() >= threshold.source_count
             || threshold
                 .fewer_sources_after
