--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -153,11 +153,11 @@
 /// FLOW: a backend starts again under its id while the store is down.
 pub fn restart(folder: &Path, has_trouble: bool) -> Result<usize, String> {
     let mut site = Site::start(folder, &[USUAL_LAG], 0.0)?;
-    for _ in 0..3 {
+    for _ in 0..8 {
         site.add_backend("zone-a", Duration::ZERO)?;
     }
     let mut daemons = Vec::new();
-    for number in 1..=4 {
+    for number in 1..=5 {
         daemons.push(site.daemon(number, "zone-a", &[1, 2, 3])?);
     }
     for daemon in &mut daemons {
@@ -169,9 +169,9 @@
     }
     sleep(Duration::from_secs(5));
     let habit = Habit {
-        flows: 240,
-        pause: Duration::from_secs(2),
-        lifetime: Duration::from_secs(10),
+        flows: 640,
+        pause: Duration::from_secs(4),
+        lifetime: Duration::from_secs(6),
         open_interval: Duration::from_millis(2),
     };
     let mut clients = [site.clients(1, habit)?];
@@ -179,7 +179,7 @@
     // When the store was last silent.
     let mut outages: Vec<(Instant, Instant)> = Vec::new();
     let mut starts: Vec<(u64, Instant)> = Vec::new();
-    for round in 0..3 {
+    for round in 0..4 {
         if has_trouble {
             site.record.line("the store is silent");
             site.store.set_silent(true);
@@ -266,7 +266,7 @@
 /// DRAIN: stale reads of the store are seconds old.
 pub fn drain(folder: &Path, has_trouble: bool) -> Result<usize, String> {
     const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-    const BACKENDS: usize = 9;
+    const BACKENDS: usize = 14;
     let lag = if has_trouble { Duration::from_secs(4) } else { USUAL_LAG };
     let mut site = Site::start(folder, &[lag], 0.0)?;
     for zone in ZONES {
