Treat a list as old as its oldest page, and a missing entry as no newer than the list

Cause: a list of targets counted as read at the revision of its first page. If a later page came from an older replica, targets were missing in it that the first page's revision includes, and they counted as ended.

Change: a list is read at the lowest revision of its pages, and a missing entry ends a target only if the list is at least as new as the known entry. The same bound holds for missing and ended targets in the changes for followers.

--- a/src/cookie/directory/delta.rs
+++ b/src/cookie/directory/delta.rs
@@ -72,6 +72,7 @@
             self.store_health.record_failure(now);
         }
         let before = self.sequence;
+        self.revision = delta.revision;
         let mut missing: BTreeSet<Arc<str>> = BTreeSet::new();
         let mut lapsed: Vec<Arc<str>> = Vec::new();
         if let Some(inventory) = delta.inventory {
@@ -94,7 +95,6 @@
         delta.ended.iter().for_each(|name| self.record_missing(now, name, false));
         missing.iter().for_each(|name| self.record_missing(now, name, false));
         self.forget_ended(now);
-        self.revision = delta.revision;
         self.read_at = self.read_at.max(now.checked_sub(age));
         self.confirmed_at = self.confirmed_at.max(now.checked_sub(operator_age));
         if self.sequence == before { ApplyOutcome::Same } else { ApplyOutcome::New }
--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -204,7 +204,8 @@
         self.record_all_missing(now, missing);
     }
 
-    /// Records that the entries of the targets `missing` are missing in a read of the store.
+    /// Records that the entries of the targets `missing` are missing in a read of the store at the
+    /// known revision.
     fn record_all_missing(&mut self, now: Instant, missing: BTreeSet<Arc<str>>) {
         let may_return = !self.store_health.is_stable(now, self.tuning.lapse_grace);
         for name in missing {
@@ -213,9 +214,16 @@
         self.forget_ended(now);
     }
 
-    /// Records that the entry of a target is missing; see [`KnownTarget::record_missing`].
+    /// Records that the entry of a target is missing at the known revision; see
+    /// [`KnownTarget::record_missing`].
+    ///
+    /// The pages of one read may show the store at different revisions, and the known revision is the
+    /// lowest of them. An entry from a later page may be newer, and a read at the known revision then
+    /// does not show whether it still exists.
     fn record_missing(&mut self, now: Instant, name: &str, may_return: bool) {
+        let revision = self.revision;
         if let Some(known) = self.targets.get_mut(name)
+            && known.target.revision <= revision
             && known.record_missing(now, may_return)
         {
             self.sequence += 1;
--- a/testkit/src/store.rs
+++ b/testkit/src/store.rs
@@ -42,6 +42,26 @@
     calls: u64,
     /// The number of range reads for each prefix.
     range_reads: BTreeMap<String, u64>,
+    /// All changes since the start, each with its key and the item, or `None` if it was removed.
+    history: Vec<(String, Option<Value>)>,
+    /// The revisions that stale reads show in turn; if empty, stale reads show the latest state.
+    stale_revisions: Vec<u64>,
+    /// The number of stale reads since `stale_revisions` was set.
+    stale_reads: usize,
+}
+
+impl State {
+    /// Returns the items at a revision.
+    fn items_at(&self, revision: u64) -> BTreeMap<String, Value> {
+        let mut items = BTreeMap::new();
+        for (key, item) in self.history.iter().take(revision as usize) {
+            match item {
+                Some(item) => items.insert(key.clone(), item.clone()),
+                None => items.remove(key),
+            };
+        }
+        items
+    }
 }
 
 #[derive(Debug)]
@@ -94,6 +114,7 @@
             "key": key, "value": value, "rev": revision, "createdRev": created, "lease": 0,
         });
         state.items.insert(key.to_owned(), item.clone());
+        state.history.push((key.to_owned(), Some(item.clone())));
         state.events.push(item);
         drop(state);
         self.shared.changed.send_replace(());
@@ -105,6 +126,7 @@
         state.revision += 1;
         let event = json!({ "key": key, "rev": state.revision, "deleted": true });
         state.items.remove(key);
+        state.history.push((key.to_owned(), None));
         state.events.push(event);
         drop(state);
         self.shared.changed.send_replace(());
@@ -117,6 +139,18 @@
         state.events.clear();
     }
 
+    /// Lets stale reads show the store at these revisions in turn, one for each page.
+    pub fn set_stale_revisions(&self, revisions: &[u64]) {
+        let mut state = lock(&self.shared.state);
+        state.stale_revisions = revisions.to_vec();
+        state.stale_reads = 0;
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        lock(&self.shared.state).revision
+    }
+
     /// Sets how the store responds.
     pub fn set_mode(&self, mode: StoreMode) {
         lock(&self.shared.state).mode = mode;
@@ -146,7 +180,11 @@
     }
     let prefix = text_parameter(&uri, "prefix").unwrap_or_default();
     if uri.starts_with("/banyanwharf/kv-range?") {
-        Reply::Json(200, range(&shared, &prefix, text_parameter(&uri, "after").as_deref()))
+        let is_stale = parameter(&uri, "allowStale") == Some(1);
+        Reply::Json(
+            200,
+            range(&shared, &prefix, text_parameter(&uri, "after").as_deref(), is_stale),
+        )
     } else if uri.starts_with("/banyanwharf/kv-watch?") {
         watch(&shared, &prefix, &uri).await
     } else {
@@ -154,11 +192,17 @@
     }
 }
 
-fn range(shared: &Shared, prefix: &str, after: Option<&str>) -> Value {
+fn range(shared: &Shared, prefix: &str, after: Option<&str>, is_stale: bool) -> Value {
     let mut state = lock(&shared.state);
     *state.range_reads.entry(prefix.to_owned()).or_default() += 1;
-    let all: Vec<&Value> = state
-        .items
+    let (items, revision) = if is_stale && !state.stale_revisions.is_empty() {
+        let revision = state.stale_revisions[state.stale_reads % state.stale_revisions.len()];
+        state.stale_reads += 1;
+        (state.items_at(revision), revision)
+    } else {
+        (state.items.clone(), state.revision)
+    };
+    let all: Vec<&Value> = items
         .iter()
         .filter(|(key, _)| {
             key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
@@ -166,7 +210,7 @@
         .map(|(_, item)| item)
         .collect();
     let page = &all[..all.len().min(PAGE_ITEMS)];
-    json!({ "items": page, "hasMore": all.len() > PAGE_ITEMS, "storeRevision": state.revision })
+    json!({ "items": page, "hasMore": all.len() > PAGE_ITEMS, "storeRevision": revision })
 }
 
 async fn watch(shared: &Shared, prefix: &str, uri: &str) -> Reply {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -5,10 +5,12 @@
 
 use banyanwharf::{
     adapter::{
-        Error, HEADER_BYTES, Item, PacketCodec, TARGET_NUMBER_BYTES, decode_config, decode_entry,
+        Error, HEADER_BYTES, Item, PacketCodec, Store, TARGET_NUMBER_BYTES, decode_config,
+        decode_entry,
     },
     cookie::{Availability, Destination, Flow, Kind, Packet},
-    gateway::{Codec as _, DecodeError},
+    gateway::{Codec as _, Consistency, DecodeError, Source as _},
+    platform::Timeouts,
 };
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use bolero::check;
@@ -194,3 +196,20 @@
         assert!(decode(&invalid).is_err(), "{pointer}");
     }
 }
+
+/// Guards against a list of targets that counts as newer than one of its pages: targets that are
+/// missing in the older page then count as ended, and their open flows are reset.
+#[tokio::test]
+async fn list_of_targets_is_as_old_as_its_oldest_page() {
+    let server = banyanwharf_testkit::Store::start().expect("the store starts");
+    for number in 0..70 {
+        server.put(&format!("servers/i-{number:04x}"), entry().to_string().as_bytes());
+    }
+    let client = Store::new(server.url().parse().expect("a URL"), Timeouts::gateway());
+    for (revisions, lowest) in [([70, 60], 60), ([55, 70], 55), ([70, 70], 70)] {
+        server.set_stale_revisions(&revisions);
+        let read = client.read_targets(Consistency::Stale).await.expect("the store responds");
+        assert_eq!(read.value.revision, lowest, "pages at {revisions:?}");
+        assert_eq!(read.value.targets.len() as u64, revisions[1].max(50), "pages at {revisions:?}");
+    }
+}
