Reset a flow of an unknown route only after a newer confirmation of the configuration

Cause: a daemon reset an established flow without a known route at once if its configuration had been confirmed within 10 s. A follower learns of a new configuration up to 0.5 s after the zone reader, and took over the zone reader's confirmation although it had not read the announced change. Such a flow shows that another daemon knew the route. The log of the resetting daemon has NoRoute under the former version, before "configuration is in force".

Change: packets of an established flow without a known route are dropped until the configuration was confirmed 1 s after the first of them, like those with an unknown cookie. A follower takes over a confirmation only for what it has read. A pause discards the times of first packets, for unknown cookies too. A caller's reset is not answered with one.

--- a/src/cookie/directory/delta.rs
+++ b/src/cookie/directory/delta.rs
@@ -96,7 +96,10 @@
         missing.iter().for_each(|name| self.record_missing(now, name, false));
         self.forget_ended(now);
         self.read_at = self.read_at.max(now.checked_sub(age));
-        self.confirmed_at = self.confirmed_at.max(now.checked_sub(operator_age));
+        // The followed daemon confirms only what this daemon has read as well.
+        if self.operator_revision >= delta.operator_change_revision {
+            self.confirmed_at = self.confirmed_at.max(now.checked_sub(operator_age));
+        }
         if self.sequence == before { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
 
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -17,8 +17,8 @@
     util,
 };
 
-/// The maximum number of flows with an unknown cookie that are remembered.
-const MAXIMUM_UNKNOWN_FLOWS: usize = 10_000;
+/// The maximum number of unresolved flows that are remembered.
+const MAXIMUM_UNRESOLVED_FLOWS: usize = 10_000;
 
 /// Decides whether each packet of a caller is forwarded, answered with a reset or dropped.
 #[derive(Debug, Clone)]
@@ -29,9 +29,9 @@
     view: Arc<View>,
     flows: Flows,
     observer: Observer,
-    /// The flows whose packets carry an unknown cookie, each with the arrival time of the first
-    /// such packet.
-    unknown_cookie_seen_at: HashMap<Flow, Instant>,
+    /// The established flows whose route or cookie this daemon does not know, each with the arrival
+    /// time of the first such packet. Another daemon knew both when it forwarded the opening packet.
+    unresolved_since: HashMap<Flow, Instant>,
     /// The flows whose opening packets were forwarded recently, oldest first.
     opened_flows: VecDeque<(Instant, Flow)>,
     /// When the last new flow of each service was placed on a target.
@@ -57,7 +57,7 @@
             zone,
             view: Arc::default(),
             flows,
-            unknown_cookie_seen_at: HashMap::new(),
+            unresolved_since: HashMap::new(),
             opened_flows: VecDeque::new(),
             last_placement_by_service: HashMap::new(),
             drop_opens_until: None,
@@ -89,6 +89,8 @@
         self.flows.restart_timers(now);
         self.observer.record_pause();
         self.opened_flows.clear();
+        // A response of the store that arrives now may be from before the pause.
+        self.unresolved_since.clear();
         self.drop_opens_until = Some(now + self.tuning.pause_drop_time);
     }
 
@@ -184,8 +186,8 @@
         }
     }
 
-    /// Removes idle flows, outdated records of unknown cookies, and the observations of targets
-    /// that are no longer in the view. Is to be called about once a second.
+    /// Removes idle flows, outdated records of unresolved flows, and the observations of targets that
+    /// are no longer in the view. Is to be called about once a second.
     pub fn sweep(&mut self, now: Instant) {
         let idle_timeout = self.view.config.as_ref().map(|config| config.idle_timeout);
         let idle_timeout = idle_timeout
@@ -193,8 +195,7 @@
             .unwrap_or(self.tuning.maximum_idle_timeout);
         self.flows.sweep(now, idle_timeout.min(self.tuning.maximum_idle_timeout));
         let retention = self.tuning.maximum_idle_timeout;
-        self.unknown_cookie_seen_at
-            .retain(|_, seen_at| now.saturating_duration_since(*seen_at) < retention);
+        self.unresolved_since.retain(|_, since| now.saturating_duration_since(*since) < retention);
         self.observer.retain(&self.view);
     }
 
@@ -240,11 +241,16 @@
     pub fn decide(&mut self, now: Instant, packet: &Packet) -> Verdict {
         let verdict = self.evaluate(now, packet);
         match verdict {
-            Verdict::Forward(_) => self.counters.delivered += 1,
+            Verdict::Forward(_) => {
+                self.counters.delivered += 1;
+                if !self.unresolved_since.is_empty() {
+                    self.unresolved_since.remove(&packet.flow);
+                }
+            }
             Verdict::Reset(reason) => {
                 *self.counters.resets.entry(reason).or_default() += 1;
                 self.flows.remove(&packet.flow);
-                self.unknown_cookie_seen_at.remove(&packet.flow);
+                self.unresolved_since.remove(&packet.flow);
                 let target = self.view.target(packet.cookie);
                 let target = target.map(|entry| entry.target.name.clone());
                 self.events.push(Event::Reset { flow: packet.flow, target, reason });
@@ -392,11 +398,7 @@
     fn decide_established(&mut self, now: Instant, packet: &Packet) -> Verdict {
         let flow = packet.flow;
         if self.view.route(flow.service).is_none() {
-            return if self.is_config_current(now) {
-                Verdict::Reset(Reason::NoRoute)
-            } else {
-                Verdict::Drop(Cause::StaleView)
-            };
+            return self.decide_unknown_route(now, packet);
         }
         let view = self.view.clone();
         let Some(entry) = view.target(packet.cookie) else {
@@ -426,22 +428,36 @@
         Verdict::Forward(entry.destination())
     }
 
+    /// Decides on a packet of an established flow whose service address has no known route. The flow
+    /// is reset only after a later confirmation of the configuration, since another daemon may have
+    /// read a newer one that adds the route.
+    fn decide_unknown_route(&mut self, now: Instant, packet: &Packet) -> Verdict {
+        if packet.kind == Kind::Reset {
+            return Verdict::Drop(Cause::UnknownReset);
+        }
+        let Some(since) = self.record_unresolved(now, packet.flow) else {
+            return Verdict::Drop(Cause::StaleView);
+        };
+        let confirmed_at = self.view.confirmed_at;
+        if confirmed_at.is_some_and(|at| at >= since + self.tuning.unknown_route_grace) {
+            Verdict::Reset(Reason::NoRoute)
+        } else {
+            Verdict::Drop(Cause::StaleView)
+        }
+    }
+
     /// Decides on a packet whose cookie belongs to no known target. The flow is reset only after a
     /// later read of the targets, since the target may have started recently.
     fn decide_unknown_cookie(&mut self, now: Instant, packet: &Packet) -> Verdict {
         if packet.kind == Kind::Reset {
             return Verdict::Drop(Cause::UnknownReset);
         }
-        if self.unknown_cookie_seen_at.len() >= MAXIMUM_UNKNOWN_FLOWS
-            && !self.unknown_cookie_seen_at.contains_key(&packet.flow)
-        {
+        let Some(since) = self.record_unresolved(now, packet.flow) else {
             return Verdict::Drop(Cause::UnknownCookie);
-        }
-        let first_seen_at = *self.unknown_cookie_seen_at.entry(packet.flow).or_insert(now);
-        let is_read_after_grace = self
-            .view
-            .read_at
-            .is_some_and(|read| read >= first_seen_at + self.tuning.unknown_cookie_grace);
+        };
+        let read_at = self.view.read_at;
+        let is_read_after_grace =
+            read_at.is_some_and(|at| at >= since + self.tuning.unknown_cookie_grace);
         if is_read_after_grace && self.view.is_absence_conclusive {
             Verdict::Reset(Reason::UnknownCookie)
         } else {
@@ -449,6 +465,19 @@
         }
     }
 
+    /// Records a packet of an established flow whose route or cookie is not known, and returns when
+    /// the first such packet arrived. Returns `None` if too many flows are recorded.
+    fn record_unresolved(&mut self, now: Instant, flow: Flow) -> Option<Instant> {
+        if let Some(since) = self.unresolved_since.get(&flow) {
+            return Some(*since);
+        }
+        if self.unresolved_since.len() >= MAXIMUM_UNRESOLVED_FLOWS {
+            return None;
+        }
+        self.unresolved_since.insert(flow, now);
+        Some(now)
+    }
+
     /// Returns whether the target or its zone has been silent for so long that a flow is reset when
     /// its caller retransmits.
     fn is_reset_due(&self, now: Instant, entry: &Entry) -> bool {
--- a/src/cookie/verdict.rs
+++ b/src/cookie/verdict.rs
@@ -37,7 +37,7 @@
 pub enum Cause {
     /// The daemon has not read the configuration or the targets yet.
     NotReady,
-    /// The configuration was confirmed too long ago to reset the flow.
+    /// The service address has no known route, but the configuration may be out of date.
     StaleView,
     /// The process was paused recently, and the opening packet may have waited during the pause.
     Paused,
@@ -48,7 +48,7 @@
     WrongService,
     /// The packet is not one of a caller: only targets send this kind.
     Foreign,
-    /// The caller's reset cannot be forwarded because its cookie is unknown.
+    /// The caller's reset cannot be forwarded because its route or cookie is unknown.
     UnknownReset,
 }
 
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -152,6 +152,45 @@
     assert_eq!(fixture.decide(&unrouted), Verdict::Drop(Cause::StaleView));
 }
 
+/// Guards against the reset of an open flow by a daemon that has not read the configuration which
+/// adds the route yet, after the daemon that opened the flow has left the rotation. Guards also
+/// against flows of a removed route whose callers never hear of it.
+#[test]
+fn open_flow_of_an_unknown_route_is_reset_only_after_a_newer_confirmation() {
+    let mut fixture = DaemonFixture::new(targets("web", 1, 0));
+    let cookie = cookie(&target(1, "web", OWN_ZONE));
+    let added = Packet { acknowledged: 100, ..packet(flow(1, 77), Kind::Data, cookie) };
+    let removed = Packet { acknowledged: 100, ..packet(flow(2, 78), Kind::Data, cookie) };
+    for _ in 0..2 {
+        assert_eq!(fixture.decide(&added), Verdict::Drop(Cause::StaleView));
+        assert_eq!(fixture.decide(&removed), Verdict::Drop(Cause::StaleView));
+        fixture.advance(ms(400));
+        fixture.directory.confirm_config(fixture.now);
+        fixture.publish_view();
+    }
+    let mut newer = config(2, 0.0);
+    newer.routes.insert(service_address(77), newer.routes[&service_address(1)].clone());
+    fixture.advance(ms(400));
+    let operator =
+        OperatorState { revision: 2, config: Some(Arc::new(newer)), ..Default::default() };
+    fixture.read_operator_state(operator);
+    assert!(matches!(fixture.decide(&added), Verdict::Forward(_)));
+    assert_eq!(fixture.decide(&removed), Verdict::Reset(Reason::NoRoute));
+}
+
+/// Guards against a reset that rests on a response which arrived only after a pause of the process.
+#[test]
+fn confirmation_from_before_a_pause_proves_nothing() {
+    let mut fixture = DaemonFixture::new(targets("web", 1, 0));
+    let added = packet(flow(1, 77), Kind::Data, 1);
+    assert_eq!(fixture.decide(&added), Verdict::Drop(Cause::StaleView));
+    fixture.advance(Duration::from_secs(4));
+    fixture.forwarder.record_pause(fixture.now);
+    fixture.directory.confirm_config(fixture.now);
+    fixture.publish_view();
+    assert_eq!(fixture.decide(&added), Verdict::Drop(Cause::StaleView));
+}
+
 /// Guards against the reset of a flow whose target started after the last read of the targets.
 #[test]
 fn unknown_cookie_is_reset_only_after_a_newer_read() {
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -209,6 +209,25 @@
     assert!(bytes < 1000, "{bytes} bytes");
 }
 
+/// Guards against a follower that takes its configuration for current, and resets flows of a route
+/// that a newer one adds, because the reader has confirmed the newer one.
+#[test]
+fn announced_configuration_is_confirmed_only_after_it_was_read() {
+    let mut pair = Pair::new();
+    pair.reader_reads_targets(targets("web", 3, 0));
+    pair.follower_reads_store();
+    pair.follow();
+    let confirmed_at = |pair: &mut Pair| pair.views().1.confirmed_at;
+    assert_eq!(confirmed_at(&mut pair), None, "no configuration was read");
+    pair.now += ms(500);
+    pair.reader_reads_operator_state(2, Vec::new());
+    pair.follow();
+    assert_eq!(confirmed_at(&mut pair), None, "the second configuration was not read");
+    pair.follower.apply_operator_state(pair.now, &pair.reader.operator_state(pair.now));
+    pair.follow();
+    assert_eq!(confirmed_at(&mut pair), Some(pair.now));
+}
+
 /// Guards against an ended target that stays in use because the reader has forgotten its end by the
 /// time the follower asks.
 #[test]
