Forward packets with the cookie of a former start to the present one

Cause: while daemons do not know of a restart, they open flows on the new process with the cookie of the former start. When they read the new entry, they took the former start for ended and reset all flows with its cookie.

Change: packets with a former cookie are forwarded to the present start of the same id, with the present cookie; the target resets flows that it does not hold. Flows that are certainly older than the restart are still reset at once, so that callers do not wait for answers that the former process owes. A restart is certainly later than the last read of the former entry, less the time that targets need to write their entries, if the store had not failed before that read.

Tests: flow_opened_after_an_unread_restart_is_kept and the extended model of no_flow_of_a_running_target_is_reset; both failed before. It now excuses one reset: of a target whose former entry has expired before it writes the new one; such a target counts as ended on the platform's pages, and a trace of the model shows the case. restarted_target_has_another_cookie asserted the reset of a flow that was opened 0.5 s before the restart was read; no daemon can tell such a flow from one of the new process.

--- a/src/cookie/directory/delta.rs
+++ b/src/cookie/directory/delta.rs
@@ -95,7 +95,7 @@
         delta.ended.iter().for_each(|name| self.record_missing(now, name, false));
         missing.iter().for_each(|name| self.record_missing(now, name, false));
         self.forget_ended(now);
-        self.read_at = self.read_at.max(now.checked_sub(age));
+        self.record_read(now, now.checked_sub(age));
         // The followed daemon confirms only what this daemon has read as well.
         if self.operator_revision >= delta.operator_change_revision {
             self.confirmed_at = self.confirmed_at.max(now.checked_sub(operator_age));
--- a/src/cookie/directory/known_target.rs
+++ b/src/cookie/directory/known_target.rs
@@ -15,6 +15,8 @@
     pub(super) warm_at: Instant,
     /// When the daemon noticed that the target has ended.
     pub(super) ended_at: Option<Instant>,
+    /// A time until which the target certainly ran; `None` while its entry is present.
+    pub(super) ran_until: Option<Instant>,
     /// The number of the target's last change.
     pub(super) last_change: Sequence,
 }
--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -14,7 +14,7 @@
     directory::known_target::KnownTarget,
     hash::cookie,
     store_health::StoreHealth,
-    view::{Index, is_usable},
+    view::{Index, Successor, is_usable},
 };
 
 /// The outcome of applying a read or a delta.
@@ -50,6 +50,9 @@
     configured_at: Option<Instant>,
     revision: Revision,
     read_at: Option<Instant>,
+    /// When the targets were last read while the store had been available for
+    /// [`Tuning::lapse_grace`], so that the targets had written their entries.
+    settled_read_at: Option<Instant>,
     store_health: StoreHealth,
     /// The number of the last change of the directory.
     sequence: Sequence,
@@ -79,6 +82,7 @@
             configured_at: None,
             revision: 0,
             read_at: None,
+            settled_read_at: None,
             store_health: StoreHealth::default(),
             sequence: 0,
             last_operator_change: 0,
@@ -175,7 +179,7 @@
         }
         let is_same = listing.revision == self.revision && self.read_at.is_some();
         self.replace_targets(now, listing);
-        self.read_at = Some(now);
+        self.record_read(now, Some(now));
         if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
 
@@ -185,7 +189,7 @@
         self.store_health.record_success(now);
         let is_same = self.read_at.is_some() && revision == self.revision;
         if is_same {
-            self.read_at = Some(now);
+            self.record_read(now, Some(now));
             let lapsed =
                 self.targets.iter().filter(|(_, known)| known.presence == Presence::Lapsed);
             self.record_all_missing(now, lapsed.map(|(name, _)| name.clone()).collect());
@@ -193,6 +197,20 @@
         is_same
     }
 
+    /// Records that the known targets were read at `read_at`.
+    fn record_read(&mut self, now: Instant, read_at: Option<Instant>) {
+        self.read_at = self.read_at.max(read_at);
+        if self.store_health.is_stable(now, self.tuning.lapse_grace) {
+            self.settled_read_at = self.read_at;
+        }
+    }
+
+    /// Returns a time until which each target whose entry is present certainly ran, if there is one.
+    /// A target that is started again under its id writes its new entry some time later.
+    fn present_ran_until(&self) -> Option<Instant> {
+        self.settled_read_at?.checked_sub(self.tuning.lapse_grace)
+    }
+
     /// Replaces the targets by those of a newer listing.
     fn replace_targets(&mut self, now: Instant, listing: Listing) {
         self.revision = listing.revision;
@@ -221,11 +239,12 @@
     /// lowest of them. An entry from a later page may be newer, and a read at the known revision then
     /// does not show whether it still exists.
     fn record_missing(&mut self, now: Instant, name: &str, may_return: bool) {
-        let revision = self.revision;
+        let (revision, present_ran_until) = (self.revision, self.present_ran_until());
         if let Some(known) = self.targets.get_mut(name)
             && known.target.revision <= revision
             && known.record_missing(now, may_return)
         {
+            known.ran_until = known.ran_until.or(present_ran_until);
             self.sequence += 1;
             known.last_change = self.sequence;
         }
@@ -272,7 +291,7 @@
             return applied;
         }
         self.replace_targets(now, listing);
-        self.read_at = read_at;
+        self.record_read(now, read_at);
         ApplyOutcome::New
     }
 
@@ -334,13 +353,14 @@
     }
 
     fn build_index(&self) -> Index {
-        let mut known: Vec<&KnownTarget> =
-            self.targets.values().chain(&self.replaced_targets).collect();
+        let replaced = self.replaced_targets.iter().map(|known| (known, self.successor(known)));
+        let mut all: Vec<(&KnownTarget, Option<Successor>)> =
+            self.targets.values().map(|known| (known, None)).chain(replaced).collect();
         // If two targets have the same cookie, every daemon must choose the same one: the earlier.
-        known.sort_by_key(|known| (known.target.born, known.target.number));
+        all.sort_by_key(|(known, _)| (known.target.born, known.target.number));
         let holders = self.address_holders();
         let mut index = Index::default();
-        for known in known {
+        for (known, successor) in all {
             let KnownTarget { target, .. } = known;
             let is_displaced =
                 holders.get(&target.address).is_some_and(|holder| holder.born > target.born);
@@ -351,11 +371,20 @@
                 presence,
                 warm_at: self.warm_at(known),
                 is_usable: is_usable(target, presence, self.zones_out.contains(&target.zone)),
+                successor,
             });
         }
         index
     }
 
+    /// Returns the present start of a target that was started again under its id, unless the target
+    /// has ended since.
+    fn successor(&self, replaced: &KnownTarget) -> Option<Successor> {
+        let present = self.targets.get(&replaced.target.name)?;
+        (present.presence != Presence::Gone)
+            .then_some(Successor { cookie: present.cookie, started_after: replaced.ran_until })
+    }
+
     /// Returns the target that started last at each address. A target at the address of one that
     /// started later has ended, although its entry has not expired yet.
     fn address_holders(&self) -> HashMap<SocketAddrV4, &Target> {
@@ -412,6 +441,7 @@
 
     fn insert_target(&mut self, now: Instant, target: Target) {
         let warm_at = now + target.cold_for;
+        let present_ran_until = self.present_ran_until();
         match self.targets.get_mut(&target.name) {
             Some(known) if known.target.born == target.born => {
                 if target.revision < known.target.revision {
@@ -421,6 +451,7 @@
                     known.warm_at = warm_at;
                 }
                 known.ended_at = None;
+                known.ran_until = None;
                 if known.presence != Presence::Present || *known.target != target {
                     known.presence = Presence::Present;
                     known.target = Arc::new(target);
@@ -434,6 +465,7 @@
                         return;
                     }
                     known.mark_ended(now);
+                    known.ran_until = known.ran_until.or(present_ran_until);
                     self.replaced_targets.push(known.clone());
                 }
                 self.sequence += 1;
@@ -442,6 +474,7 @@
                     presence: Presence::Present,
                     warm_at,
                     ended_at: None,
+                    ran_until: None,
                     last_change: self.sequence,
                     target: Arc::new(target),
                 };
--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -16,6 +16,8 @@
     is_closing: bool,
     /// Whether the caller waits for an answer.
     is_waiting: bool,
+    /// When the first packet to this target arrived.
+    first_packet_at: Instant,
     /// When the last packet arrived.
     last_packet_at: Instant,
     /// The sequence number after the last byte of data.
@@ -90,6 +92,11 @@
         self.states.get(flow).filter(|state| !state.is_established).map(|state| state.cookie)
     }
 
+    /// Returns when this daemon saw the first packet of a flow to its target.
+    pub(super) fn first_packet_at(&self, flow: &Flow) -> Option<Instant> {
+        self.states.get(flow).map(|state| state.first_packet_at)
+    }
+
     /// Returns the number of flows in the table.
     pub(super) fn len(&self) -> usize {
         self.states.len()
@@ -167,16 +174,19 @@
         }
     }
 
-    /// Removes up to `limit` established flows for whose target `is_lost` returns true. Returns
-    /// each of them with the target's cookie and the caller's last acknowledgement number.
+    /// Removes up to `limit` established flows for which `is_lost` returns true, given the cookie of
+    /// the target and when the first packet arrived. Returns each of them with the target's cookie
+    /// and the caller's last acknowledgement number.
     pub(super) fn remove_lost(
         &mut self,
         limit: usize,
-        is_lost: impl Fn(Cookie) -> bool,
+        is_lost: impl Fn(Cookie, Instant) -> bool,
     ) -> Vec<(Flow, Cookie, u32)> {
         let lost: Vec<(Flow, FlowState)> = self
             .states
-            .extract_if(|_, state| state.is_established && is_lost(state.cookie))
+            .extract_if(|_, state| {
+                state.is_established && is_lost(state.cookie, state.first_packet_at)
+            })
             .take(limit)
             .collect();
         for (_, state) in &lost {
@@ -237,6 +247,7 @@
             is_established,
             is_closing: false,
             is_waiting: !is_established || packet.length > 0,
+            first_packet_at: now,
             last_packet_at: now,
             next_sequence: packet.sequence.wrapping_add(u32::from(packet.length)),
             acknowledged: if is_established { packet.acknowledged } else { 0 },
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -9,7 +9,7 @@
 use crate::{
     cookie::{
         Cause, Check, CheckOutcome, Cookie, Counters, Entry, Event, Flow, Kind, Packet, Presence,
-        Reason, Tuning, Verdict, View,
+        Reason, Successor, Tuning, Verdict, View,
         flows::{Flows, Signal},
         observer::Observer,
         selector::Selector,
@@ -205,17 +205,22 @@
     /// vain and send further requests that cannot be served.
     pub fn take_lost_flows(&mut self, now: Instant) -> Vec<(Flow, u32)> {
         let is_end_proven = self.proves_target_end(now);
-        let reasons: HashMap<Cookie, Reason> = self
+        // The reason, and the time before which a lost flow of the target was opened, if it matters.
+        let reasons: HashMap<Cookie, (Reason, Option<Instant>)> = self
             .flows
             .targets()
             .filter_map(|cookie| {
                 let entry = self.view.target(cookie)?;
                 if entry.presence == Presence::Gone && is_end_proven {
-                    return Some((cookie, Reason::TargetGone));
+                    let opened_before = match entry.successor {
+                        Some(successor) => Some(successor.started_after?),
+                        None => None,
+                    };
+                    return Some((cookie, (Reason::TargetGone, opened_before)));
                 }
                 self.observer
                     .is_reset_due_for_all(now, cookie)
-                    .then_some((cookie, Reason::TargetSilent))
+                    .then_some((cookie, (Reason::TargetSilent, None)))
             })
             .collect();
         if reasons.is_empty() {
@@ -223,10 +228,12 @@
         }
         let limit = self.tuning.reset_batch_limit;
         let mut lost_flows = Vec::new();
-        for (flow, cookie, acknowledged) in
-            self.flows.remove_lost(limit, |cookie| reasons.contains_key(&cookie))
-        {
-            let Some(reason) = reasons.get(&cookie).copied() else {
+        let is_lost = |cookie: Cookie, opened_at: Instant| {
+            let reason = reasons.get(&cookie);
+            reason.is_some_and(|(_, before)| before.is_none_or(|before| opened_at < before))
+        };
+        for (flow, cookie, acknowledged) in self.flows.remove_lost(limit, is_lost) {
+            let Some((reason, _)) = reasons.get(&cookie).copied() else {
                 continue;
             };
             *self.counters.resets.entry(reason).or_default() += 1;
@@ -404,6 +411,8 @@
         let Some(entry) = view.target(packet.cookie) else {
             return self.decide_unknown_cookie(now, packet);
         };
+        let entry = self.possible_holder(&view, &flow, entry);
+        let packet = &Packet { cookie: entry.cookie, ..*packet };
         if !view.may_have_routed(flow.service, &entry.target.service) {
             return Verdict::Drop(Cause::WrongService);
         }
@@ -428,6 +437,18 @@
         Verdict::Forward(entry.destination())
     }
 
+    /// Returns the start of a target that may hold a flow with the cookie of `entry`. If the target
+    /// was started again under its id, this is the present start, unless the flow is older. The
+    /// target resets a flow that it does not hold.
+    fn possible_holder<'a>(&self, view: &'a View, flow: &Flow, entry: &'a Entry) -> &'a Entry {
+        let Some(Successor { cookie, started_after }) = entry.successor else {
+            return entry;
+        };
+        let opened_at = self.flows.first_packet_at(flow);
+        let is_older = opened_at.zip(started_after).is_some_and(|(opened, after)| opened < after);
+        if is_older { entry } else { view.target(cookie).unwrap_or(entry) }
+    }
+
     /// Decides on a packet of an established flow whose service address has no known route. The flow
     /// is reset only after a later confirmation of the configuration, since another daemon may have
     /// read a newer one that adds the route.
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -47,7 +47,7 @@
 pub use target::{Availability, Presence, Target};
 pub use tuning::Tuning;
 pub use verdict::{Cause, Destination, Reason, Verdict};
-pub use view::{Entry, View};
+pub use view::{Entry, Successor, View};
 
 /// The token that identifies the target of a flow; 0 stands for no target.
 pub type Cookie = u32;
--- a/src/cookie/view.rs
+++ b/src/cookie/view.rs
@@ -4,6 +4,15 @@
     Availability, Config, Cookie, Destination, Presence, Revision, Route, Service, Target, Version,
 };
 
+/// The present start of a target that was started again under its id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Successor {
+    /// The cookie of the present start.
+    pub cookie: Cookie,
+    /// A time before the present start; `None` if no such time is known.
+    pub started_after: Option<Instant>,
+}
+
 /// One target in a [`View`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
@@ -17,6 +26,10 @@
     pub warm_at: Instant,
     /// Whether the target may get new flows according to the store, whether or not it answers.
     pub is_usable: bool,
+    /// The present start of the same target, if it is known and this is an earlier one. While this
+    /// daemon did not know of the present start, it forwarded opening packets to it with the cookie
+    /// of the earlier one.
+    pub successor: Option<Successor>,
 }
 
 impl Entry {
