Watch the targets instead of relying on the age of stale reads

Cause: daemons read the targets by stale reads and took them for at most 1 s old. The platform bounds their age nowhere. A lag showed only in the revision that the operators' watch returned up to 2.5 s later, the next read was still stale, and the linearizable one came 0.5 s after that.

Change: the zone reader watches the targets; a watch is linearizable. A daemon reads a stale list once, at its start, and the watch after the lowest revision of its pages brings it up to date, or a linearizable list if the history is gone. After a failure, or after following another daemon, the watch continues where the known state ends. The choice between stale and linearizable reads (ReadPolicy) and the read of the bare revision are gone.

Tests: draining_target_is_noticed_although_stale_reads_never_show_it and targets_are_read_once_and_then_watched, which failed before; daemon_starts_with_the_latest_targets_although_stale_reads_lag; changes_since_a_list_of_any_age_lead_to_the_latest_state.

--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -9,8 +9,8 @@
 };
 
 use crate::cookie::{
-    Change, Config, Entry, Listing, OperatorState, Presence, Revision, Sequence, Target, Tuning,
-    View,
+    Change, Config, Entry, EntryChange, Listing, ListingUpdate, OperatorState, Presence, Revision,
+    Sequence, Target, Tuning, View,
     directory::known_target::KnownTarget,
     hash::cookie,
     store_health::StoreHealth,
@@ -183,18 +183,34 @@
         if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
 
-    /// Records that the store is still at `revision`. If the last read of the targets was at that
-    /// revision, the targets count as read again. Returns whether it was.
-    pub fn confirm_listing(&mut self, now: Instant, revision: Revision) -> bool {
+    /// Applies the changes of the targets' entries since a revision that is not newer than the known
+    /// one. An update without changes confirms the known targets.
+    pub fn apply_update(&mut self, now: Instant, update: ListingUpdate) -> ApplyOutcome {
         self.store_health.record_success(now);
-        let is_same = self.read_at.is_some() && revision == self.revision;
-        if is_same {
-            self.record_read(now, Some(now));
-            let lapsed =
-                self.targets.iter().filter(|(_, known)| known.presence == Presence::Lapsed);
-            self.record_all_missing(now, lapsed.map(|(name, _)| name.clone()).collect());
+        if self.read_at.is_none() || update.revision < self.revision {
+            return ApplyOutcome::Ignored;
         }
-        is_same
+        let (before, known_revision) = (self.sequence, self.revision);
+        self.revision = update.revision;
+        let lapsed = self.targets.iter().filter(|(_, known)| known.presence == Presence::Lapsed);
+        let mut missing: BTreeSet<Arc<str>> = lapsed.map(|(name, _)| name.clone()).collect();
+        for change in update.changes {
+            if change.revision() <= known_revision {
+                continue;
+            }
+            match change {
+                EntryChange::Written(target) => {
+                    missing.remove(&target.name);
+                    self.insert_target(now, target);
+                }
+                EntryChange::Removed { name, .. } => {
+                    missing.insert(name);
+                }
+            }
+        }
+        self.record_all_missing(now, missing);
+        self.record_read(now, Some(now));
+        if self.sequence == before { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
 
     /// Records that the known targets were read at `read_at`.
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -460,7 +460,7 @@
             return Verdict::Drop(Cause::StaleView);
         };
         let confirmed_at = self.view.confirmed_at;
-        if confirmed_at.is_some_and(|at| at >= since + self.tuning.unknown_route_grace) {
+        if confirmed_at.is_some_and(|at| at >= since + self.tuning.unresolved_flow_grace) {
             Verdict::Reset(Reason::NoRoute)
         } else {
             Verdict::Drop(Cause::StaleView)
@@ -478,7 +478,7 @@
         };
         let read_at = self.view.read_at;
         let is_read_after_grace =
-            read_at.is_some_and(|at| at >= since + self.tuning.unknown_cookie_grace);
+            read_at.is_some_and(|at| at >= since + self.tuning.unresolved_flow_grace);
         if is_read_after_grace && self.view.is_absence_conclusive {
             Verdict::Reset(Reason::UnknownCookie)
         } else {
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -41,7 +41,7 @@
 pub use flow::Flow;
 pub use forwarder::Forwarder;
 pub use hash::cookie;
-pub use listing::Listing;
+pub use listing::{EntryChange, Listing, ListingUpdate};
 pub use operator::{Change, OperatorState};
 pub use packet::{Kind, Packet};
 pub use target::{Availability, Presence, Target};
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -14,19 +14,16 @@
     /// before a missing entry proves that its target has ended.
     pub settle_time: Duration,
     /// The maximum age of the last read of the targets at which a missing entry proves that its
-    /// target has ended. Reads are 0.5 s apart.
+    /// target has ended. The watch confirms the targets every second.
     pub maximum_targets_age: Duration,
     /// The maximum time since the last confirmation of the configuration at which an opening packet
     /// to a service address without a route is reset. The watch reports changes immediately and
     /// confirms the configuration every 2.5 s.
     pub maximum_config_age: Duration,
-    /// How much later than the first packet of an established flow without a known route the
-    /// configuration must have been confirmed before the flow is reset: the longest time that a
-    /// response of the store may be under way.
-    pub unknown_route_grace: Duration,
-    /// How much later than the first packet with an unknown cookie the targets must have been read
-    /// before the flow is reset: the lag of the store's stale reads plus one read interval.
-    pub unknown_cookie_grace: Duration,
+    /// How much later than the first packet of an established flow with an unknown route or cookie
+    /// the store must have confirmed that there is no such route or target before the flow is reset:
+    /// longer than a response of the store may be under way.
+    pub unresolved_flow_grace: Duration,
     /// The time without a further retransmission after which the recorded ones are discarded: a
     /// little more than the longest retransmission timeout of callers.
     pub retransmission_window: Duration,
@@ -107,8 +104,7 @@
             settle_time: Duration::from_secs(3),
             maximum_targets_age: Duration::from_millis(1500),
             maximum_config_age: Duration::from_secs(10),
-            unknown_route_grace: Duration::from_millis(1000),
-            unknown_cookie_grace: Duration::from_millis(1300),
+            unresolved_flow_grace: Duration::from_millis(1300),
             retransmission_window: Duration::from_secs(2),
             target_silence_flows: 2,
             zone_silence_targets: 3,
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -10,12 +10,12 @@
 use crate::{
     admin::Cursor,
     cookie::{
-        ApplyOutcome, Delta, Directory, Entry, Listing, OperatorState, Position, Presence,
-        Revision, Tuning, View,
+        ApplyOutcome, Delta, Directory, Entry, Listing, ListingUpdate, OperatorState, Position,
+        Presence, Revision, Tuning, View,
     },
     gateway::{
-        Changes, Consistency, MAXIMUM_CHANGE_LINES, ReadOutcome, RejectedItem,
-        follow_response::FollowResponse, peer_state::PeerState, shared::Shared,
+        Changes, MAXIMUM_CHANGE_LINES, ReadOutcome, RejectedItem, follow_response::FollowResponse,
+        peer_state::PeerState, shared::Shared,
     },
 };
 
@@ -32,10 +32,9 @@
     /// The watch of the operators' items has returned the changes since the last read.
     OperatorChangesRead(ReadOutcome<Changes>),
     /// All targets were read from the store.
-    TargetsRead(ReadOutcome<Listing>, Consistency),
-    /// The revision of the store was read. It is the same as at the last read of the targets, so
-    /// the targets have not changed.
-    TargetsUnchanged(Revision),
+    TargetsRead(ReadOutcome<Listing>),
+    /// The watch of the targets has returned the changes since the last read.
+    TargetsUpdated(ReadOutcome<ListingUpdate>),
     /// The state of another daemon was fetched in place of reads of the store.
     PeerStateFetched(PeerState),
     /// Returns the state of this daemon, for a daemon that cannot read the store or for the admin
@@ -116,20 +115,17 @@
                 }
                 self.directory.advance_operator_revision(read.value.revision);
             }
-            Request::TargetsRead(read, consistency) => {
+            Request::TargetsRead(read) => {
                 self.log_rejected(&read.rejected);
                 let revision = read.value.revision;
                 let applied = self.directory.apply_listing(now, read.value);
-                if applied == ApplyOutcome::Ignored {
-                    info!(
-                        read = revision, known = self.directory.revision(),
-                        consistency:? = consistency;
-                        "read of the targets is ignored: its revision is older than the known one"
-                    );
-                }
+                self.log_ignored(applied, revision);
             }
-            Request::TargetsUnchanged(revision) => {
-                self.directory.confirm_listing(now, revision);
+            Request::TargetsUpdated(read) => {
+                self.log_rejected(&read.rejected);
+                let revision = read.value.revision;
+                let applied = self.directory.apply_update(now, read.value);
+                self.log_ignored(applied, revision);
             }
             Request::PeerStateFetched(state) => {
                 let age = Duration::from_millis(state.age_ms.unwrap_or(u64::MAX));
@@ -176,6 +172,16 @@
         self.shared.publish_view(view);
     }
 
+    /// Logs that a read of the targets at `revision` was ignored, if it was.
+    fn log_ignored(&self, applied: ApplyOutcome, revision: Revision) {
+        if applied == ApplyOutcome::Ignored {
+            info!(
+                read = revision, known = self.directory.revision();
+                "read of the targets is ignored: its revision is older than the known one"
+            );
+        }
+    }
+
     fn log_rejected(&mut self, rejected: &[RejectedItem]) {
         for RejectedItem { key, revision, error } in rejected {
             if self.logged_rejections.get(key) == Some(revision) {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -28,17 +28,16 @@
     util::score,
 };
 
-/// The time between two requests to the zone reader. A change of a target must be known within 3 s;
-/// the zone reader reads the targets every 0.5 s, and stale reads lag by up to 1 s.
+/// The time between two requests to the zone reader. A change of a target must be known within 3 s,
+/// and the zone reader learns of it within 0.5 s.
 const PERIOD: Duration = Duration::from_millis(500);
 
 /// How long the zone reader may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The largest accepted time since the zone reader's last read of the targets: two of the zone
-/// reader's read intervals. A failed read takes longer, so a zone reader whose reads fail is not
-/// followed.
-const MAXIMUM_TARGETS_AGE: Duration = Duration::from_millis(1000);
+/// The largest accepted time since the store last confirmed the zone reader's targets, which it does
+/// every second. A failed call takes longer, so a zone reader whose calls fail is not followed.
+const MAXIMUM_TARGETS_AGE: Duration = Duration::from_millis(1500);
 
 /// The largest accepted time since the store last confirmed the zone reader's configuration: the
 /// sum of the longest wait of the zone reader's watch, 2.5 s, and the time in which the zone reader
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,6 @@
 mod pause_detector;
 mod peer_client;
 mod peer_state;
-mod read_policy;
 mod reader;
 mod readiness;
 mod shared;
@@ -36,7 +35,6 @@
 pub use codec::{Codec, DecodeError};
 pub use daemon::Gateway;
 pub use error::{Error, Result};
-pub use read_policy::ReadPolicy;
 pub use source::{Changes, Consistency, ReadOutcome, RejectedItem, Source};
 
 /// The largest number of changes of one view that are logged with a line each. More of them are
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -8,20 +8,24 @@
 use tokio::time::{sleep_until, timeout};
 
 use crate::{
-    cookie::Revision,
-    gateway::{Consistency, ReadPolicy, Source, directory_actor::Request, shared::Shared},
+    cookie::{Listing, Revision},
+    gateway::{Consistency, ReadOutcome, Source, directory_actor::Request, shared::Shared},
     platform::{Backoff, Error, Schedule},
     telemetry::Histogram,
 };
 
-/// The time between the starts of two reads of the targets. A change of a target must be known
-/// within 3 s, and stale reads lag by up to 1 s.
+/// The minimum time between the starts of two calls for the targets. A change of a target must be
+/// known within 3 s, and the daemons that follow this one learn of it up to 0.5 s later.
 const TARGETS_PERIOD: Duration = Duration::from_millis(500);
 
-/// How long one call of the watch waits for a change. A watch whose connection no longer carries
-/// data is found broken after this time and the timeouts of a call, so that the daemon is up to
-/// date 4 s after the connection failed.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// The maximum time between two confirmations of the targets. The watch of the targets ends without
+/// a change when this time has passed.
+const TARGETS_WATCH_WAIT: Duration = Duration::from_millis(1000);
+
+/// How long one call of the operators' watch waits for a change. A watch whose connection no longer
+/// carries data is found broken after this time and the timeouts of a call, so that the daemon is up
+/// to date 4 s after the connection failed.
+const OPERATOR_WATCH_WAIT: Duration = Duration::from_millis(2500);
 
 /// How often a reader task checks whether this daemon still follows a zone reader, in case that the
 /// task was not woken up.
@@ -72,13 +76,15 @@
                 .await;
         // A follower reads a change that the zone reader announced. This change is already in the
         // store, so the watch need not wait.
-        let wait = if was_following { Duration::ZERO } else { WATCH_WAIT };
+        let wait = if was_following { Duration::ZERO } else { OPERATOR_WATCH_WAIT };
         tracker.wait_until_due().await;
         let request = match known {
-            None => tracker.record_result(source.read_operator_state().await).map(|read| {
-                known = Some(read.value.revision);
-                Request::OperatorStateRead(read)
-            }),
+            None => {
+                tracker.record_result("watch", source.read_operator_state().await).map(|read| {
+                    known = Some(read.value.revision);
+                    Request::OperatorStateRead(read)
+                })
+            }
             Some(after) => {
                 let call = source.watch_operator_changes(after, wait);
                 let result = tokio::select! {
@@ -93,9 +99,8 @@
                     // Changes may have been missed, so all of the operators' items are read again.
                     known = None;
                 }
-                tracker.record_result(result).map(|read| {
+                tracker.record_result("watch", result).map(|read| {
                     known = Some(read.value.revision.max(after));
-                    shared.watch_revision.fetch_max(read.value.revision, Ordering::Relaxed);
                     Request::OperatorChangesRead(read)
                 })
             }
@@ -106,7 +111,7 @@
     }
 }
 
-/// Reads the targets periodically until the directory actor has stopped.
+/// Reads and watches the targets until the directory actor has stopped.
 pub(super) async fn run_targets_reader(
     source: Arc<impl Source>,
     directory_actor: ActorRef<Request>,
@@ -115,57 +120,78 @@
     seed: u64,
 ) {
     let mut tracker = CallTracker::new(Call::Targets, seed, durations, shared.clone());
-    let mut policy = ReadPolicy::default();
+    // The revision up to which this task has read the changes of the targets.
+    let mut known: Option<Revision> = None;
+    // Whether the store no longer holds the history after the known revision.
+    let mut is_history_lost = false;
+    let mut confirm_until = Instant::now();
     loop {
-        if wait_while_following(&shared, |_| false).await {
-            policy = ReadPolicy::default();
-        }
+        wait_while_following(&shared, |_| false).await;
         tracker.wait_until_due().await;
-        let read_started_at = Instant::now();
-        let result = match policy.next_consistency() {
-            Consistency::Stale => read_targets_if_changed(&*source, &shared).await,
-            consistency => read_all_targets(&*source, consistency).await,
+        let called_at = Instant::now();
+        let after = if is_history_lost { None } else { known.max(known_revision(&shared)) };
+        let request = match after {
+            None => {
+                tracker.record_result("targets", read_all_targets(&*source).await).map(|read| {
+                    known = Some(read.value.revision);
+                    is_history_lost = false;
+                    Request::TargetsRead(read)
+                })
+            }
+            Some(after) => {
+                let wait = confirm_until.saturating_duration_since(called_at);
+                let result = tokio::select! {
+                    result = source.watch_targets(after, wait) => result,
+                    // The connection of the watch may not have survived a pause of the process.
+                    () = shared.reader_wakeup.notified() => {
+                        confirm_until = called_at;
+                        continue;
+                    }
+                };
+                is_history_lost = matches!(result, Err(Error::Gone { .. }));
+                tracker.record_result("watch", result).map(|read| {
+                    known = Some(read.value.revision.max(after));
+                    Request::TargetsUpdated(read)
+                })
+            }
         };
-        let request = tracker.record_result(result).map(|(revision, request)| {
-            let known = shared.watch_revision.load(Ordering::Relaxed);
-            policy.record_read(Instant::now(), revision, known);
-            request
-        });
         let has_succeeded = request.is_some();
         if directory_actor.cast(request.unwrap_or(Request::StoreCallFailed)).is_err() {
             return;
         }
+        confirm_until = Instant::now();
         if has_succeeded {
-            let next = tokio::time::Instant::from_std(read_started_at + TARGETS_PERIOD);
-            // After a pause of the process, the targets are read at once.
-            let _ = timeout(
-                next.saturating_duration_since(tokio::time::Instant::now()),
-                shared.reader_wakeup.notified(),
-            )
-            .await;
+            confirm_until += TARGETS_WATCH_WAIT;
+            let next = tokio::time::Instant::from_std(called_at + TARGETS_PERIOD);
+            let wakeup = shared.reader_wakeup.notified();
+            if tokio::time::timeout_at(next, wakeup).await.is_ok() {
+                // After a pause of the process, the targets are confirmed at once.
+                confirm_until = Instant::now();
+            }
         }
     }
 }
 
-/// Reads the targets unless the revision of the store is still that of their last read. A read of
-/// many targets takes several calls, and most of the time nothing has changed.
-async fn read_targets_if_changed(
-    source: &impl Source,
-    shared: &Shared,
-) -> Result<(Revision, Request), Error> {
-    let revision = source.read_revision().await?;
-    if revision == shared.view.load().revision {
-        return Ok((revision, Request::TargetsUnchanged(revision)));
-    }
-    read_all_targets(source, Consistency::Stale).await
+/// Returns the revision at which the targets are known, from the store or from another daemon.
+fn known_revision(shared: &Shared) -> Option<Revision> {
+    let view = shared.view.load();
+    view.read_at.map(|_| view.revision)
 }
 
-async fn read_all_targets(
-    source: &impl Source,
-    consistency: Consistency,
-) -> Result<(Revision, Request), Error> {
-    let read = source.read_targets(consistency).await?;
-    Ok((read.value.revision, Request::TargetsRead(read, consistency)))
+/// Reads all targets. A stale read is cheap, and the changes since its revision bring it up to date,
+/// however old it is.
+async fn read_all_targets(source: &impl Source) -> Result<ReadOutcome<Listing>, Error> {
+    let mut read = source.read_targets(Consistency::Stale).await?;
+    match source.watch_targets(read.value.revision, Duration::ZERO).await {
+        Ok(update) => {
+            read.value.apply(update.value);
+            read.rejected.extend(update.rejected);
+            Ok(read)
+        }
+        // The stale copy is older than the history of the store.
+        Err(Error::Gone { .. }) => source.read_targets(Consistency::Linearizable).await,
+        Err(error) => Err(error),
+    }
 }
 
 /// Waits while this daemon follows a zone reader. Ends early if `is_unread` returns true for the
@@ -224,20 +250,16 @@
         self.schedule.record_start(self.begun_at);
     }
 
-    /// Records the result of a call, and returns the value of a successful one. A line is logged
-    /// only for the first failure and for the first success after failures.
-    fn record_result<T>(&mut self, result: Result<T, Error>) -> Option<T> {
+    /// Records the result of a call of this kind, and returns the value of a successful one. A line
+    /// is logged only for the first failure and for the first success after failures.
+    fn record_result<T>(&mut self, kind: &'static str, result: Result<T, Error>) -> Option<T> {
         let call = self.call;
         let is_failing = match call {
             Call::Operator => &self.shared.is_operator_read_failing,
             Call::Targets => &self.shared.is_targets_read_failing,
         };
         is_failing.store(result.is_err(), Ordering::Relaxed);
-        let kind = match (call, &result) {
-            (Call::Operator, Ok(_)) => "watch",
-            (Call::Targets, Ok(_)) => "targets",
-            (_, Err(_)) => "failed",
-        };
+        let kind = if result.is_ok() { kind } else { "failed" };
         self.durations.record(self.begun_at.elapsed(), kind);
         match result {
             Ok(value) => {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -34,8 +34,6 @@
     pub(super) is_operator_read_failing: AtomicBool,
     /// Whether the last read of the targets failed.
     pub(super) is_targets_read_failing: AtomicBool,
-    /// The highest revision of the store in a response to the watch of the operators' items.
-    pub(super) watch_revision: AtomicU64,
     /// Whether this daemon follows a zone reader. If not, it reads the store itself: it is the zone
     /// reader, cannot follow it, or has not tried to follow it yet.
     pub(super) is_following: AtomicBool,
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -1,7 +1,7 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use crate::{
-    cookie::{Change, Listing, OperatorState, Revision},
+    cookie::{Change, Listing, ListingUpdate, OperatorState, Revision},
     platform::Result,
 };
 
@@ -74,14 +74,6 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ReadOutcome<Changes>>> + Send;
 
-    /// Returns the revision of the store, which may be seconds old. The revision changes only with
-    /// the content of the store, and this call is cheaper than a read of the targets.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the store does not answer.
-    fn read_revision(&self) -> impl Future<Output = Result<Revision>> + Send;
-
     /// Reads the entries of all targets.
     ///
     /// # Errors
@@ -91,4 +83,17 @@
         &self,
         consistency: Consistency,
     ) -> impl Future<Output = Result<ReadOutcome<Listing>>> + Send;
+
+    /// Returns the changes of the targets' entries after the revision `after`. If there are none,
+    /// the call waits up to `wait` for the first one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Gone`](crate::platform::Error::Gone) if the store no longer holds the
+    /// history after that revision, and other errors if the store does not answer.
+    fn watch_targets(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<ReadOutcome<ListingUpdate>>> + Send;
 }
--- a/testkit/src/store.rs
+++ b/testkit/src/store.rs
@@ -3,7 +3,7 @@
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
@@ -42,19 +42,41 @@
     calls: u64,
     /// The number of range reads for each prefix.
     range_reads: BTreeMap<String, u64>,
-    /// All changes since the start, each with its key and the item, or `None` if it was removed.
-    history: Vec<(String, Option<Value>)>,
-    /// The revisions that stale reads show in turn; if empty, stale reads show the latest state.
-    stale_revisions: Vec<u64>,
-    /// The number of stale reads since `stale_revisions` was set.
+    /// All changes since the start.
+    history: Vec<Change>,
+    /// What stale reads show in turn; if empty, they show the latest state.
+    replicas: Vec<Replica>,
+    /// The number of stale reads since `replicas` was set.
     stale_reads: usize,
+    /// The number of range reads for each prefix that were not stale.
+    linearizable_reads: BTreeMap<String, u64>,
+    /// The prefix whose watches get no response.
+    silent_watch: Option<String>,
+}
+
+/// A change of an item.
+#[derive(Debug)]
+struct Change {
+    at: Instant,
+    key: String,
+    /// The item, or `None` if it was removed.
+    item: Option<Value>,
+}
+
+/// The state of the store that a stale read shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Replica {
+    /// The state at this revision.
+    At(u64),
+    /// The state this long ago.
+    Behind(Duration),
 }
 
 impl State {
     /// Returns the items at a revision.
     fn items_at(&self, revision: u64) -> BTreeMap<String, Value> {
         let mut items = BTreeMap::new();
-        for (key, item) in self.history.iter().take(revision as usize) {
+        for Change { key, item, .. } in self.history.iter().take(revision as usize) {
             match item {
                 Some(item) => items.insert(key.clone(), item.clone()),
                 None => items.remove(key),
@@ -62,6 +84,25 @@
         }
         items
     }
+
+    /// Returns the revision that the next stale read shows.
+    fn next_stale_revision(&mut self) -> u64 {
+        if self.replicas.is_empty() {
+            return self.revision;
+        }
+        let replica = self.replicas[self.stale_reads % self.replicas.len()];
+        self.stale_reads += 1;
+        match replica {
+            Replica::At(revision) => revision,
+            Replica::Behind(age) => {
+                self.history.partition_point(|change| change.at.elapsed() >= age) as u64
+            }
+        }
+    }
+
+    fn record_change(&mut self, key: &str, item: Option<Value>) {
+        self.history.push(Change { at: Instant::now(), key: key.to_owned(), item });
+    }
 }
 
 #[derive(Debug)]
@@ -114,7 +155,7 @@
             "key": key, "value": value, "rev": revision, "createdRev": created, "lease": 0,
         });
         state.items.insert(key.to_owned(), item.clone());
-        state.history.push((key.to_owned(), Some(item.clone())));
+        state.record_change(key, Some(item.clone()));
         state.events.push(item);
         drop(state);
         self.shared.changed.send_replace(());
@@ -126,7 +167,7 @@
         state.revision += 1;
         let event = json!({ "key": key, "rev": state.revision, "deleted": true });
         state.items.remove(key);
-        state.history.push((key.to_owned(), None));
+        state.record_change(key, None);
         state.events.push(event);
         drop(state);
         self.shared.changed.send_replace(());
@@ -139,13 +180,18 @@
         state.events.clear();
     }
 
-    /// Lets stale reads show the store at these revisions in turn, one for each page.
-    pub fn set_stale_revisions(&self, revisions: &[u64]) {
+    /// Sets the replicas that answer stale reads in turn, one for each page.
+    pub fn set_replicas(&self, replicas: &[Replica]) {
         let mut state = lock(&self.shared.state);
-        state.stale_revisions = revisions.to_vec();
+        state.replicas = replicas.to_vec();
         state.stale_reads = 0;
     }
 
+    /// Lets watches of this prefix get no response.
+    pub fn silence_watch(&self, prefix: &str) {
+        lock(&self.shared.state).silent_watch = Some(prefix.to_owned());
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         lock(&self.shared.state).revision
@@ -161,6 +207,11 @@
         lock(&self.shared.state).range_reads.get(prefix).copied().unwrap_or(0)
     }
 
+    /// Returns the number of range reads with this prefix that were not stale.
+    pub fn linearizable_reads(&self, prefix: &str) -> u64 {
+        lock(&self.shared.state).linearizable_reads.get(prefix).copied().unwrap_or(0)
+    }
+
     /// Returns the number of calls since the start.
     pub fn calls(&self) -> u64 {
         lock(&self.shared.state).calls
@@ -195,11 +246,11 @@
 fn range(shared: &Shared, prefix: &str, after: Option<&str>, is_stale: bool) -> Value {
     let mut state = lock(&shared.state);
     *state.range_reads.entry(prefix.to_owned()).or_default() += 1;
-    let (items, revision) = if is_stale && !state.stale_revisions.is_empty() {
-        let revision = state.stale_revisions[state.stale_reads % state.stale_revisions.len()];
-        state.stale_reads += 1;
+    let (items, revision) = if is_stale {
+        let revision = state.next_stale_revision();
         (state.items_at(revision), revision)
     } else {
+        *state.linearizable_reads.entry(prefix.to_owned()).or_default() += 1;
         (state.items.clone(), state.revision)
     };
     let all: Vec<&Value> = items
@@ -214,6 +265,9 @@
 }
 
 async fn watch(shared: &Shared, prefix: &str, uri: &str) -> Reply {
+    if lock(&shared.state).silent_watch.as_deref() == Some(prefix) {
+        std::future::pending().await
+    }
     let after = parameter(uri, "after").unwrap_or(0);
     let wait = Duration::from_millis(parameter(uri, "waitMs").unwrap_or(0));
     let mut changed = shared.changed.subscribe();
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -12,6 +12,7 @@
     gateway::{Codec as _, Consistency, DecodeError, Source as _},
     platform::Timeouts,
 };
+use banyanwharf_testkit::Replica;
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use bolero::check;
 use serde_json::{Value, json};
@@ -207,7 +208,7 @@
     }
     let client = Store::new(server.url().parse().expect("a URL"), Timeouts::gateway());
     for (revisions, lowest) in [([70, 60], 60), ([55, 70], 55), ([70, 70], 70)] {
-        server.set_stale_revisions(&revisions);
+        server.set_replicas(&revisions.map(Replica::At));
         let read = client.read_targets(Consistency::Stale).await.expect("the store responds");
         assert_eq!(read.value.revision, lowest, "pages at {revisions:?}");
         assert_eq!(read.value.targets.len() as u64, revisions[1].max(50), "pages at {revisions:?}");
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -6,8 +6,9 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use banyanwharf::cookie::{
-    ApplyOutcome, Availability, Cause, Change, CheckOutcome, Directory, Event, Kind, Listing,
-    OperatorState, Packet, Presence, Reason, Target, Tuning, Verdict, cookie,
+    ApplyOutcome, Availability, Cause, Change, CheckOutcome, Directory, EntryChange, Event, Kind,
+    Listing, ListingUpdate, OperatorState, Packet, Presence, Reason, Target, Tuning, Verdict,
+    cookie,
 };
 use cookies::*;
 
@@ -208,7 +209,7 @@
     let cookie = cookie(&target(1, "web", OWN_ZONE));
     let added = Packet { acknowledged: 100, ..packet(flow(1, 77), Kind::Data, cookie) };
     let removed = Packet { acknowledged: 100, ..packet(flow(2, 78), Kind::Data, cookie) };
-    for _ in 0..2 {
+    for _ in 0..3 {
         assert_eq!(fixture.decide(&added), Verdict::Drop(Cause::StaleView));
         assert_eq!(fixture.decide(&removed), Verdict::Drop(Cause::StaleView));
         fixture.advance(ms(400));
@@ -288,7 +289,8 @@
     };
     assert_eq!(presence(&mut fixture), Some(Presence::Lapsed));
     fixture.advance(Duration::from_secs(3));
-    assert!(fixture.directory.confirm_listing(fixture.now, fixture.revision));
+    let unchanged = ListingUpdate { revision: fixture.revision, changes: Vec::new() };
+    fixture.directory.apply_update(fixture.now, unchanged);
     assert_eq!(presence(&mut fixture), Some(Presence::Gone));
 }
 
@@ -328,19 +330,46 @@
     assert_eq!(directory.view(now).entries().len(), 2);
 }
 
-/// Guards against full reads of an unchanged store, and against a change of the store that is
-/// mistaken for no change.
+/// Guards against targets that count as outdated although the store has confirmed that nothing has
+/// changed, and against an older response that counts as a confirmation.
 #[test]
-fn unchanged_revision_confirms_the_targets() {
+fn update_without_changes_confirms_the_targets() {
     let mut fixture = DaemonFixture::new(targets("web", 2, 0));
     let (read, second) = (fixture.revision, Duration::from_secs(1));
-    fixture.advance(second);
-    assert!(fixture.directory.confirm_listing(fixture.now, read));
+    let unchanged = |revision| ListingUpdate { revision, changes: Vec::new() };
+    let apply = |fixture: &mut DaemonFixture, revision| {
+        fixture.advance(second);
+        fixture.directory.apply_update(fixture.now, unchanged(revision))
+    };
+    assert_eq!(apply(&mut fixture, read), ApplyOutcome::Same);
     assert_eq!(fixture.directory.age(fixture.now), Some(Duration::ZERO));
-    fixture.advance(second);
-    assert!(!fixture.directory.confirm_listing(fixture.now, read + 1));
-    assert!(!fixture.directory.confirm_listing(fixture.now, read - 1));
+    // Something else has changed in the store.
+    assert_eq!(apply(&mut fixture, read + 1), ApplyOutcome::Same);
+    assert_eq!(fixture.directory.age(fixture.now), Some(Duration::ZERO));
+    assert_eq!(apply(&mut fixture, read), ApplyOutcome::Ignored);
     assert_eq!(fixture.directory.age(fixture.now), Some(second));
+    let mut unread = Directory::new(Tuning::default());
+    assert_eq!(unread.apply_update(fixture.now, unchanged(read)), ApplyOutcome::Ignored);
+}
+
+/// Guards against a removed entry that ends a target which has written its entry again since.
+#[test]
+fn older_changes_of_an_update_are_not_applied() {
+    let mut fixture = DaemonFixture::new(targets("web", 2, 0));
+    let mut renewed = target(1, "web", OWN_ZONE);
+    renewed.revision = 7;
+    fixture.revision = 6;
+    fixture.read_targets(vec![renewed.clone(), target(2, "web", OWN_ZONE)]);
+    let name = renewed.name.clone();
+    let removed = |revision| EntryChange::Removed { name: name.clone(), revision };
+    let changes = vec![removed(5), EntryChange::Written(renewed.clone())];
+    let outcome =
+        fixture.directory.apply_update(fixture.now, ListingUpdate { revision: 9, changes });
+    assert_eq!(outcome, ApplyOutcome::Same);
+    let update = ListingUpdate { revision: 10, changes: vec![removed(10)] };
+    fixture.directory.apply_update(fixture.now, update);
+    let view = fixture.directory.view(fixture.now);
+    assert_eq!(view.target(cookie(&renewed)).map(|entry| entry.presence), Some(Presence::Gone));
 }
 
 /// Guards against one flow that is open on two targets: a retransmitted opening packet must go to
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -11,7 +11,7 @@
     sync::atomic::{AtomicU16, Ordering},
 };
 
-use banyanwharf_testkit::{Store, StoreMode};
+use banyanwharf_testkit::{Replica, Store, StoreMode};
 use gateways::{
     caller::{Caller, Outcome},
     config::config,
@@ -260,18 +260,61 @@
     reader.signal("-CONT");
 }
 
-/// Guards against full reads of the targets while nothing changes in the store.
+/// Guards against reads of all targets, which are expensive, after the first one: neither while
+/// nothing changes nor after a change, nor when the store answers again.
 #[tokio::test(flavor = "multi_thread")]
-async fn targets_are_read_again_only_after_a_change() {
+async fn targets_are_read_once_and_then_watched() {
     let port = allocate_ports();
     let (store, targets, daemon) = start_ready_daemon(port).await;
     let (calls, reads) = (store.calls(), store.range_reads("servers/"));
     wait_until("the store got 6 more calls", async || store.calls() >= calls + 6).await;
-    // The first read may be repeated once, since it precedes the first watch.
-    assert!(store.range_reads("servers/") <= reads + 1);
     targets[0].register(&store, "draining");
     daemon.wait_until_logged("Draining").await;
-    assert!(store.range_reads("servers/") > reads);
+    store.set_mode(StoreMode::Unavailable);
+    daemon.wait_until_logged("store does not answer").await;
+    store.set_mode(StoreMode::Normal);
+    targets[1].register(&store, "draining");
+    let mut caller = Caller::new(1, port, WEB).await;
+    wait_until("no target is left", async || caller.open(daemon.data).await == Outcome::Reset)
+        .await;
+    assert_eq!(store.range_reads("servers/"), reads);
+    assert_eq!(store.linearizable_reads("servers/"), 0);
+}
+
+/// Guards against new flows to a draining target by a daemon that starts while stale reads of the
+/// store lag, however far, and against a daemon that does not start because the store no longer
+/// holds the history since then.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_starts_with_the_latest_targets_although_stale_reads_lag() {
+    let port = allocate_ports();
+    let (store, targets) = start_store_and_targets(port).await;
+    store.set_replicas(&[Replica::At(store.revision())]);
+    targets[0].register(&store, "draining");
+    for number in 1..=2 {
+        let daemon = Daemon::start(number, "zone-a", port, &store, 3 - number);
+        daemon.wait_until_ready().await;
+        let mut caller = Caller::new(number, port, WEB).await;
+        for _ in 0..10 {
+            assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(2));
+        }
+        // The second daemon starts without the history. The first one has ended by then.
+        store.compact();
+    }
+}
+
+/// Guards against new flows to a target that has been draining for longer than the platform allows,
+/// because the daemon relies on stale reads, or on the operators' watch to tell it how old they are.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_target_is_noticed_although_stale_reads_never_show_it() {
+    let port = allocate_ports();
+    let (store, targets, daemon) = start_ready_daemon(port).await;
+    store.set_replicas(&[Replica::At(store.revision())]);
+    store.silence_watch("op/");
+    daemon.wait_until_logged("store does not answer").await;
+    targets[0].register(&store, "draining");
+    daemon.wait_until_logged("Draining").await;
+    let mut caller = Caller::new(1, port, WEB).await;
+    assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(2));
 }
 
 /// Guards against commands of the tool that lack the state of a daemon in gateway mode.
--- a/tests/listings.rs
+++ b/tests/listings.rs
@@ -1,4 +1,5 @@
-//! Lists of targets whose pages show the store at different times, in random histories of the store.
+//! Lists of targets whose pages show the store at different times, and the changes since, in random
+//! histories of the store.
 
 #![allow(dead_code)]
 
@@ -9,7 +10,9 @@
     time::{Duration, Instant},
 };
 
-use banyanwharf::cookie::{Directory, Listing, Presence, Target, Tuning};
+use banyanwharf::cookie::{
+    Directory, EntryChange, Listing, ListingUpdate, Presence, Target, Tuning,
+};
 use cookies::*;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -61,6 +64,49 @@
             .collect();
         Listing { revision: pages[0].min(pages[1]), targets }
     }
+
+    /// Returns the changes after a revision.
+    fn update(&self, after: u64) -> ListingUpdate {
+        let changes = (after + 1..=self.revision()).map(|revision| {
+            let [former, state] = [revision - 1, revision].map(|at| &self.states[at as usize]);
+            let written = state.values().find(|target| target.revision == revision);
+            let removed = former.values().find(|target| !state.contains_key(&target.number));
+            match (written, removed) {
+                (Some(target), _) => EntryChange::Written(target.clone()),
+                (None, Some(target)) => {
+                    EntryChange::Removed { name: target.name.clone(), revision }
+                }
+                // A target without an entry was removed.
+                (None, None) => EntryChange::Removed { name: "none".into(), revision },
+            }
+        });
+        ListingUpdate { revision: self.revision(), changes: changes.collect() }
+    }
+}
+
+/// Asserts that no target whose entry is in the store counts as ended.
+fn assert_none_has_ended(history: &History, directory: &mut Directory, now: Instant, what: &str) {
+    for entry in directory.view(now).entries() {
+        let stored = history.latest().get(&entry.target.number);
+        let runs = stored.is_some_and(|stored| stored.born == entry.target.born);
+        assert!(
+            !runs || entry.presence != Presence::Gone,
+            "{what}: {} counts as ended",
+            entry.target.name
+        );
+    }
+}
+
+/// Asserts that exactly the targets with an entry in the store are present.
+fn assert_is_latest(history: &History, directory: &mut Directory, now: Instant, what: &str) {
+    let view = directory.view(now);
+    let present = view.entries().iter().filter(|entry| entry.presence == Presence::Present);
+    let mut present: Vec<(u64, u64)> =
+        present.map(|entry| (entry.target.number, entry.target.revision)).collect();
+    present.sort_unstable();
+    let stored: Vec<(u64, u64)> =
+        history.latest().iter().map(|(number, target)| (*number, target.revision)).collect();
+    assert_eq!(present, stored, "{what}: the latest state is not in force");
 }
 
 /// Guards against targets that count as ended, so that their open flows are reset, because they are
@@ -80,22 +126,54 @@
             let oldest = history.revision().saturating_sub(6);
             let pages = [0; 2].map(|_| random.random_range(oldest..=history.revision()));
             directory.apply_listing(now, history.list(pages));
-            for entry in directory.view(now).entries() {
-                let stored = history.latest().get(&entry.target.number);
-                let runs = stored.is_some_and(|stored| stored.born == entry.target.born);
-                assert!(
-                    !runs || entry.presence != Presence::Gone,
-                    "seed {seed}, step {step}: {} counts as ended",
-                    entry.target.name
-                );
-            }
+            assert_none_has_ended(
+                &history,
+                &mut directory,
+                now,
+                &format!("seed {seed}, step {step}"),
+            );
         }
         directory.apply_listing(now, history.list([history.revision(); 2]));
-        let view = directory.view(now);
-        let present = view.entries().iter().filter(|entry| entry.presence == Presence::Present);
-        let mut present: Vec<u64> = present.map(|entry| entry.target.number).collect();
-        present.sort_unstable();
-        let stored: Vec<u64> = history.latest().keys().copied().collect();
-        assert_eq!(present, stored, "seed {seed}: a list of the latest state is not in force");
+        assert_is_latest(&history, &mut directory, now, &format!("seed {seed}"));
+    }
+}
+
+/// Guards against changes that are lost, applied twice or applied to a newer state: after a list of
+/// any age, the changes since its revision lead to the latest state, also if some of them are
+/// already known.
+#[test]
+fn changes_since_a_list_of_any_age_lead_to_the_latest_state() {
+    for seed in 0..500 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut history = History::new();
+        let mut directory = Directory::new(Tuning::default());
+        let mut now = Instant::now();
+        for step in 0..60 {
+            let what = format!("seed {seed}, step {step}");
+            now += Duration::from_millis(500);
+            for _ in 0..random.random_range(0..4) {
+                history.change(&mut random);
+            }
+            let oldest = history.revision().saturating_sub(6);
+            let pages = [0; 2].map(|_| random.random_range(oldest..=history.revision()));
+            match random.random_range(0..10) {
+                0 => {
+                    directory.apply_listing(now, history.list(pages));
+                    assert_none_has_ended(&history, &mut directory, now, &what);
+                    continue;
+                }
+                1 => {
+                    let mut listing = history.list(pages);
+                    listing.apply(history.update(listing.revision));
+                    directory.apply_listing(now, listing);
+                }
+                _ if directory.age(now).is_none() => continue,
+                _ => {
+                    let after = directory.revision().saturating_sub(random.random_range(0..3));
+                    directory.apply_update(now, history.update(after));
+                }
+            }
+            assert_is_latest(&history, &mut directory, now, &what);
+        }
     }
 }
--- a/tests/soaks/testbed.rs
+++ b/tests/soaks/testbed.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use banyanwharf_testkit::{Proxy, ProxyMode, StoreMode};
+use banyanwharf_testkit::{Proxy, ProxyMode, Replica, StoreMode};
 use rand::{RngExt as _, SeedableRng as _, seq::IteratorRandom as _};
 use rand_pcg::Pcg64Mcg;
 use serde_json::Value;
@@ -61,6 +61,9 @@
 /// again.
 const ENTRY_RETURN_DELAY: Duration = Duration::from_millis(1500);
 
+/// How old the states are that stale reads show in turn.
+const REPLICA_AGES: [Duration; 2] = [Duration::from_millis(4000), Duration::from_millis(50)];
+
 /// A longer gap between two ticks counts as a disturbance of the host.
 const STALL_THRESHOLD: Duration = Duration::from_millis(300);
 const TICK: Duration = Duration::from_millis(50);
@@ -163,6 +166,7 @@
 impl Testbed {
     async fn new(seed: u64, folder: &Path, port: u16) -> Testbed {
         let shared = Arc::new(Shared::new(port));
+        shared.store.set_replicas(&REPLICA_AGES.map(Replica::Behind));
         shared.publish_config();
         let mut processes = Vec::new();
         let (mut store_paths, mut contact_paths) = (Vec::new(), Vec::new());
