Start the other watch again when a call to the store gets no response

Cause: the operators' watch waited for 2.5 s and its timeouts, 3.5 s in all, although a call for the targets had got no response 2 s before. The read after it used an idle connection, which had gone silent too, and waited for its timeout.

Change: the first call without a response wakes the other reader, whose watch starts again at once on another connection. Idle connections are used again only within 1 s. The operators' watch waits for 2 s instead of 2.5 s.

Tests: silent_connections_are_replaced_at_the_first_timeout and idle_connection_is_not_used_again; both failed before.

--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -18,7 +18,7 @@
     pub maximum_targets_age: Duration,
     /// The maximum time since the last confirmation of the configuration at which an opening packet
     /// to a service address without a route is reset. The watch reports changes immediately and
-    /// confirms the configuration every 2.5 s.
+    /// confirms the configuration every 2 s.
     pub maximum_config_age: Duration,
     /// How much later than the first packet of an established flow with an unknown route or cookie
     /// the store must have confirmed that there is no such route or target before the flow is reset:
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -40,8 +40,8 @@
 const MAXIMUM_TARGETS_AGE: Duration = Duration::from_millis(1500);
 
 /// The largest accepted time since the store last confirmed the zone reader's configuration: the
-/// sum of the longest wait of the zone reader's watch, 2.5 s, and the time in which the zone reader
-/// must detect that the watch is broken.
+/// sum of the longest wait of the zone reader's watch, 2 s, and the time in which the zone reader must
+/// detect that the watch is broken.
 const MAXIMUM_CONFIG_AGE: Duration = Duration::from_millis(3000);
 
 /// How long this daemon may take to read an operators' change from the store after the zone reader
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -23,9 +23,9 @@
 const TARGETS_WATCH_WAIT: Duration = Duration::from_millis(1000);
 
 /// How long one call of the operators' watch waits for a change. A watch whose connection no longer
-/// carries data is found broken after this time and the timeouts of a call, so that the daemon is up
-/// to date 4 s after the connection failed.
-const OPERATOR_WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// carries data is found broken after this time and the timeouts of a call, so that this daemon and
+/// those that follow it are up to date 4 s after the connection failed.
+const OPERATOR_WATCH_WAIT: Duration = Duration::from_millis(2000);
 
 /// How often a reader task checks whether this daemon still follows a zone reader, in case that the
 /// task was not woken up.
@@ -89,7 +89,8 @@
                 let call = source.watch_operator_changes(after, wait);
                 let result = tokio::select! {
                     result = call => result,
-                    // The connection of the watch may not have survived a pause of the process.
+                    // The connection of the watch may have failed: the process was paused, or another
+                    // call got no response.
                     () = shared.reader_wakeup.notified() => {
                         known = None;
                         continue;
@@ -142,7 +143,8 @@
                 let wait = confirm_until.saturating_duration_since(called_at);
                 let result = tokio::select! {
                     result = source.watch_targets(after, wait) => result,
-                    // The connection of the watch may not have survived a pause of the process.
+                    // The connection of the watch may have failed: the process was paused, or another
+                    // call got no response.
                     () = shared.reader_wakeup.notified() => {
                         confirm_until = called_at;
                         continue;
@@ -274,6 +276,10 @@
                 if self.failed_at.is_none() {
                     warn!(call:? = call; "store does not answer; the view in force stays: {error}");
                     self.failed_at = Some(Instant::now());
+                    if matches!(error, Error::Timeout { .. }) {
+                        // The connection of the other watch may have stopped carrying data too.
+                        self.shared.reader_wakeup.notify_waiters();
+                    }
                 }
                 self.schedule.record_failure(Instant::now(), &error);
                 None
--- a/src/platform/fetcher.rs
+++ b/src/platform/fetcher.rs
@@ -23,6 +23,10 @@
 /// The time after which a connection with unacknowledged bytes is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long an idle connection may be used again. A connection can stop carrying data without a
+/// reset, and a call that uses it then fails only after its timeout.
+const MAXIMUM_IDLE_TIME: Duration = Duration::from_secs(1);
+
 /// Sends GET requests with limits on the time and on the size of responses.
 #[derive(Debug, Clone)]
 pub(crate) struct Fetcher {
@@ -43,6 +47,7 @@
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(MAXIMUM_IDLE_TIME)
             .pool_max_idle_per_host(1)
             .build(connector);
         Fetcher { client, timeouts, max_body_bytes }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,7 +1,10 @@
 //! Packets and store items of the platform are decoded completely or refused with a typed error,
 //! and no bytes cause a panic.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
 use banyanwharf::{
     adapter::{
@@ -12,7 +15,7 @@
     gateway::{Codec as _, Consistency, DecodeError, Source as _},
     platform::Timeouts,
 };
-use banyanwharf_testkit::Replica;
+use banyanwharf_testkit::{Proxy, Replica};
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use bolero::check;
 use serde_json::{Value, json};
@@ -214,3 +217,17 @@
         assert_eq!(read.value.targets.len() as u64, revisions[1].max(50), "pages at {revisions:?}");
     }
 }
+
+/// Guards against a call that waits for its timeout because it uses a connection which has been idle
+/// and has stopped carrying data.
+#[tokio::test]
+async fn idle_connection_is_not_used_again() {
+    let server = banyanwharf_testkit::Store::start().expect("the store starts");
+    let path = Proxy::start(server.address()).expect("the proxy starts");
+    let url = format!("http://{}", path.address()).parse().expect("a URL");
+    let client = Store::new(url, Timeouts::gateway());
+    client.read_operator_state().await.expect("the store responds");
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    path.stall_open_connections();
+    client.read_operator_state().await.expect("the store responds on a new connection");
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -11,7 +11,7 @@
     sync::atomic::{AtomicU16, Ordering},
 };
 
-use banyanwharf_testkit::{Replica, Store, StoreMode};
+use banyanwharf_testkit::{Proxy, Replica, Store, StoreMode};
 use gateways::{
     caller::{Caller, Outcome},
     config::config,
@@ -317,6 +317,30 @@
     assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(2));
 }
 
+/// Guards against a configuration that is not in force 4 s after the open connections to the store
+/// have stopped carrying data: a watch must not wait for its own timeout if another call has got no
+/// response.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_replaced_at_the_first_timeout() {
+    let port = allocate_ports();
+    let (store, targets) = start_store_and_targets(port).await;
+    let path = Proxy::start(store.address()).expect("the proxy starts");
+    let daemon = Daemon::start_with_store(1, "zone-a", port, path.address(), 2);
+    daemon.wait_until_ready().await;
+    let calls = store.calls();
+    wait_until("both watches wait", async || store.calls() >= calls + 3).await;
+    path.stall_open_connections();
+    let document = config(9, &[(80, "web")], 0.0);
+    store.put("op/config", document.to_string().as_bytes());
+    targets[0].register(&store, "draining");
+    daemon.wait_until_logged("\"version\":\"9\"").await;
+    daemon.wait_until_logged("Draining").await;
+    let log = daemon.log();
+    let failures: Vec<&str> =
+        log.lines().filter(|line| line.contains("store does not answer")).collect();
+    assert_eq!(failures.len(), 1, "{failures:?}");
+}
+
 /// Guards against commands of the tool that lack the state of a daemon in gateway mode.
 #[tokio::test(flavor = "multi_thread")]
 async fn tool_shows_the_state_of_a_daemon() {
--- a/tests/gateways/daemon.rs
+++ b/tests/gateways/daemon.rs
@@ -79,9 +79,20 @@
 
 impl Daemon {
     pub(crate) fn start(number: u8, zone: &str, port: u16, store: &Store, contact: u8) -> Daemon {
+        Daemon::start_with_store(number, zone, port, store.address(), contact)
+    }
+
+    /// Starts a daemon that reaches the store at the address `store`, such as that of a proxy.
+    pub(crate) fn start_with_store(
+        number: u8,
+        zone: &str,
+        port: u16,
+        store: SocketAddr,
+        contact: u8,
+    ) -> Daemon {
         let folder = TempDir::new().expect("the folder is created");
         let contact = admin(address(contact, port)).to_string();
-        let settings = settings(number, zone, port, &store.url(), &contact);
+        let settings = settings(number, zone, port, &format!("http://{store}"), &contact);
         fs::write(folder.path().join("settings.jsonc"), settings.to_string()).expect("written");
         let log = File::create(folder.path().join("log")).expect("the log file opens");
         let mut command = AsyncCommand::new(env!("CARGO_BIN_EXE_banyanwharfd"));
