Match a copy of an opening packet to its flow by the sequence number

Cause: a later copy of an opening packet was looked up by addresses and ports alone. The daemon's log has no "flow is placed" for these flows.

Change: a copy belongs to a remembered opening packet only if the sequence numbers are equal. Related paths: the first packet with an unknown route or cookie counts only for the same cookie, and a flow that its caller has closed is reset only in answer to a packet, since the reset could reach the next flow of the port.

Tests: retransmitted_opening_packet_of_a_later_flow_is_placed_anew and unknown_cookie_of_an_earlier_flow_proves_nothing, which failed before; closed_flow_of_an_ended_target_is_reset_only_for_a_packet. Callers of the soak now use 20 ports in turn and lose 5% of the first copies. With a lost first copy, a flow may fail to open if one target is disturbed, since the two other copies may reach the same target.

--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -9,6 +9,9 @@
 pub(super) struct FlowState {
     /// The cookie of the flow's target.
     pub(super) cookie: Cookie,
+    /// The sequence number of the opening packet, if this daemon saw it. A later flow between the
+    /// same addresses and ports has another one.
+    opening_sequence: Option<u32>,
     /// Whether a packet after the opening packet was seen.
     is_established: bool,
     /// Whether the caller has closed its side. The flow then no longer adds to the load of its
@@ -87,6 +90,12 @@
         self.states.get(flow).map(|state| state.cookie)
     }
 
+    /// Returns the cookie of the target that got the previous copy of the opening packet `packet`.
+    pub(super) fn opening_cookie(&self, packet: &Packet) -> Option<Cookie> {
+        let state = self.states.get(&packet.flow)?;
+        (state.opening_sequence == Some(packet.sequence)).then_some(state.cookie)
+    }
+
     /// Returns the cookie of a flow's target if no packet after the opening packet was seen.
     pub(super) fn unanswered_cookie(&self, flow: &Flow) -> Option<Cookie> {
         self.states.get(flow).filter(|state| !state.is_established).map(|state| state.cookie)
@@ -174,9 +183,11 @@
         }
     }
 
-    /// Removes up to `limit` established flows for which `is_lost` returns true, given the cookie of
-    /// the target and when the first packet arrived. Returns each of them with the target's cookie
-    /// and the caller's last acknowledgement number.
+    /// Removes up to `limit` established flows that their callers have not closed and for which
+    /// `is_lost` returns true, given the cookie of the target and when the first packet arrived.
+    /// Returns each of them with the target's cookie and the caller's last acknowledgement number.
+    ///
+    /// The caller of a closed flow may have opened another one from the same port.
     pub(super) fn remove_lost(
         &mut self,
         limit: usize,
@@ -185,7 +196,9 @@
         let lost: Vec<(Flow, FlowState)> = self
             .states
             .extract_if(|_, state| {
-                state.is_established && is_lost(state.cookie, state.first_packet_at)
+                state.is_established
+                    && !state.is_closing
+                    && is_lost(state.cookie, state.first_packet_at)
             })
             .take(limit)
             .collect();
@@ -244,6 +257,7 @@
     fn new(now: Instant, packet: &Packet, cookie: Cookie, is_established: bool) -> FlowState {
         FlowState {
             cookie,
+            opening_sequence: (!is_established).then_some(packet.sequence),
             is_established,
             is_closing: false,
             is_waiting: !is_established || packet.length > 0,
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -29,9 +29,10 @@
     view: Arc<View>,
     flows: Flows,
     observer: Observer,
-    /// The established flows whose route or cookie this daemon does not know, each with the arrival
-    /// time of the first such packet. Another daemon knew both when it forwarded the opening packet.
-    unresolved_since: HashMap<Flow, Instant>,
+    /// The established flows whose route or cookie this daemon does not know, each with the cookie
+    /// and the arrival time of the first such packet. Another daemon knew both when it forwarded the
+    /// opening packet.
+    unresolved_flows: HashMap<Flow, (Cookie, Instant)>,
     /// The flows whose opening packets were forwarded recently, oldest first.
     opened_flows: VecDeque<(Instant, Flow)>,
     /// When the last new flow of each service was placed on a target.
@@ -57,7 +58,7 @@
             zone,
             view: Arc::default(),
             flows,
-            unresolved_since: HashMap::new(),
+            unresolved_flows: HashMap::new(),
             opened_flows: VecDeque::new(),
             last_placement_by_service: HashMap::new(),
             drop_opens_until: None,
@@ -90,7 +91,7 @@
         self.observer.record_pause();
         self.opened_flows.clear();
         // A response of the store that arrives now may be from before the pause.
-        self.unresolved_since.clear();
+        self.unresolved_flows.clear();
         self.drop_opens_until = Some(now + self.tuning.pause_drop_time);
     }
 
@@ -195,7 +196,8 @@
             .unwrap_or(self.tuning.maximum_idle_timeout);
         self.flows.sweep(now, idle_timeout.min(self.tuning.maximum_idle_timeout));
         let retention = self.tuning.maximum_idle_timeout;
-        self.unresolved_since.retain(|_, since| now.saturating_duration_since(*since) < retention);
+        self.unresolved_flows
+            .retain(|_, (_, since)| now.saturating_duration_since(*since) < retention);
         self.observer.retain(&self.view);
     }
 
@@ -250,14 +252,14 @@
         match verdict {
             Verdict::Forward(_) => {
                 self.counters.delivered += 1;
-                if !self.unresolved_since.is_empty() {
-                    self.unresolved_since.remove(&packet.flow);
+                if !self.unresolved_flows.is_empty() {
+                    self.unresolved_flows.remove(&packet.flow);
                 }
             }
             Verdict::Reset(reason) => {
                 *self.counters.resets.entry(reason).or_default() += 1;
                 self.flows.remove(&packet.flow);
-                self.unresolved_since.remove(&packet.flow);
+                self.unresolved_flows.remove(&packet.flow);
                 let target = self.view.target(packet.cookie);
                 let target = target.map(|entry| entry.target.name.clone());
                 self.events.push(Event::Reset { flow: packet.flow, target, reason });
@@ -308,7 +310,7 @@
         let Some(service) = route.service(hash).cloned() else {
             return Verdict::Reset(Reason::NoRoute);
         };
-        let previous_target = self.record_open_retransmission(now, &flow, attempt);
+        let previous_target = self.record_open_retransmission(now, packet, attempt);
         if let Some(cookie) = previous_target
             && let Some(entry) = self.view.target(cookie)
             && self.should_keep_target(entry)
@@ -319,19 +321,19 @@
     }
 
     /// Records a retransmitted opening packet, and returns the cookie of the target that got the
-    /// previous copy.
+    /// previous copy. If that copy did not pass through this daemon, there is none.
     fn record_open_retransmission(
         &mut self,
         now: Instant,
-        flow: &Flow,
+        packet: &Packet,
         attempt: u32,
     ) -> Option<Cookie> {
         if attempt == 0 {
             return None;
         }
-        let cookie = self.flows.cookie(flow)?;
-        let signal = self.flows.record_retransmitted_open(now, flow);
-        self.apply_signal(now, *flow, cookie, signal);
+        let cookie = self.flows.opening_cookie(packet)?;
+        let signal = self.flows.record_retransmitted_open(now, &packet.flow);
+        self.apply_signal(now, packet.flow, cookie, signal);
         Some(cookie)
     }
 
@@ -456,7 +458,7 @@
         if packet.kind == Kind::Reset {
             return Verdict::Drop(Cause::UnknownReset);
         }
-        let Some(since) = self.record_unresolved(now, packet.flow) else {
+        let Some(since) = self.record_unresolved(now, packet) else {
             return Verdict::Drop(Cause::StaleView);
         };
         let confirmed_at = self.view.confirmed_at;
@@ -473,7 +475,7 @@
         if packet.kind == Kind::Reset {
             return Verdict::Drop(Cause::UnknownReset);
         }
-        let Some(since) = self.record_unresolved(now, packet.flow) else {
+        let Some(since) = self.record_unresolved(now, packet) else {
             return Verdict::Drop(Cause::UnknownCookie);
         };
         let read_at = self.view.read_at;
@@ -488,14 +490,16 @@
 
     /// Records a packet of an established flow whose route or cookie is not known, and returns when
     /// the first such packet arrived. Returns `None` if too many flows are recorded.
-    fn record_unresolved(&mut self, now: Instant, flow: Flow) -> Option<Instant> {
-        if let Some(since) = self.unresolved_since.get(&flow) {
+    fn record_unresolved(&mut self, now: Instant, packet: &Packet) -> Option<Instant> {
+        // Another cookie belongs to a later flow between the same addresses and ports.
+        let known = self.unresolved_flows.get(&packet.flow);
+        if let Some((_, since)) = known.filter(|(cookie, _)| *cookie == packet.cookie) {
             return Some(*since);
         }
-        if self.unresolved_since.len() >= MAXIMUM_UNRESOLVED_FLOWS {
+        if known.is_none() && self.unresolved_flows.len() >= MAXIMUM_UNRESOLVED_FLOWS {
             return None;
         }
-        self.unresolved_since.insert(flow, now);
+        self.unresolved_flows.insert(packet.flow, (packet.cookie, now));
         Some(now)
     }
 
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -386,6 +386,74 @@
     assert_eq!(fixture.decide(&retransmission), Verdict::Forward(first));
 }
 
+/// Guards against a new flow on the target of an earlier flow between the same addresses and ports,
+/// although that target is draining or its service is no longer routed to. The first copy of the new
+/// flow's opening packet was lost or went through another daemon.
+#[test]
+fn retransmitted_opening_packet_of_a_later_flow_is_placed_anew() {
+    let mut all = targets("web", 2, 0);
+    all.push(target(9, "files", OWN_ZONE));
+    let mut fixture = DaemonFixture::new(all.clone());
+    for number in 0..20 {
+        let opened = fixture.establish(number);
+        let closing =
+            Packet { acknowledged: 200, ..packet(flow(number, 1), Kind::Finish, opened.cookie) };
+        assert!(matches!(fixture.decide(&closing), Verdict::Forward(_)));
+    }
+    all[0].availability = Availability::Draining;
+    all[0].revision = 2;
+    fixture.advance(ms(500)).read_targets(all.clone());
+    fixture.advance(Duration::from_secs(4));
+    let retransmission =
+        |number| Packet { sequence: 77, ..packet(flow(number, 1), Kind::Open { attempt: 1 }, 0) };
+    for number in 0..10 {
+        assert_eq!(destination(fixture.decide(&retransmission(number))).cookie, cookie(&all[1]));
+    }
+    let mut moved = config(2, 0.0);
+    moved.routes.insert(service_address(1), moved.routes[&service_address(2)].clone());
+    let operator =
+        OperatorState { revision: 2, config: Some(Arc::new(moved)), ..Default::default() };
+    fixture.read_operator_state(operator);
+    for number in 10..20 {
+        assert_eq!(destination(fixture.decide(&retransmission(number))).cookie, cookie(&all[2]));
+    }
+}
+
+/// Guards against a reset that reaches a later flow from the same port: its caller has closed the
+/// flow whose target has ended.
+#[test]
+fn closed_flow_of_an_ended_target_is_reset_only_for_a_packet() {
+    let all = targets("web", 2, 0);
+    let mut fixture = DaemonFixture::new(all.clone());
+    let opened: Vec<_> = (0..4).map(|number| (number, fixture.establish(number))).collect();
+    let closing = |number, cookie| Packet {
+        acknowledged: 200,
+        ..packet(flow(number, 1), Kind::Finish, cookie)
+    };
+    for (number, destination) in &opened[..3] {
+        fixture.decide(&closing(*number, destination.cookie));
+    }
+    fixture.advance(ms(500)).read_targets(Vec::new());
+    let lost = fixture.forwarder.take_lost_flows(fixture.now);
+    assert_eq!(lost, [(flow(3, 1), 100)]);
+    let (number, destination) = opened[0];
+    let verdict = fixture.decide(&closing(number, destination.cookie));
+    assert_eq!(verdict, Verdict::Reset(Reason::TargetGone));
+}
+
+/// Guards against the reset of a flow because an earlier one between the same addresses and ports
+/// had an unknown cookie.
+#[test]
+fn unknown_cookie_of_an_earlier_flow_proves_nothing() {
+    let all = targets("web", 1, 0);
+    let mut fixture = DaemonFixture::new(all.clone());
+    assert_eq!(fixture.acknowledge(1, 12345, 100), Verdict::Drop(Cause::UnknownCookie));
+    for _ in 0..3 {
+        fixture.advance(ms(500)).read_targets(all.clone());
+    }
+    assert_eq!(fixture.acknowledge(1, 54321, 100), Verdict::Drop(Cause::UnknownCookie));
+}
+
 /// Guards against callers that wait for a silent target until the store reports its end. One target
 /// of four stops answering while callers keep opening flows.
 #[test]
--- a/tests/soaks/caller.rs
+++ b/tests/soaks/caller.rs
@@ -34,12 +34,23 @@
 const FIRST_RETRANSMISSION_DELAY: Duration = Duration::from_millis(200);
 const MAX_RETRANSMISSION_DELAY: Duration = Duration::from_millis(1600);
 
+/// The largest distance between the sequence number of a reset and the caller's acknowledgement
+/// number at which the caller accepts the reset of an open flow, as on the platform's pages.
+const RESET_WINDOW: u32 = 76_800;
+
 /// How long a caller waits for the response to a request.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The delay after a flow that could not be opened.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// The ports that the callers of a zone use in turn. Daemons still know the earlier flow of a port
+/// when it is used again.
+const PORTS: std::ops::Range<u16> = 1024..1044;
+
+/// The share of the opening packets that are lost on their way. Their retransmissions are not.
+const LOST_OPENINGS: f64 = 0.05;
+
 /// The callers of one zone, which share an IP address.
 pub(crate) struct Callers {
     zone: &'static str,
@@ -78,7 +89,7 @@
     pub(crate) async fn start(zone: &'static str, number: u8, shared: Arc<Shared>) -> Arc<Callers> {
         let ip = Ipv4Addr::new(127, 0, 9, number);
         let socket = UdpSocket::bind((ip, shared.port)).await.expect("the address is free");
-        let (flows, next_port) = (Mutex::default(), AtomicU16::new(1024));
+        let (flows, next_port) = (Mutex::default(), AtomicU16::new(0));
         Arc::new(Callers { zone, ip, socket, shared, flows, next_port })
     }
 
@@ -108,7 +119,7 @@
                 1..=3 => FILES,
                 _ => WEB,
             };
-            let port = self.next_port.fetch_add(1, Ordering::Relaxed);
+            let port = self.take_port();
             let (sender, received) = mpsc::unbounded_channel();
             self.flows.lock().expect("the lock is not poisoned").insert(port, sender);
             let mut flow = Flow {
@@ -125,8 +136,9 @@
                 used_daemons: HashSet::new(),
                 target: None,
             };
-            if flow.open().await {
+            if flow.open(random.random_bool(LOST_OPENINGS)).await {
                 self.send_requests(&mut flow, &mut random).await;
+                flow.send(FIN | ACK, Vec::new()).await;
             } else {
                 sleep(RETRY_DELAY).await;
             }
@@ -134,6 +146,18 @@
         }
     }
 
+    /// Returns a port that no other caller uses.
+    fn take_port(&self) -> u16 {
+        let flows = self.flows.lock().expect("the lock is not poisoned");
+        loop {
+            let number = self.next_port.fetch_add(1, Ordering::Relaxed);
+            let port = PORTS.start + number % PORTS.len() as u16;
+            if !flows.contains_key(&port) {
+                return port;
+            }
+        }
+    }
+
     async fn send_requests(&self, flow: &mut Flow<'_>, random: &mut Pcg64Mcg) {
         for _ in 0..random.random_range(1..12) {
             if flow.request().await != Outcome::Served {
@@ -142,7 +166,6 @@
             let max_pause_ms = if random.random_bool(0.1) { 1500 } else { 300 };
             sleep(Duration::from_millis(random.random_range(0..max_pause_ms))).await;
         }
-        flow.send(FIN | ACK, Vec::new()).await;
     }
 
     fn recorder(&self) -> &Recorder {
@@ -168,32 +191,52 @@
         let _ = callers.socket.send_to(&segment.encode(), daemon).await;
     }
 
-    /// Opens the flow. Returns whether a target has answered.
-    async fn open(&mut self) -> bool {
+    /// Returns the next packet of the flow that the caller accepts, or `None` after `wait`. Late
+    /// packets of earlier flows from the same port belong to another service, or are resets outside
+    /// the window.
+    async fn receive(&mut self, wait: Duration, is_open: bool) -> Option<(SocketAddr, Segment)> {
+        let until = Instant::now() + wait;
+        loop {
+            let rest = until.saturating_duration_since(Instant::now());
+            let (from, answer) = timeout(rest, self.received.recv()).await.ok()??;
+            let distance = answer.sequence.wrapping_sub(self.endpoint.acknowledged) as i32;
+            let is_outside = is_open && distance.unsigned_abs() > RESET_WINDOW;
+            let is_late_reset = answer.flags & RST != 0 && is_outside;
+            if answer.source == self.endpoint.service && !is_late_reset {
+                return Some((from, answer));
+            }
+        }
+    }
+
+    /// Opens the flow. Returns whether a target has answered. The opening packet does not arrive if
+    /// `is_lost`, but its retransmissions do.
+    async fn open(&mut self, is_lost: bool) -> bool {
         let started_at = Instant::now();
         for (retransmissions, response_timeout) in OPENING_TIMEOUTS.into_iter().enumerate() {
             self.endpoint.acknowledged = retransmissions as u32;
-            self.send(SYN, Vec::new()).await;
-            if let Ok(Some((from, answer))) = timeout(response_timeout, self.received.recv()).await
-            {
+            if !is_lost || retransmissions > 0 {
+                self.send(SYN, Vec::new()).await;
+            }
+            if let Some((from, answer)) = self.receive(response_timeout, false).await {
                 if answer.flags & RST == 0 {
                     self.endpoint.token = answer.token;
                     self.endpoint.acknowledged = answer.sequence;
                     self.callers.recorder().increment("opened");
                     return true;
                 }
-                self.check_failed_open(started_at, &format!("reset by {from}"));
+                self.check_failed_open(started_at, &format!("reset by {from}"), is_lost);
                 return false;
             }
         }
-        self.check_failed_open(started_at, "no answer");
+        self.check_failed_open(started_at, "no answer", is_lost);
         false
     }
 
     /// Records a violation if the flow had to open: whatever else fails, a flow opens if the
     /// daemons that got its packets are undisturbed and at most one target is disturbed. With more,
-    /// each of the three opening packets may be sent to a target that does not answer.
-    fn check_failed_open(&self, started_at: Instant, what: &str) {
+    /// each of the three opening packets may be sent to a target that does not answer. If the first of
+    /// them was lost, the other two may go to the same target.
+    fn check_failed_open(&self, started_at: Instant, what: &str, is_lost: bool) {
         let recorder = self.callers.recorder();
         recorder.increment("not opened");
         let concerns = |component: &Component| match component {
@@ -203,7 +246,7 @@
         };
         let now = Instant::now();
         let is_routed = self.callers.shared.is_routed(self.endpoint.service, started_at);
-        let may_miss = recorder.disturbed_targets(started_at, now) > 1;
+        let may_miss = recorder.disturbed_targets(started_at, now) > usize::from(!is_lost);
         if is_routed && !may_miss && recorder.is_undisturbed(started_at, now, concerns) {
             let used_daemons = &self.used_daemons;
             recorder.record_violation(format!(
@@ -226,8 +269,8 @@
             self.send(ACK, data.clone()).await;
             let until = Instant::now() + delay;
             delay = (delay * 2).min(MAX_RETRANSMISSION_DELAY);
-            while let Ok(Some((from, answer))) =
-                timeout(until.saturating_duration_since(Instant::now()), self.received.recv()).await
+            while let Some((from, answer)) =
+                self.receive(until.saturating_duration_since(Instant::now()), true).await
             {
                 // The caller returns the token of the packet that it received last.
                 self.endpoint.token = answer.token;
