Let a lapsed target hold its address against the one that ended there

Cause: a target at the address of a later one counts as ended, but the later one counted only while its entry was present. When the entries of both expired during the outage, the ended target was lapsed and usable again.

Change: the later target holds its address unless it has ended itself.

Test: target_at_the_address_of_a_lapsed_one_has_ended, which failed before.

--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -412,7 +412,7 @@
                 .config
                 .as_ref()
                 .is_some_and(|config| config.services.contains_key(&target.service));
-            if known.presence != Presence::Present || !is_served {
+            if known.presence == Presence::Gone || !is_served {
                 continue;
             }
             let holder = holders.entry(target.address).or_insert(target);
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -867,6 +867,27 @@
     }
 }
 
+/// Guards against new flows to an ended target after an outage of the store, in which its entry and
+/// that of the later target at its address have expired. A connection check would reach the later
+/// one.
+#[test]
+fn target_at_the_address_of_a_lapsed_one_has_ended() {
+    let mut all = targets("web", 2, 0);
+    let ended = cookie(&all[0]);
+    let mut fixture = DaemonFixture::new(all.clone());
+    let later = Target { address: all[0].address, born: 9_000, ..target(9, "files", OWN_ZONE) };
+    all.push(later);
+    fixture.advance(ms(500)).read_targets(all.clone());
+    fixture.advance(ms(500)).fail_read();
+    fixture.advance(Duration::from_secs(4)).read_targets(vec![all[1].clone()]);
+    let view = fixture.directory.view(fixture.now);
+    assert_eq!(view.target(cookie(&all[2])).map(|entry| entry.presence), Some(Presence::Lapsed));
+    assert_eq!(view.target(ended).map(|entry| entry.presence), Some(Presence::Gone));
+    for number in 0..10 {
+        assert_ne!(fixture.open(number).cookie, ended);
+    }
+}
+
 /// Guards against a reset that rests on a check from before a pause of the process, during which
 /// the daemon could not receive the answer.
 #[test]
