Log why an opening packet reached its target and how old the view was

Two hypotheses for late opening packets could not be told apart by the logs of a daemon: a copy of an opening packet that goes to the target of an earlier copy left no line, and a change of the view did not say for how long the previous view had not been confirmed.

Such a copy now has a line with the time since the first copy, and a counter (gateway_repeated_opens). The lines about a new configuration and changed targets have unconfirmed_ms. The test repeated_opening_packet_is_reported_with_its_delay does not compile on the code before. No decision changes.

--- a/src/cookie/event.rs
+++ b/src/cookie/event.rs
@@ -22,6 +22,18 @@
         /// The number of targets among which the target was selected.
         choices: usize,
     },
+    /// A retransmitted opening packet was forwarded to the target of the previous copy, without a
+    /// new selection.
+    Repeated {
+        /// The flow.
+        flow: Flow,
+        /// The target.
+        target: Arc<str>,
+        /// How many copies of the opening packet the caller had already sent.
+        attempt: u32,
+        /// The time since the first copy, in milliseconds.
+        after_ms: u64,
+    },
     /// A retransmitted opening packet was forwarded to another target than the previous copy.
     Moved {
         /// The flow.
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -315,6 +315,14 @@
             && let Some(entry) = self.view.target(cookie)
             && self.should_keep_target(entry)
         {
+            self.counters.repeated += 1;
+            let opened_at = self.flows.first_packet_at(&flow).unwrap_or(now);
+            self.events.push(Event::Repeated {
+                flow,
+                target: entry.target.name.clone(),
+                attempt,
+                after_ms: now.saturating_duration_since(opened_at).as_millis() as u64,
+            });
             return Verdict::Forward(entry.destination());
         }
         self.place(now, packet, attempt, &service, previous_target)
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -168,7 +168,7 @@
             Request::StoreCallFailed | Request::ProcessPaused => self.directory.record_failure(now),
         }
         let view = self.directory.view(now);
-        log_changes(&self.shared.view.load(), &view);
+        log_changes(now, &self.shared.view.load(), &view);
         self.shared.publish_view(view);
     }
 
@@ -200,13 +200,21 @@
 
 /// Logs the changes between two views: the version of the configuration, whether missing store
 /// entries prove that their targets have ended, and the state of each target.
-fn log_changes(previous: &View, view: &View) {
+///
+/// A line also says how long the previous state had not been confirmed, in milliseconds. A change may
+/// have been in the store for this time.
+fn log_changes(now: Instant, previous: &View, view: &View) {
+    let age_ms = |at: Option<Instant>| {
+        at.map_or(0, |at| now.saturating_duration_since(at).as_millis() as u64)
+    };
     if previous.version() != view.version() {
         info!(
-            version = view.version().unwrap_or(0), former = previous.version().unwrap_or(0);
+            version = view.version().unwrap_or(0), former = previous.version().unwrap_or(0),
+            unconfirmed_ms = age_ms(previous.confirmed_at);
             "configuration is in force"
         );
     }
+    let unconfirmed_ms = age_ms(previous.read_at);
     if previous.is_absence_conclusive != view.is_absence_conclusive && previous.is_complete() {
         info!(is_settled = view.is_absence_conclusive;
             "meaning of missing store entries has changed: they prove that \
@@ -220,7 +228,7 @@
         .collect();
     if changed.len() <= MAXIMUM_CHANGE_LINES {
         for entry in changed {
-            log_target(entry, view.revision);
+            log_target(entry, view.revision, unconfirmed_ms);
         }
         return;
     }
@@ -231,12 +239,12 @@
         count = changed.len(), present = count(Presence::Present),
         lapsed = count(Presence::Lapsed), gone = count(Presence::Gone),
         usable = changed.iter().filter(|entry| entry.is_usable).count(),
-        first = first.join(" "), read = view.revision;
+        first = first.join(" "), read = view.revision, unconfirmed_ms = unconfirmed_ms;
         "targets have changed"
     );
 }
 
-fn log_target(entry: &Entry, read: Revision) {
+fn log_target(entry: &Entry, read: Revision, unconfirmed_ms: u64) {
     let target = &entry.target;
     let presence = match entry.presence {
         Presence::Present => "present",
@@ -246,7 +254,8 @@
     info!(
         target_id = &*target.name, service = &*target.service, zone = &*target.zone,
         availability:? = target.availability, standing = presence, usable = entry.is_usable,
-        cookie = entry.cookie, revision = target.revision, read = read;
+        cookie = entry.cookie, revision = target.revision, read = read,
+        unconfirmed_ms = unconfirmed_ms;
         "target has changed"
     );
 }
--- a/src/gateway/event_logger.rs
+++ b/src/gateway/event_logger.rs
@@ -69,6 +69,11 @@
             choices = choices, version = version, revision = revision, age_ms = age_ms;
             "flow is placed"
         ),
+        Event::Repeated { flow, target, attempt, after_ms } => info!(
+            flow:% = flow, target_id = &**target, attempt = attempt, after_ms = after_ms,
+            version = version, revision = revision, age_ms = age_ms;
+            "opening packet is forwarded to the target of the previous copy"
+        ),
         Event::Moved { flow, previous_target, target } => info!(
             flow:% = flow, from = &**previous_target, target_id = &**target, version = version,
             revision = revision, age_ms = age_ms;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -18,6 +18,10 @@
 const DROPS: Instrument = Instrument::counter("gateway_drops", "Packets dropped, by cause.");
 const REPEATED_PACKETS: Instrument =
     Instrument::counter("gateway_repeated_packets", "Packets that callers retransmitted.");
+const REPEATED_OPENS: Instrument = Instrument::counter(
+    "gateway_repeated_opens",
+    "Copies of opening packets forwarded to the target of the previous copy.",
+);
 const SILENCES: Instrument =
     Instrument::counter("gateway_silences", "Times that a target was found silent.");
 const ZONE_SILENCES: Instrument = Instrument::counter(
@@ -67,6 +71,7 @@
     let mut snapshot = Snapshot::new();
     snapshot.set_unlabeled(PACKETS, counters.delivered);
     snapshot.set_unlabeled(REPEATED_PACKETS, counters.retransmissions);
+    snapshot.set_unlabeled(REPEATED_OPENS, counters.repeated);
     snapshot.set_unlabeled(SILENCES, counters.silences);
     snapshot.set_unlabeled(ZONE_SILENCES, counters.zone_silences);
     snapshot.set_unlabeled(FLOWS, stats.flows);
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -419,6 +419,22 @@
     }
 }
 
+/// Guards against logs that do not show why an opening packet reached a target: a copy that follows
+/// the choice for an earlier copy leaves no other line.
+#[test]
+fn repeated_opening_packet_is_reported_with_its_delay() {
+    let mut fixture = DaemonFixture::new(targets("web", 2, 0));
+    let opened = fixture.open(1);
+    fixture.forwarder.take_events();
+    fixture.advance(ms(200));
+    let repeated = fixture.decide(&packet(flow(1, 1), Kind::Open { attempt: 1 }, 0));
+    assert_eq!(destination(repeated).cookie, opened.cookie);
+    let target = fixture.forwarder.view().target(opened.cookie).expect("known").target.name.clone();
+    let expected = Event::Repeated { flow: flow(1, 1), target, attempt: 1, after_ms: 200 };
+    assert!(fixture.forwarder.take_events().contains(&expected));
+    assert_eq!(fixture.forwarder.counters().repeated, 1);
+}
+
 /// Guards against a reset that reaches a later flow from the same port: its caller has closed the
 /// flow whose target has ended.
 #[test]
