Place an opening packet anew although its port and sequence number were used before

Copies of an opening packet go to the target of the first copy. The platform does not promise that the sequence numbers of two flows from one port differ, so a copy of a later flow could still reach the target of an earlier one, whatever the configuration and the target's entry say.

A copy now also has to come within the 1.4 s after which a caller gives up, unless the flow is open, and never matches a flow that its caller has closed. A delayed copy for an open flow still goes to the flow's target, since a second target that answered would take over the flow's cookie.

opening_packet_with_a_reused_sequence_number_is_placed_anew failed before: the copy of a closed flow's opening packet went to the target that was draining by then.

--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -91,9 +91,14 @@
     }
 
     /// Returns the cookie of the target that got the previous copy of the opening packet `packet`.
-    pub(super) fn opening_cookie(&self, packet: &Packet) -> Option<Cookie> {
+    pub(super) fn opening_cookie(
+        &self,
+        now: Instant,
+        packet: &Packet,
+        tuning: &Tuning,
+    ) -> Option<Cookie> {
         let state = self.states.get(&packet.flow)?;
-        (state.opening_sequence == Some(packet.sequence)).then_some(state.cookie)
+        state.is_opened_by(now, packet, tuning).then_some(state.cookie)
     }
 
     /// Returns the cookie of a flow's target if no packet after the opening packet was seen.
@@ -270,6 +275,16 @@
         }
     }
 
+    /// Returns whether `packet` is a copy of the opening packet of this flow, and not the opening
+    /// packet of a later flow from the same port. Callers may use a sequence number again.
+    fn is_opened_by(&self, now: Instant, packet: &Packet, tuning: &Tuning) -> bool {
+        // An open flow holds its port, so a delayed copy of its opening packet must not be placed on
+        // another target.
+        let may_be_copied = self.is_established
+            || now.saturating_duration_since(self.first_packet_at) < tuning.opening_timeout;
+        self.opening_sequence == Some(packet.sequence) && !self.is_closing && may_be_copied
+    }
+
     fn load_share(&self) -> LoadShare {
         let load = Load { open: 1, waiting: u32::from(self.is_waiting) };
         (!self.is_closing).then_some((self.cookie, load))
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -339,7 +339,7 @@
         if attempt == 0 {
             return None;
         }
-        let cookie = self.flows.opening_cookie(packet)?;
+        let cookie = self.flows.opening_cookie(now, packet, &self.tuning)?;
         let signal = self.flows.record_retransmitted_open(now, &packet.flow);
         self.apply_signal(now, packet.flow, cookie, signal);
         Some(cookie)
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -49,6 +49,8 @@
     /// trip between caller and target, and early enough for an outcome before the caller
     /// retransmits after 200 ms.
     pub unanswered_open_delay: Duration,
+    /// How long after the first copy of an opening packet its caller gives up.
+    pub opening_timeout: Duration,
     /// The minimum time between two connection checks of a target, which decide whether its flows
     /// may be reset.
     pub check_interval: Duration,
@@ -112,6 +114,7 @@
             reset_after: Duration::from_millis(600),
             single_flow_reset_after: Duration::from_millis(1400),
             unanswered_open_delay: Duration::from_millis(60),
+            opening_timeout: Duration::from_millis(1400),
             check_interval: Duration::from_millis(500),
             maximum_checks: 64,
             minimum_retransmission_delay: Duration::from_millis(150),
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -419,6 +419,33 @@
     }
 }
 
+/// Guards against a new flow on the target of an earlier flow between the same addresses and ports, if
+/// the caller also uses the sequence number of the earlier flow again.
+#[test]
+fn opening_packet_with_a_reused_sequence_number_is_placed_anew() {
+    let mut all = targets("web", 2, 0);
+    let mut fixture = DaemonFixture::new(all.clone());
+    let opened: Vec<_> = (0..20).map(|number| fixture.open(number)).collect();
+    for number in 0..10 {
+        fixture.acknowledge(number, opened[number as usize].cookie, 100);
+        let cookie = opened[number as usize].cookie;
+        let closing = Packet { acknowledged: 200, ..packet(flow(number, 1), Kind::Finish, cookie) };
+        fixture.decide(&closing);
+    }
+    all[0].availability = Availability::Draining;
+    all[0].revision = 2;
+    fixture.advance(ms(500)).read_targets(all.clone());
+    let repeated = |number| packet(flow(number, 1), Kind::Open { attempt: 1 }, 0);
+    for number in 0..10 {
+        assert_eq!(destination(fixture.decide(&repeated(number))).cookie, cookie(&all[1]));
+    }
+    // The caller gives up 1.4 s after the first copy.
+    fixture.advance(ms(900));
+    for number in 10..20 {
+        assert_eq!(destination(fixture.decide(&repeated(number))).cookie, cookie(&all[1]));
+    }
+}
+
 /// Guards against logs that do not show why an opening packet reached a target: a copy that follows
 /// the choice for an earlier copy leaves no other line.
 #[test]
