Watch the operators' items anew if the targets' watch shows a change that was not read

If only the connection of the operators' watch stops carrying data, no other call fails, and the watch is found broken 3 s after its start. A daemon whose own connections work but which follows that daemon takes over its confirmation meanwhile, so that it may run flows by an old configuration for up to 3.5 s, more than the 3 s that the platform allows it.

The response of the targets' watch contains the store's revision, which counts all changes. If it counts more than the targets' changes, and the operators' reader has not read up to it, that reader now watches again at once on another connection. This costs one call for each such case, and none while both watches work.

operators_change_is_noticed_by_the_watch_of_the_targets failed before: the configuration came into force only after the line 'store does not answer' of the operators' watch. tests/gateway.rs passes.

--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep_until, timeout};
 
 use crate::{
-    cookie::{Listing, Revision},
+    cookie::{Listing, ListingUpdate, Revision},
     gateway::{Consistency, ReadOutcome, Source, directory_actor::Request, shared::Shared},
     platform::{Backoff, Error, Schedule},
     telemetry::Histogram,
@@ -70,13 +70,16 @@
     // The revision up to which the operators' changes have been read; `None` if all of the
     // operators' items have to be read.
     let mut known: Option<Revision> = None;
+    // Whether the store may hold a change that the last watch has not reported.
+    let mut is_check_due = false;
     loop {
         let was_following =
             wait_while_following(&shared, |announced| known.is_none_or(|known| announced > known))
                 .await;
         // A follower reads a change that the zone reader announced. This change is already in the
         // store, so the watch need not wait.
-        let wait = if was_following { Duration::ZERO } else { OPERATOR_WATCH_WAIT };
+        let is_immediate = was_following || std::mem::take(&mut is_check_due);
+        let wait = if is_immediate { Duration::ZERO } else { OPERATOR_WATCH_WAIT };
         tracker.wait_until_due().await;
         let request = match known {
             None => {
@@ -95,6 +98,10 @@
                         known = None;
                         continue;
                     }
+                    () = shared.operator_check.notified(), if !is_immediate => {
+                        is_check_due = true;
+                        continue;
+                    }
                 };
                 if result.is_err() {
                     // Changes may have been missed, so all of the operators' items are read again.
@@ -106,6 +113,7 @@
                 })
             }
         };
+        shared.read_operator_revision.store(known.unwrap_or(0), Ordering::Relaxed);
         if directory_actor.cast(request.unwrap_or(Request::StoreCallFailed)).is_err() {
             return;
         }
@@ -152,6 +160,7 @@
                 };
                 is_history_lost = matches!(result, Err(Error::Gone { .. }));
                 tracker.record_result("watch", result).map(|read| {
+                    request_operator_check(&shared, after, &read.value);
                     known = Some(read.value.revision.max(after));
                     Request::TargetsUpdated(read)
                 })
@@ -174,6 +183,19 @@
     }
 }
 
+/// Wakes the reader of the operators' items if the store has changed more often than an update of the
+/// targets since `after` shows, and that reader has not read up to the update's revision. The
+/// connection of the operators' watch may have stopped carrying data, which only its timeout would
+/// show.
+fn request_operator_check(shared: &Shared, after: Revision, update: &ListingUpdate) {
+    let changes = update.revision.saturating_sub(after);
+    if changes > update.changes.len() as u64
+        && update.revision > shared.read_operator_revision.load(Ordering::Relaxed)
+    {
+        shared.operator_check.notify_one();
+    }
+}
+
 /// Returns the revision at which the targets are known, from the store or from another daemon.
 fn known_revision(shared: &Shared) -> Option<Revision> {
     let view = shared.view.load();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -40,6 +40,11 @@
     /// The highest revision of an operators' change that the zone reader has announced. This daemon
     /// reads the change from the store.
     pub(super) announced_operator_revision: AtomicU64,
+    /// The revision up to which this daemon has read the operators' changes from the store.
+    pub(super) read_operator_revision: AtomicU64,
+    /// Wakes the reader of the operators' items, since the store may hold a change that its watch has
+    /// not reported.
+    pub(super) operator_check: Notify,
     /// Wakes the tasks that read the store before their next period.
     pub(super) reader_wakeup: Notify,
     /// The statistics of the packet loop at its last sweep.
--- a/testkit/src/store.rs
+++ b/testkit/src/store.rs
@@ -52,6 +52,8 @@
     linearizable_reads: BTreeMap<String, u64>,
     /// The prefix whose watches get no response.
     silent_watch: Option<String>,
+    /// The number of watches that got no response.
+    silenced_watches: u64,
 }
 
 /// A change of an item.
@@ -192,6 +194,16 @@
         lock(&self.shared.state).silent_watch = Some(prefix.to_owned());
     }
 
+    /// Lets new watches get responses again. Those that already wait get none.
+    pub fn end_silence(&self) {
+        lock(&self.shared.state).silent_watch = None;
+    }
+
+    /// Returns the number of watches that got no response.
+    pub fn silenced_watches(&self) -> u64 {
+        lock(&self.shared.state).silenced_watches
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         lock(&self.shared.state).revision
@@ -265,7 +277,13 @@
 }
 
 async fn watch(shared: &Shared, prefix: &str, uri: &str) -> Reply {
-    if lock(&shared.state).silent_watch.as_deref() == Some(prefix) {
+    let is_silent = {
+        let mut state = lock(&shared.state);
+        let is_silent = state.silent_watch.as_deref() == Some(prefix);
+        state.silenced_watches += u64::from(is_silent);
+        is_silent
+    };
+    if is_silent {
         std::future::pending().await
     }
     let after = parameter(uri, "after").unwrap_or(0);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -341,6 +341,23 @@
     assert_eq!(failures.len(), 1, "{failures:?}");
 }
 
+/// Guards against a configuration that comes into force only after the timeout of the operators' watch,
+/// if only the connection of that watch has stopped carrying data.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_change_is_noticed_by_the_watch_of_the_targets() {
+    let port = allocate_ports();
+    let (store, _targets) = start_store_and_targets(port).await;
+    let daemon = Daemon::start(1, "zone-a", port, &store, 2);
+    daemon.wait_until_ready().await;
+    store.silence_watch("op/");
+    wait_until("the operators' watch waits", async || store.silenced_watches() > 0).await;
+    store.end_silence();
+    let document = config(9, &[(80, "web")], 0.0);
+    store.put("op/config", document.to_string().as_bytes());
+    daemon.wait_until_logged("\"version\":\"9\"").await;
+    assert!(!daemon.log().contains("store does not answer"));
+}
+
 /// Guards against commands of the tool that lack the state of a daemon in gateway mode.
 #[tokio::test(flavor = "multi_thread")]
 async fn tool_shows_the_state_of_a_daemon() {
