Limit the time for which the directory takes a target for cold

Operators would have seen: after one entry with a `warmupLeftMs` of 1e22, every daemon that starts stays unready, and a daemon that ran before forwards by its old view although its readiness check succeeds.

Cause: `Instant + Duration` overflows in `Directory::insert_target` and `Directory::warm_at`, and the panic ends the actor that owns the directory. The duration can come from an entry, from `warmupS` of a configuration, or from the state or the changes that another daemon passes on.

Change: both sums go through one function that limits the duration to `Tuning::maximum_cold_time` (24 h) and saturates. The directory has no other sum of a time and a value that it has been given; ages are subtracted with `checked_sub`.

--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -430,12 +430,18 @@
         let service = self.config.as_ref().and_then(|config| config.services.get(&target.service));
         match (self.zones_back.get(&target.zone), service) {
             (Some((since, at)), Some(service)) if target.revision <= *since => {
-                known.warm_at.max(*at + service.cold_for)
+                known.warm_at.max(self.warm_after(*at, service.cold_for))
             }
             _ => known.warm_at,
         }
     }
 
+    /// Returns when a target that is cold for `cold_for` from `start` on stops being cold. An entry, a
+    /// configuration or another daemon may state any duration.
+    fn warm_after(&self, start: Instant, cold_for: Duration) -> Instant {
+        start.checked_add(cold_for.min(self.tuning.maximum_cold_time)).unwrap_or(start)
+    }
+
     fn set_config(&mut self, now: Instant, config: Arc<Config>) {
         if self.config.as_ref().is_some_and(|held| config.revision <= held.revision) {
             return;
@@ -456,7 +462,7 @@
     }
 
     fn insert_target(&mut self, now: Instant, target: Target) {
-        let warm_at = now + target.cold_for;
+        let warm_at = self.warm_after(now, target.cold_for);
         let present_ran_until = self.present_ran_until();
         match self.targets.get_mut(&target.name) {
             Some(known) if known.target.born == target.born => {
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -75,6 +75,9 @@
     /// The maximum time without packets after which a flow is removed from the flow table. A
     /// shorter timeout in the configuration takes precedence.
     pub maximum_idle_timeout: Duration,
+    /// The maximum time for which a target is cold. Longer times in entries and configurations are
+    /// limited to it.
+    pub maximum_cold_time: Duration,
     /// The maximum number of flows in the flow table.
     pub maximum_flows: usize,
     /// The factor by which the configured rate of new flows to a cold target is multiplied.
@@ -120,6 +123,7 @@
             half_open_interval: Duration::from_secs(1),
             unrenewed_half_open_interval: Duration::from_secs(5),
             maximum_idle_timeout: Duration::from_secs(15),
+            maximum_cold_time: Duration::from_secs(24 * 3600),
             maximum_flows: 100_000,
             cold_factor: 1.5,
             cold_slack: 5.0,
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -1112,6 +1112,27 @@
     assert_eq!(fixture.decide(&opening_packet(1)), Verdict::Reset(Reason::NoTarget));
 }
 
+/// Guards against a time in an entry or a configuration, read or passed on by another daemon, that
+/// stops the directory of every daemon.
+#[test]
+fn overlong_cold_times_are_limited() {
+    let mut all = targets("web", 2, 0);
+    all[0].cold_for = Duration::MAX;
+    let mut fixture = DaemonFixture::with_cold_rate(all.clone(), 1.0);
+    let mut odd = config(2, 1.0);
+    odd.services.get_mut("web").expect("a service").cold_for = Duration::MAX;
+    let operator = |revision, zones_out| OperatorState {
+        revision,
+        config: Some(Arc::new(odd.clone())),
+        zones_out,
+        ..OperatorState::default()
+    };
+    fixture.read_operator_state(operator(2, vec![OWN_ZONE.into()]));
+    fixture.read_operator_state(operator(3, Vec::new()));
+    fixture.advance(ms(500)).read_targets(all);
+    assert!(fixture.directory.view(fixture.now).entries()[0].is_cold(fixture.now));
+}
+
 /// Guards against targets that are regarded as warm by a daemon that starts while the store is
 /// down, after a zone has come back into service. The daemon fetches its state from a peer, which
 /// has read the targets before the return.
