--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -23,6 +23,10 @@
 /// until its revision changes.
 const MAXIMUM_LOGGED_REJECTIONS: usize = 1000;
 
+/// The largest number of characters of an error in a log line. An error may contain a value of the
+/// rejected item.
+const MAXIMUM_ERROR_CHARS: usize = 300;
+
 /// A message to the actor.
 #[derive(Debug)]
 pub(super) enum Request {
@@ -192,7 +196,9 @@
             }
             self.logged_rejections.insert(key.clone(), *revision);
             let source = error.source().map(ToString::to_string).unwrap_or_default();
-            warn!(key = key, revision = revision, cause = source;
+            let excerpt = |text: String| text.chars().take(MAXIMUM_ERROR_CHARS).collect::<String>();
+            let (error, cause) = (excerpt(error.to_string()), excerpt(source));
+            warn!(key = key, revision = revision, cause = cause;
                 "item of the store is ignored: {error}");
         }
     }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -3,7 +3,8 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
-    time::Duration,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
 use banyanwharf::{
@@ -11,7 +12,10 @@
         Error, HEADER_BYTES, Item, PacketCodec, Store, TARGET_NUMBER_BYTES, decode_config,
         decode_entry,
     },
-    cookie::{Availability, Destination, Flow, Kind, Packet},
+    cookie::{
+        Availability, Change, Destination, Directory, EntryChange, Flow, Kind, Listing,
+        ListingUpdate, OperatorState, Packet, Position, Target, Tuning,
+    },
     gateway::{Codec as _, Consistency, DecodeError, Source as _},
     platform::Timeouts,
 };
@@ -39,7 +43,20 @@
     })
 }
 
-fn decode(entry: &Value) -> Result<banyanwharf::cookie::Target, Error> {
+fn configuration() -> Value {
+    json!({
+        "version": 4,
+        "routes": [
+            { "name": "a", "host": "198.51.100.9", "prefix": "/443/", "service": "web" },
+            { "name": "b", "host": "198.51.100.9", "prefix": "/80/",
+              "split": [{ "service": "web", "weight": 90 }, { "service": "files", "weight": 10 }] },
+        ],
+        "services": [{ "name": "web", "warmupS": 2.0, "warmupPerS": 8.0 }],
+        "limits": { "idleTimeoutMs": 15000 },
+    })
+}
+
+fn decode(entry: &Value) -> Result<Target, Error> {
     decode_entry(&item("servers/i-00ff", &entry.to_string()))
 }
 
@@ -117,6 +134,189 @@
     });
 }
 
+/// Values that another writer may leave in any field, as JSON text.
+const ODD_VALUES: &[&str] = &[
+    "null",
+    "true",
+    "{}",
+    "[]",
+    "\"\"",
+    "0",
+    "-0.0",
+    "-1",
+    "0.5",
+    "1e22",
+    "1e300",
+    "1e999",
+    "-1e999",
+    "5e-324",
+    "4294967296",
+    "9223372036854775807",
+    "18446744073709551615",
+    "18446744073709551616",
+    "99999999999999999999999999999",
+    "\"\\ud800\"",
+    "\"\\u0000\"",
+    "\"0.0.0.0:0\"",
+    "\"255.255.255.255:65535\"",
+    "\"10.0.0.9:65536\"",
+    "\"10.0.0.9:-1\"",
+    "\"draining\"",
+];
+
+/// Returns an odd value: one of [`ODD_VALUES`], a number, a text or a deeply nested value.
+fn odd_value(kind: u8, number: u64, text: &str) -> String {
+    match usize::from(kind) {
+        index if index < ODD_VALUES.len() => ODD_VALUES[index].to_owned(),
+        index if index % 6 == 0 => number.to_string(),
+        index if index % 6 == 1 => format!("{:e}", f64::from_bits(number)),
+        index if index % 6 == 2 => json!(text).to_string(),
+        index if index % 6 == 3 => "[".repeat(index * 50) + &"]".repeat(index * 50),
+        index if index % 6 == 4 => "{\"a\":".repeat(index * 50) + "1" + &"}".repeat(index * 50),
+        index => "[".repeat(index * 50),
+    }
+}
+
+/// Returns the text of `object` with `value` in one of its fields, in an additional field, or as a
+/// duplicate of a field.
+fn with_odd_field(object: &Value, choice: u8, value: &str) -> String {
+    let fields = object.as_object().expect("an object");
+    let odd = usize::from(choice) % (2 * fields.len() + 1);
+    let mut parts: Vec<String> = Vec::new();
+    for (index, (name, content)) in fields.iter().enumerate() {
+        match index == odd {
+            true => parts.push(format!("\"{name}\":{value}")),
+            false => parts.push(format!("\"{name}\":{content}")),
+        }
+        if index + fields.len() == odd {
+            parts.push(format!("\"{name}\":{value}"));
+        }
+    }
+    if odd == 2 * fields.len() {
+        parts.push(format!("\"more\":{value}"));
+    }
+    format!("{{{}}}", parts.join(","))
+}
+
+/// Applies an operator state and targets in each way in which they reach a directory.
+fn apply_everywhere(operator: &OperatorState, targets: &[Target]) {
+    let now = Instant::now();
+    let operators = |revision, zones_out| OperatorState { revision, zones_out, ..operator.clone() };
+    let zones: Vec<Arc<str>> = targets.iter().map(|target| target.zone.clone()).collect();
+    let listing = |revision| Listing { revision, targets: targets.to_vec() };
+    let mut reader = Directory::new(Tuning::default());
+    // The zones return after the entries were written, so the service's time applies to the targets.
+    reader.apply_operator_state(now, &operators(10, zones));
+    reader.apply_operator_state(now, &operators(11, Vec::new()));
+    if let Some(config) = &operator.config {
+        reader.apply_change(now, 12, Change::Config(config.clone()));
+    }
+    reader.apply_listing(now, listing(7));
+    let changes = targets.iter().cloned().map(EntryChange::Written).collect();
+    reader.apply_update(now, ListingUpdate { revision: 8, changes });
+    let mut follower = Directory::new(Tuning::default());
+    follower.confirm_config(now);
+    reader.confirm_config(now);
+    follower.apply_delta(now, reader.delta(now, Position::Read(0)));
+    let mut peer = Directory::new(Tuning::default());
+    for age in [Duration::ZERO, Duration::MAX] {
+        peer.apply_peer(now, age, &reader.operator_state(now), reader.listing());
+    }
+    let later = now + Duration::from_secs(100);
+    for directory in [&mut reader, &mut follower, &mut peer] {
+        directory.apply_listing(later, Listing { revision: 9, targets: Vec::new() });
+        directory.view(later);
+    }
+}
+
+/// Checks that an entry with an odd value is refused, or gives a target that can be used.
+fn check_odd_entry(choice: u8, value: &str) {
+    let content = with_odd_field(&entry(), choice, value);
+    let Ok(target) = decode_entry(&item("servers/i-00ff", &content)) else {
+        return;
+    };
+    assert!(target.cold_for <= Duration::from_secs(24 * 3600), "{content}");
+    assert!((1..=65_536).contains(&target.slots), "{content}");
+    assert!(!target.address.ip().is_unspecified() && target.address.port() > 0, "{content}");
+    assert!(target.zone.len() <= 200 && target.service.len() <= 200, "{content}");
+    apply_everywhere(&OperatorState::default(), &[target]);
+}
+
+/// Guards against a value in any field of an entry that crashes the daemon or gives a target that
+/// cannot be used.
+#[test]
+fn no_odd_field_of_an_entry_panics() {
+    for choice in 0..20 {
+        (0..60).for_each(|kind| check_odd_entry(choice, &odd_value(kind, 0, "")));
+    }
+    check!().with_type::<(u8, u8, u64, String)>().for_each(|(choice, kind, number, text)| {
+        check_odd_entry(*choice, &odd_value(*kind, *number, text));
+    });
+}
+
+/// Checks that a configuration with an odd value in one of its parts does not cause a panic.
+fn check_odd_configuration(part: u8, choice: u8, value: &str) {
+    let pointers = ["", "/routes/0", "/routes/1", "/routes/1/split/0", "/services/0", "/limits"];
+    let pointer = pointers[usize::from(part) % pointers.len()];
+    let mut configuration = configuration();
+    let part = configuration.pointer_mut(pointer).expect("a part");
+    let odd = with_odd_field(part, choice, value);
+    *part = json!("PART");
+    let content = configuration.to_string().replace("\"PART\"", &odd);
+    if let Ok(config) = decode_config(&item("op/config", &content)) {
+        let target = decode(&entry()).expect("a target");
+        let config = Some(Arc::new(config));
+        apply_everywhere(&OperatorState { config, ..OperatorState::default() }, &[target]);
+    }
+}
+
+/// Guards against a value in any field of a configuration that crashes the daemon.
+#[test]
+fn no_odd_field_of_a_configuration_panics() {
+    for part in 0..6 {
+        for choice in 0..10 {
+            (0..60).for_each(|kind| check_odd_configuration(part, choice, &odd_value(kind, 0, "")));
+        }
+    }
+    check!().with_type::<(u8, u8, u8, u64, String)>().for_each(
+        |(part, choice, kind, number, text)| {
+            check_odd_configuration(*part, *choice, &odd_value(*kind, *number, text));
+        },
+    );
+}
+
+/// Guards against durations and revisions of another daemon that crash the daemon.
+#[test]
+fn no_peer_state_panics() {
+    check!().with_type::<(u64, u32, u64, u64, u64)>().for_each(
+        |(secs, nanos, revision, born, sequence)| {
+            let duration = json!({ "secs": secs, "nanos": nanos % 1_000_000_000 }).to_string();
+            let duration: Duration = serde_json::from_str(&duration).expect("a duration");
+            let mut target = decode(&entry()).expect("a target");
+            (target.cold_for, target.revision, target.born) = (duration, *revision, *born);
+            let mut config = decode_config(&item("op/config", &configuration().to_string()))
+                .expect("a configuration");
+            config.revision = *revision;
+            config.idle_timeout = duration;
+            config.services.values_mut().for_each(|service| service.cold_for = duration);
+            let operator = OperatorState {
+                revision: *revision,
+                config: Some(Arc::new(config)),
+                ..OperatorState::default()
+            };
+            apply_everywhere(&operator, std::slice::from_ref(&target));
+            let now = Instant::now();
+            let mut directory = Directory::new(Tuning::default());
+            let mut delta = directory.delta(now, Position::Followed(*sequence));
+            (delta.age, delta.operator_age) = (Some(duration), Some(duration));
+            (delta.sequence, delta.revision) = (*sequence, *revision);
+            delta.lapsed = vec![target];
+            directory.apply_delta(now, delta);
+            directory.view(now);
+        },
+    );
+}
+
 /// Guards against items of other writers that crash the daemon.
 #[test]
 fn no_item_panics() {
@@ -170,19 +370,81 @@
     assert!(matches!(key, Err(Error::TargetId { .. })));
 }
 
+/// Guards against an entry of another writer that ends or blocks the daemons which read it, displaces
+/// a target or takes flows that no target gets.
+#[test]
+fn odd_entries_are_refused() {
+    let long = "x".repeat(1000);
+    for (field, value) in [
+        ("warmupLeftMs", json!(1e22)),
+        ("warmupLeftMs", json!(1e9)),
+        ("warmupLeftMs", json!(u64::MAX)),
+        ("slots", json!(u64::MAX)),
+        ("seqNo", json!(1e30)),
+        ("born", json!(u64::MAX)),
+        ("born", json!(1e300)),
+        ("born", json!(-1)),
+        ("address", json!("10.0.0.9:99999")),
+        ("address", json!("10.0.0.9:0")),
+        ("address", json!("0.0.0.0:8080")),
+        ("address", json!("224.0.0.1:8080")),
+        ("address", json!("255.255.255.255:8080")),
+        ("address", json!(long)),
+        ("zone", json!(long)),
+        ("service", json!(long)),
+    ] {
+        let mut odd = entry();
+        odd[field] = value;
+        assert!(decode(&odd).is_err(), "{field} {}", odd[field]);
+    }
+    for (field, value) in [
+        ("slots", json!(0)),
+        ("slots", json!(u32::MAX)),
+        ("state", json!({ "ready": null })),
+        ("zone", json!("")),
+        ("service", json!("")),
+        ("warmupLeftMs", json!("250")),
+    ] {
+        let mut odd = entry();
+        odd[field] = value;
+        assert!(decode(&odd).is_err(), "{field} {}", odd[field]);
+    }
+    let values = json!(["web", "10.0.0.9:80", "zone-a", "v1", 4, "ready", 250, 4, 99]);
+    assert!(matches!(decode(&values), Err(Error::NotAnObject)), "an array of the values");
+    for id in ["i-+ff", "i-", "i-10000000000000000", &format!("{}-ff", "i".repeat(300))] {
+        let key = format!("servers/{id}");
+        assert!(decode_entry(&item(&key, &entry().to_string())).is_err(), "{id}");
+    }
+    let text = entry().to_string();
+    let text = text.strip_suffix('}').expect("an object");
+    for odd in [
+        format!("{}{}", "[".repeat(100_000), "]".repeat(100_000)),
+        "{\"service\":".repeat(100_000),
+        text.replace("250", "1e999") + "}",
+        text.replace("250", &"[".repeat(100_000)) + "}",
+        format!("{text},\"service\":\"files\"}}"),
+    ] {
+        assert!(decode_entry(&item("servers/i-00ff", &odd)).is_err(), "{}", &odd[..40]);
+    }
+    // Fields without a meaning here may hold anything.
+    let extended = format!("{text},\"more\":{}1e999{}}}", "[".repeat(100), "]".repeat(100));
+    assert!(decode_entry(&item("servers/i-00ff", &extended)).is_ok());
+    for (pointer, value) in
+        [("/services/0/warmupS", json!(1e22)), ("/limits/idleTimeoutMs", json!(1e300))]
+    {
+        let mut config = json!({
+            "version": 4, "routes": [], "services": [{ "name": "web", "warmupS": 2.0 }],
+            "limits": { "idleTimeoutMs": 15000 },
+        });
+        *config.pointer_mut(pointer).expect("a field") = value;
+        assert!(decode_config(&item("op/config", &config.to_string())).is_err(), "{pointer}");
+    }
+}
+
 /// Guards against a configuration of which only a part comes into force.
 #[test]
 fn invalid_configurations_are_refused() {
-    let valid = json!({
-        "version": 4,
-        "routes": [
-            { "name": "a", "host": "198.51.100.9", "prefix": "/443/", "service": "web" },
-            { "name": "b", "host": "198.51.100.9", "prefix": "/80/",
-              "split": [{ "service": "web", "weight": 90 }, { "service": "files", "weight": 10 }] },
-        ],
-        "services": [{ "name": "web", "warmupS": 2.0, "warmupPerS": 8.0 }],
-        "limits": { "idleTimeoutMs": 15000 },
-    });
+    let valid = configuration();
     let decode = |value: &Value| decode_config(&item("op/config", &value.to_string()));
     let config = decode(&valid).expect("a configuration");
     assert_eq!((config.version, config.revision, config.routes.len()), (4, 7, 2));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -302,6 +302,46 @@
     }
 }
 
+/// Guards against an entry of another writer after which daemons end, or no longer follow the
+/// changes of targets and operators.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_entries_do_not_stop_the_daemon() {
+    let port = allocate_ports();
+    let (store, targets, mut daemon) = start_ready_daemon(port).await;
+    let entry = |field: &str, value: &str| {
+        let template = json!({
+            "service": "web", "address": "127.0.0.1:9", "zone": "zone-a", "version": "v1",
+            "slots": 4, "state": "ready", "warmupLeftMs": 0, "seqNo": 1, "born": 1,
+        });
+        template.to_string().replace(&format!("\"{field}\":{}", template[field]), value)
+    };
+    let odd = [
+        entry("warmupLeftMs", "\"warmupLeftMs\":1e22"),
+        entry("warmupLeftMs", "\"warmupLeftMs\":1e400"),
+        entry("slots", "\"slots\":99999999999999999999999"),
+        entry("born", "\"born\":18446744073709551615"),
+        entry("address", "\"address\":\"127.0.0.1:70000\""),
+        entry("address", "\"address\":\"0.0.0.0:0\""),
+        entry("seqNo", &format!("\"seqNo\":{}", "[".repeat(100_000))),
+        "[".repeat(200_000),
+        "{\"service\":".repeat(50_000),
+    ];
+    for (number, content) in odd.iter().enumerate() {
+        store.put(&format!("servers/i-000000a{number}"), content.as_bytes());
+    }
+    store.put("servers/i-000000f0", &[0xff, 0xfe, 0x00]);
+    daemon.wait_until_logged("i-000000f0").await;
+    targets[0].register(&store, "draining");
+    daemon.wait_until_logged("Draining").await;
+    let document = config(9, &[(80, "web")], 0.0);
+    store.put("op/config", document.to_string().as_bytes());
+    daemon.wait_until_logged("\"version\":\"9\"").await;
+    let mut caller = Caller::new(1, port, WEB).await;
+    assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(2));
+    daemon.signal("-TERM");
+    assert_eq!(daemon.exit_code().await, Some(0));
+}
+
 /// Guards against new flows to a target that has been draining for longer than the platform allows,
 /// because the daemon relies on stale reads, or on the operators' watch to tell it how old they are.
 #[tokio::test(flavor = "multi_thread")]
