Decode each item of a response of the store by itself

Operators would have seen: `store does not answer` with a response that could not be decoded, again and again, and daemons that no longer follow the targets or the configuration, while the store serves everybody.

Cause: the items of a page and the events of a watch were decoded together. One item without `rev`, with a `rev` that is too large, or with a value that is no text made the whole response fail.

Evidence: before, `odd_frame_does_not_affect_the_other_items` and `odd_frame_does_not_affect_other_operators_items` failed with `Malformed`, "missing field `rev`".

Change: a response is decoded to raw items first, which nesting of any depth passes without recursion. An item that cannot be decoded is reported as rejected. If its key can be read, its target is removed, as for an entry that cannot be decoded, and an evacuation holds, since its content has no meaning. The next page begins after the last valid key, and a page without progress is an error instead of an endless read. An item with a revision far above that of the response is refused as well: its target would never change again.

--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -68,6 +68,12 @@
         /// The maximum length of the body in bytes.
         max_body_bytes: usize,
     },
+    /// A page of a list has no key after those of the page before it, so that the list has no end.
+    #[error("page from {url} has no key after the previous page")]
+    NoProgress {
+        /// The URL.
+        url: String,
+    },
     /// The response could not be decoded.
     #[error("response from {url} could not be decoded")]
     Malformed {
--- a/testkit/src/store.rs
+++ b/testkit/src/store.rs
@@ -18,6 +18,9 @@
 /// The largest number of items in a page of a range read.
 const PAGE_ITEMS: usize = 50;
 
+/// The size of the items in bytes of JSON after which a page ends.
+const PAGE_BYTES: usize = 1_000_000;
+
 /// How a [`Store`] responds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreMode {
@@ -35,8 +38,8 @@
     mode: StoreMode,
     revision: u64,
     items: BTreeMap<String, Value>,
-    /// The changes since the last compaction, oldest first.
-    events: Vec<Value>,
+    /// The keys, revisions and events of the changes since the last compaction, oldest first.
+    events: Vec<(String, u64, Value)>,
     /// The revision at the last compaction. Changes up to this revision are not available.
     compacted_revision: u64,
     calls: u64,
@@ -100,6 +103,13 @@
         }
     }
 
+    /// Stores an item as the change at the present revision.
+    fn store(&mut self, key: &str, item: Value) {
+        self.items.insert(key.to_owned(), item.clone());
+        self.record_change(key, Some(item.clone()));
+        self.events.push((key.to_owned(), self.revision, item));
+    }
+
     fn record_change(&mut self, key: &str, item: Option<Value>) {
         self.history.push(Change { at: Instant::now(), key: key.to_owned(), item });
     }
@@ -154,9 +164,16 @@
         let item = json!({
             "key": key, "value": value, "rev": revision, "createdRev": created, "lease": 0,
         });
-        state.items.insert(key.to_owned(), item.clone());
-        state.record_change(key, Some(item.clone()));
-        state.events.push(item);
+        state.store(key, item);
+        drop(state);
+        self.shared.changed.send_replace(());
+    }
+
+    /// Creates or replaces an item whose JSON in responses is `frame`, whatever it is.
+    pub fn put_frame(&self, key: &str, frame: Value) {
+        let mut state = lock(&self.shared.state);
+        state.revision += 1;
+        state.store(key, frame);
         drop(state);
         self.shared.changed.send_replace(());
     }
@@ -168,7 +185,8 @@
         let event = json!({ "key": key, "rev": state.revision, "deleted": true });
         state.items.remove(key);
         state.record_change(key, None);
-        state.events.push(event);
+        let revision = state.revision;
+        state.events.push((key.to_owned(), revision, event));
         drop(state);
         self.shared.changed.send_replace(());
     }
@@ -260,8 +278,14 @@
         })
         .map(|(_, item)| item)
         .collect();
-    let page = &all[..all.len().min(PAGE_ITEMS)];
-    json!({ "items": page, "hasMore": all.len() > PAGE_ITEMS, "storeRevision": revision })
+    let mut bytes = 0;
+    let is_on_page = |item: &&&Value| {
+        let has_room = bytes < PAGE_BYTES;
+        bytes += item.to_string().len();
+        has_room
+    };
+    let page: Vec<&Value> = all.iter().take(PAGE_ITEMS).take_while(is_on_page).copied().collect();
+    json!({ "items": page, "hasMore": all.len() > page.len(), "storeRevision": revision })
 }
 
 async fn watch(shared: &Shared, prefix: &str, uri: &str) -> Reply {
@@ -292,11 +316,11 @@
     if after < state.compacted_revision {
         return Reply::Json(410, json!({ "error": "history is gone" }));
     }
-    let is_wanted = |event: &&Value| {
-        event["rev"].as_u64() > Some(after)
-            && event["key"].as_str().is_some_and(|key| key.starts_with(prefix))
-    };
-    let events: Vec<&Value> = state.events.iter().filter(is_wanted).collect();
+    let wanted = state
+        .events
+        .iter()
+        .filter(|(key, revision, _)| *revision > after && key.starts_with(prefix));
+    let events: Vec<&Value> = wanted.map(|(_, _, event)| event).collect();
     Reply::Json(200, json!({ "events": events, "storeRevision": state.revision }))
 }
 
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -480,6 +480,78 @@
     }
 }
 
+/// Returns frames of the item `key` that cannot be decoded, and whether the key can be.
+fn odd_frames(key: &str) -> Vec<(bool, Value)> {
+    let value = BASE64_STANDARD.encode(entry().to_string());
+    let nested = (0..100).fold(json!(1), |nested, _| json!([nested]));
+    vec![
+        (true, json!({ "key": key, "value": value })),
+        (true, json!({ "key": key, "value": value, "rev": "1" })),
+        (true, json!({ "key": key, "value": value, "rev": -1 })),
+        (true, json!({ "key": key, "value": value, "rev": 1e30 })),
+        (true, json!({ "key": key, "value": value, "rev": u64::MAX })),
+        (true, json!({ "key": key, "value": 5, "rev": 1 })),
+        (true, json!({ "key": key, "value": [value], "rev": 1 })),
+        (true, json!({ "key": key, "value": nested, "rev": 1 })),
+        (true, json!({ "key": key, "value": null, "rev": 1, "deleted": "yes" })),
+        (false, json!({ "value": value, "rev": 1 })),
+        (false, json!({ "key": 7, "value": value, "rev": 1 })),
+        (false, json!({ "key": "servers/i-00".repeat(100), "value": value, "rev": 1 })),
+        (false, json!([key, value, 1, 1, false])),
+        (false, json!(null)),
+    ]
+}
+
+/// Guards against an item of a response that cannot be decoded and makes every read of the list, or
+/// every watch, fail.
+#[tokio::test]
+async fn odd_frame_does_not_affect_the_other_items() {
+    for (has_key, frame) in odd_frames("servers/i-0031") {
+        let server = banyanwharf_testkit::Store::start().expect("the store starts");
+        let client = Store::new(server.url().parse().expect("a URL"), Timeouts::gateway());
+        // The odd item is the last one of the first page.
+        for number in 0..70 {
+            server.put(&format!("servers/i-{number:04x}"), entry().to_string().as_bytes());
+        }
+        let known = server.revision();
+        server.put_frame("servers/i-0031", frame.clone());
+        server.put("servers/i-0032", entry().to_string().as_bytes());
+        let read = client.read_targets(Consistency::Linearizable).await.expect("a list");
+        assert_eq!(read.value.targets.len(), 69, "{frame}");
+        // The key of an odd item does not end a page, so the item may be on two pages.
+        let key = if has_key { "servers/i-0031" } else { "" };
+        assert!(!read.rejected.is_empty(), "{frame}");
+        assert!(read.rejected.iter().all(|rejected| rejected.key == key), "{frame}");
+        let watch = client.watch_targets(known, Duration::ZERO).await.expect("changes");
+        let names: Vec<&str> = watch.value.changes.iter().map(EntryChange::name).collect();
+        let expected: &[&str] = if has_key { &["i-0031", "i-0032"] } else { &["i-0032"] };
+        assert_eq!(names, expected, "{frame}");
+        let removed = matches!(watch.value.changes[0], EntryChange::Removed { .. });
+        assert_eq!(removed, has_key, "{frame}");
+        assert_eq!(watch.rejected.len(), 1, "{frame}");
+    }
+}
+
+/// Guards against an operators' item that cannot be decoded and hides the others, or that ends the
+/// evacuation of a zone.
+#[tokio::test]
+async fn odd_frame_does_not_affect_other_operators_items() {
+    for (has_key, frame) in odd_frames("op/evacuate/zone-a") {
+        let server = banyanwharf_testkit::Store::start().expect("the store starts");
+        let client = Store::new(server.url().parse().expect("a URL"), Timeouts::gateway());
+        server.put_frame("op/evacuate/zone-a", frame.clone());
+        server.put("op/config", configuration().to_string().as_bytes());
+        server.put("op/evacuate/zone-b", b"{}");
+        let read = client.read_operator_state().await.expect("the operators' items").value;
+        assert!(read.config.is_some(), "{frame}");
+        let zones: Vec<&str> = read.zones_out.iter().map(|zone| &**zone).collect();
+        let expected: &[&str] = if has_key { &["zone-a", "zone-b"] } else { &["zone-b"] };
+        assert_eq!(zones, expected, "{frame}");
+        let watch = client.watch_operator_changes(0, Duration::ZERO).await.expect("changes").value;
+        assert_eq!(watch.changes.len(), expected.len() + 1, "{frame}");
+    }
+}
+
 /// Guards against a call that waits for its timeout because it uses a connection which has been idle
 /// and has stopped carrying data.
 #[tokio::test]
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -329,6 +329,9 @@
     for (number, content) in odd.iter().enumerate() {
         store.put(&format!("servers/i-000000a{number}"), content.as_bytes());
     }
+    store.put_frame("servers/i-000000e0", json!({ "key": "servers/i-000000e0", "value": 5 }));
+    store.put_frame("servers/i-000000e1", json!(null));
+    store.put_frame("op/other", json!(["op/other"]));
     store.put("servers/i-000000f0", &[0xff, 0xfe, 0x00]);
     daemon.wait_until_logged("i-000000f0").await;
     targets[0].register(&store, "draining");
