Exit with an error code when a component of the daemon ends

Operators would have seen: a daemon whose readiness check succeeds and that forwards by an old view, or not at all, with no line in its log, until somebody restarts it.

Cause: nothing waited for the actors, the reader tasks or the thread of the packet loop. A panic in one of them ended it alone.

The API that the new tests call did not exist.

Change: each component holds a guard that reports it as ended when it returns or panics, and `Gateway::failed_component` returns the first one without which the daemon cannot follow changes or forward packets. The daemon then logs its name, stops gracefully, so that the fabric sends elsewhere first, and exits with an error code. The end of the handler of admin requests or of the publication of metrics is only logged, since the daemon serves without them.

--- a/src/bin/banyanwharfd.rs
+++ b/src/bin/banyanwharfd.rs
@@ -2,7 +2,8 @@
 //!
 //! On SIGHUP a daemon in gateway mode reloads its settings. SIGTERM and SIGINT start a
 //! graceful shutdown. A further SIGTERM changes nothing, since supervisors repeat it; a further
-//! SIGINT ends the process at once.
+//! SIGINT ends the process at once. If a component of a daemon in gateway mode ends unexpectedly,
+//! the daemon stops gracefully and exits with an error code, so that its supervisor starts it again.
 
 use std::{
     fs, io,
@@ -20,7 +21,7 @@
     telemetry::Logs,
 };
 use bpaf::Bpaf;
-use log::{info, warn};
+use log::{error, info, warn};
 use miette::{IntoDiagnostic as _, WrapErr as _};
 use tokio::{
     runtime::{Builder, Runtime},
@@ -88,6 +89,11 @@
     loop {
         tokio::select! {
             () = signals.next() => return signals.shut_down(gateway.stop()).await,
+            component = gateway.failed_component() => {
+                error!(component = component; "component has ended unexpectedly; the daemon stops");
+                signals.shut_down(gateway.stop()).await?;
+                return Ok(ExitCode::FAILURE);
+            }
             _ = hang_up.recv() => reload(&mut file, &mut gateway, &mut logs, true),
             () = sleep(SETTINGS_POLL_INTERVAL) => reload(&mut file, &mut gateway, &mut logs, false),
         }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -4,21 +4,30 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use log::{info, warn};
+use log::{error, info, warn};
 use ractor::{Actor, ActorRef};
 use rand::RngExt as _;
 use tokio::{
     sync::{mpsc, oneshot},
-    task::AbortHandle,
+    task::{AbortHandle, JoinHandle},
 };
 
 use crate::{
     admin,
     cookie::{Forwarder, Tuning},
     gateway::{
-        Codec, Error, Result, Source, admin_handler::AdminHandler, directory_actor,
-        directory_actor::DirectoryActor, members, members::Members, metrics, packets::PacketLoop,
-        peer_client::PeerClient, reader, readiness, shared::Shared,
+        Codec, Error, Result, Source,
+        admin_handler::AdminHandler,
+        component::{Component, Watcher},
+        directory_actor,
+        directory_actor::DirectoryActor,
+        members,
+        members::Members,
+        metrics,
+        packets::PacketLoop,
+        peer_client::PeerClient,
+        reader, readiness,
+        shared::Shared,
     },
     member::{self, Detector, Info},
     settings,
@@ -41,6 +50,7 @@
     directory_actor: ActorRef<directory_actor::Request>,
     members: Option<ActorRef<members::Request>>,
     tasks: Vec<AbortHandle>,
+    ended_components: mpsc::UnboundedReceiver<Component>,
     _admin: Option<admin::Server>,
     _readiness_server: Listener,
     _metrics_server: Option<Server>,
@@ -71,7 +81,9 @@
         socket.set_nonblocking(true).map_err(bind_error)?;
         let arguments =
             directory_actor::Arguments { tuning: tuning.clone(), shared: shared.clone() };
-        let (directory_actor, _) = Actor::spawn(None, DirectoryActor, arguments).await?;
+        let (watcher, ended_components) = Watcher::new();
+        let (directory_actor, actor_task) = Actor::spawn(None, DirectoryActor, arguments).await?;
+        let mut tasks = vec![watch_actor(&watcher, Component::DirectoryActor, actor_task)];
         let (commands, command_receiver) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
         shared.contacts.store(Arc::new(settings.contacts.clone()));
         let packet_loop = PacketLoop {
@@ -89,43 +101,43 @@
         let mut random = rand::rng();
         let (targets_seed, operator_seed) = (random.random(), random.random());
         let (stop, stopped) = oneshot::channel();
-        packet_loop.spawn(stopped).map_err(Error::Thread)?;
+        let guard = watcher.guard(Component::PacketLoop);
+        packet_loop.spawn(stopped, guard).map_err(Error::Thread)?;
         let call_durations = metrics::store_call_durations(&metrics);
-        let tasks = [
-            tokio::spawn(reader::run_targets_reader(
-                source.clone(),
-                directory_actor.clone(),
-                shared.clone(),
-                call_durations.clone(),
-                targets_seed,
-            )),
-            tokio::spawn(reader::run_operator_reader(
-                source,
-                directory_actor.clone(),
-                shared.clone(),
-                call_durations,
-                operator_seed,
-            )),
-        ];
-        let mut tasks: Vec<AbortHandle> =
-            tasks.iter().map(tokio::task::JoinHandle::abort_handle).collect();
+        let targets_reader = reader::run_targets_reader(
+            source.clone(),
+            directory_actor.clone(),
+            shared.clone(),
+            call_durations.clone(),
+            targets_seed,
+        );
+        tasks.push(watcher.spawn(Component::TargetsReader, targets_reader));
+        let operator_reader = reader::run_operator_reader(
+            source,
+            directory_actor.clone(),
+            shared.clone(),
+            call_durations,
+            operator_seed,
+        );
+        tasks.push(watcher.spawn(Component::OperatorReader, operator_reader));
         let own = own_info(&settings);
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = since_epoch.as_millis() as member::Incarnation;
         let mut members = None;
         if let Some(peer) = settings.peer {
-            let started = start_members(&settings, peer, &own, incarnation, &shared).await?;
-            let (actor, receiver) = started;
+            let started =
+                start_members(&settings, peer, &own, incarnation, &shared, &watcher).await?;
+            let (actor, member_tasks) = started;
             let peer_client = PeerClient {
                 info: own.clone(),
                 shared: shared.clone(),
                 directory_actor: directory_actor.clone(),
                 members: actor.clone(),
             };
-            tasks.push(receiver);
-            tasks.push(tokio::spawn(peer_client.clone().join()).abort_handle());
-            tasks.push(tokio::spawn(peer_client.clone().follow()).abort_handle());
-            tasks.push(tokio::spawn(peer_client.run_state_fallback()).abort_handle());
+            tasks.extend(member_tasks);
+            tasks.push(watcher.spawn(Component::JoinTask, peer_client.clone().join()));
+            tasks.push(watcher.spawn(Component::FollowTask, peer_client.clone().follow()));
+            tasks.push(watcher.spawn(Component::StateFallback, peer_client.run_state_fallback()));
             members = Some(actor);
         }
         let mut admin = None;
@@ -140,14 +152,14 @@
                 members: members.clone(),
                 commands,
             };
-            tasks.push(tokio::spawn(handler.run(requests)).abort_handle());
+            tasks.push(watcher.spawn(Component::AdminHandler, handler.run(requests)));
             admin = Some(admin::Server::start(address, requester).await?);
         }
         let metrics_server = match settings.metrics {
             Some(address) => Some(metrics.serve(address).await?),
             None => None,
         };
-        tasks.push(tokio::spawn(metrics::run(metrics, shared.clone())).abort_handle());
+        tasks.push(watcher.spawn(Component::MetricsTask, metrics::run(metrics, shared.clone())));
         let readiness_server = readiness::serve(settings.ready, ready_path, shared.clone()).await?;
         info!(name = &*settings.name, zone = &*settings.zone; "daemon started");
         Ok(Gateway {
@@ -156,6 +168,7 @@
             directory_actor,
             members,
             tasks,
+            ended_components,
             _admin: admin,
             _readiness_server: readiness_server,
             _metrics_server: metrics_server,
@@ -186,6 +199,20 @@
         changed.into_iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| name).collect()
     }
 
+    /// Waits until a component without which the daemon cannot follow changes or forward packets has
+    /// ended, and returns its name. The end of another component is only logged. Can be cancelled
+    /// without loss.
+    pub async fn failed_component(&mut self) -> &'static str {
+        while let Some(component) = self.ended_components.recv().await {
+            if component.is_essential() {
+                return component.name();
+            }
+            error!(component = component.name(); "component has ended; the daemon continues");
+        }
+        // Every component has been reported, and none can end any more.
+        std::future::pending().await
+    }
+
     /// Stops the daemon gracefully. The daemon reports at once that it is not ready, and forwards
     /// packets until the fabric has stopped sending to it.
     pub async fn stop(self) {
@@ -234,15 +261,26 @@
     }
 }
 
+/// Reports an actor as ended when its task `actor_task` has ended.
+fn watch_actor(watcher: &Watcher, component: Component, actor_task: JoinHandle<()>) -> AbortHandle {
+    watcher.spawn(component, async move {
+        // An actor that panics is stopped by its task, which ends without an error.
+        if let Err(error) = actor_task.await {
+            error!(component = component.name(); "task of the actor has failed: {error}");
+        }
+    })
+}
+
 /// Starts the actor that detects the other daemons, and the task that receives their frames at
-/// `address`. Returns the actor and the handle of the task.
+/// `address`. Returns the actor and the handles of the tasks.
 async fn start_members(
     settings: &settings::Gateway,
     address: SocketAddr,
     own: &Info,
     incarnation: member::Incarnation,
     shared: &Arc<Shared>,
-) -> Result<(ActorRef<members::Request>, AbortHandle)> {
+    watcher: &Watcher,
+) -> Result<(ActorRef<members::Request>, [AbortHandle; 2])> {
     let bind_error = |source| BindError { name: "peer", address, source };
     let keys = settings.keys.iter().map(|key| (key.number, *key.key.bytes()));
     let keyring = Arc::new(Keyring::new(keys)?);
@@ -260,7 +298,9 @@
         shared: shared.clone(),
         started_at: Instant::now(),
     };
-    let (actor, _) = Actor::spawn(None, Members, arguments).await?;
-    let receiver = tokio::spawn(members::receive(socket, keyring, actor.clone()));
-    Ok((actor, receiver.abort_handle()))
+    let (actor, actor_task) = Actor::spawn(None, Members, arguments).await?;
+    let actor_task = watch_actor(watcher, Component::MembersActor, actor_task);
+    let receiver = members::receive(socket, keyring, actor.clone());
+    let receiver = watcher.spawn(Component::FrameReceiver, receiver);
+    Ok((actor, [actor_task, receiver]))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod checker;
 mod codec;
 mod command;
+mod component;
 mod daemon;
 mod directory_actor;
 mod error;
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -2,7 +2,7 @@
     io,
     net::{SocketAddr, UdpSocket},
     sync::{Arc, atomic::Ordering},
-    thread::{self, JoinHandle},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -19,7 +19,7 @@
 use crate::{
     cookie::{Flow, Forwarder, Verdict},
     gateway::{
-        Codec, checker::Checker, command::Command, directory_actor::Request,
+        Codec, checker::Checker, command::Command, component::Guard, directory_actor::Request,
         event_logger::EventLogger, pause_detector::PauseDetector, shared::Shared,
     },
     telemetry::Histogram,
@@ -50,14 +50,16 @@
 }
 
 impl<C: Codec> PacketLoop<C> {
-    /// Starts the loop on its own thread. The loop ends when the sender of `stop` is dropped.
+    /// Starts the loop on its own thread, which holds `guard`. The loop ends when the sender of
+    /// `stop` is dropped.
     ///
     /// # Errors
     ///
     /// Returns an error if the thread or its runtime cannot be started.
-    pub(super) fn spawn(self, stop: oneshot::Receiver<()>) -> io::Result<JoinHandle<()>> {
+    pub(super) fn spawn(self, stop: oneshot::Receiver<()>, guard: Guard) -> io::Result<()> {
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let run = move || {
+            let _guard = guard;
             runtime.block_on(async move {
                 match self.socket.try_clone().and_then(AsyncSocket::from_std) {
                     Ok(async_socket) => self.run(async_socket, stop).await,
@@ -67,7 +69,7 @@
                 }
             });
         };
-        thread::Builder::new().name("packets".to_owned()).spawn(run)
+        thread::Builder::new().name("packets".to_owned()).spawn(run).map(drop)
     }
 
     async fn run(mut self, async_socket: AsyncSocket, mut stop: oneshot::Receiver<()>) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,16 +9,24 @@
     fs,
     net::Ipv4Addr,
     sync::atomic::{AtomicU16, Ordering},
+    time::Duration,
 };
 
+use banyanwharf::{
+    adapter::{PacketCodec, READY_PATH},
+    cookie::{Destination, Flow, Listing, ListingUpdate, OperatorState, Packet, Revision},
+    gateway::{Changes, Codec, Consistency, DecodeError, Gateway, ReadOutcome, Source},
+    platform::Error,
+};
 use banyanwharf_testkit::{Proxy, Replica, Store, StoreMode};
 use gateways::{
     caller::{Caller, Outcome},
     config::config,
-    daemon::{Daemon, wait_until},
+    daemon::{Daemon, settings, wait_until},
     target::Target,
 };
 use serde_json::json;
+use tokio::net::UdpSocket;
 
 const WEB: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 80);
 const FILES: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8080);
@@ -345,6 +353,80 @@
     assert_eq!(daemon.exit_code().await, Some(0));
 }
 
+/// A store that responds with errors.
+struct FaultyStore {
+    /// Whether reads of the targets panic instead.
+    panics: bool,
+}
+
+impl Source for FaultyStore {
+    async fn read_operator_state(&self) -> Result<ReadOutcome<OperatorState>, Error> {
+        Err(Error::RateLimited)
+    }
+
+    async fn watch_operator_changes(
+        &self,
+        _: Revision,
+        _: Duration,
+    ) -> Result<ReadOutcome<Changes>, Error> {
+        Err(Error::RateLimited)
+    }
+
+    async fn read_targets(&self, _: Consistency) -> Result<ReadOutcome<Listing>, Error> {
+        assert!(!self.panics, "a fault in the reader of the targets");
+        Err(Error::RateLimited)
+    }
+
+    async fn watch_targets(
+        &self,
+        _: Revision,
+        _: Duration,
+    ) -> Result<ReadOutcome<ListingUpdate>, Error> {
+        Err(Error::RateLimited)
+    }
+}
+
+/// Guards against a daemon that seems ready and forwards by an old state after one of its components
+/// has panicked.
+#[tokio::test(flavor = "multi_thread")]
+async fn ended_component_is_reported() {
+    let port = allocate_ports();
+    let text = settings(1, "zone-a", port, "http://127.0.0.1:9", "127.0.0.1:9").to_string();
+    let settings = banyanwharf::settings::Gateway::parse("test", &text).expect("valid settings");
+    let store = FaultyStore { panics: true };
+    let started = Gateway::start(settings, store, PacketCodec, READY_PATH).await;
+    let mut gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
+    assert_eq!(gateway.failed_component().await, "reader of the targets");
+}
+
+/// A codec that panics.
+struct FaultyCodec;
+
+impl Codec for FaultyCodec {
+    fn decode(&self, _: &[u8]) -> Result<Packet, DecodeError> {
+        panic!("a fault in the packet loop")
+    }
+
+    fn encode_delivery(&self, _: &[u8], _: &Destination, _: &mut Vec<u8>) {}
+
+    fn encode_reset(&self, _: &Flow, _: u32, _: &mut Vec<u8>) {}
+}
+
+/// Guards against a daemon that seems ready and forwards nothing after its packet loop has panicked.
+#[tokio::test(flavor = "multi_thread")]
+async fn ended_packet_loop_is_reported() {
+    let port = allocate_ports();
+    let text = settings(1, "zone-a", port, "http://127.0.0.1:9", "127.0.0.1:9").to_string();
+    let settings = banyanwharf::settings::Gateway::parse("test", &text).expect("valid settings");
+    let data = settings.data;
+    let store = FaultyStore { panics: false };
+    let started = Gateway::start(settings, store, FaultyCodec, READY_PATH).await;
+    let mut gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
+    let caller = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a socket");
+    caller.send_to(&[0; 40], data).await.expect("the datagram is sent");
+    assert_eq!(gateway.failed_component().await, "packet loop");
+}
+
 /// Guards against new flows to a target that has been draining for longer than the platform allows,
 /// because the daemon relies on stale reads, or on the operators' watch to tell it how old they are.
 #[tokio::test(flavor = "multi_thread")]
