Read the list when the changes since a revision exceed the limit on responses

Operators would have seen: `store does not answer` with a response that exceeds 2 MiB, again and again, and daemons that no longer follow the targets while the store serves everybody.

A watch whose response exceeds the limit was repeated from the same revision for ever, since only a lost history led to a read of the list.

--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -150,7 +150,7 @@
                         continue;
                     }
                 };
-                is_history_lost = matches!(result, Err(Error::Gone { .. }));
+                is_history_lost = result.as_ref().is_err_and(is_history_unusable);
                 tracker.record_result("watch", result).map(|read| {
                     known = Some(read.value.revision.max(after));
                     Request::TargetsUpdated(read)
@@ -190,12 +190,21 @@
             read.rejected.extend(update.rejected);
             Ok(read)
         }
-        // The stale copy is older than the history of the store.
-        Err(Error::Gone { .. }) => source.read_targets(Consistency::Linearizable).await,
+        // The stale copy is older than the history of the store, or the changes since then cannot be
+        // read.
+        Err(error) if is_history_unusable(&error) => {
+            source.read_targets(Consistency::Linearizable).await
+        }
         Err(error) => Err(error),
     }
 }
 
+/// Returns whether a watch from the same revision would fail again: the store no longer holds the
+/// history since then, or its response is too long or malformed.
+fn is_history_unusable(error: &Error) -> bool {
+    matches!(error, Error::Gone { .. } | Error::TooLong { .. } | Error::Malformed { .. })
+}
+
 /// Waits while this daemon follows a zone reader. Ends early if `is_unread` returns true for the
 /// revision of the operators' last change that the zone reader has announced. Returns whether this
 /// daemon followed a zone reader at the start of the call.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -552,6 +552,22 @@
     }
 }
 
+/// Guards against an entry of the largest size on a full page, which makes every read of the list
+/// fail because the response exceeds the limit.
+#[tokio::test]
+async fn huge_entry_does_not_affect_the_other_items() {
+    let server = banyanwharf_testkit::Store::start().expect("the store starts");
+    let client = Store::new(server.url().parse().expect("a URL"), Timeouts::gateway());
+    for number in 0..40 {
+        let mut large = entry();
+        large["more"] = json!("x".repeat(18_000));
+        server.put(&format!("servers/i-{number:04x}"), large.to_string().as_bytes());
+    }
+    server.put("servers/i-0027f", &vec![b'['; 1 << 20]);
+    let read = client.read_targets(Consistency::Linearizable).await.expect("a list");
+    assert_eq!((read.value.targets.len(), read.rejected.len()), (40, 1));
+}
+
 /// Guards against a call that waits for its timeout because it uses a connection which has been idle
 /// and has stopped carrying data.
 #[tokio::test]
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -353,6 +353,24 @@
     assert_eq!(daemon.exit_code().await, Some(0));
 }
 
+/// Guards against a daemon that no longer follows the targets after an outage of the store, since the
+/// changes made in the meantime exceed the limit on responses.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_are_followed_after_too_many_changes_for_one_response() {
+    let port = allocate_ports();
+    let (store, targets, daemon) = start_ready_daemon(port).await;
+    store.set_mode(StoreMode::Unavailable);
+    daemon.wait_until_logged("store does not answer").await;
+    for number in 0..6 {
+        store.put(&format!("servers/i-000000a{number}"), &vec![b'['; 1 << 20]);
+    }
+    targets[0].register(&store, "draining");
+    store.set_mode(StoreMode::Normal);
+    daemon.wait_until_logged("Draining").await;
+    let mut caller = Caller::new(1, port, WEB).await;
+    assert_eq!(caller.open_and_request(daemon.data).await, Outcome::Served(2));
+}
+
 /// A store that responds with errors.
 struct FaultyStore {
     /// Whether reads of the targets panic instead.
