Recognise copies of an opening packet by their age instead of the state of the flow

The review of that change showed two faults: if the end of the earlier flow had passed another daemon, a copy of a later flow with the same sequence number still went to a draining target; and a delayed copy that came after the caller's FIN was placed on a second target, whose answer can take over the flow's cookie.

A copy now belongs to a remembered opening packet if it comes within 2 s of the placement, whatever has become of the flow. Callers send the last copy after 0.6 s.

The first half of opening_packet_with_a_reused_sequence_number_is_placed_anew reused a number 0.5 s after a flow was closed, which cannot be told from a delayed copy; it is replaced by reuse after 2 s, for flows closed through this daemon, closed through another one, and never opened. delayed_copy_of_an_opening_packet_follows_its_flow is new.

--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -278,11 +278,9 @@
     /// Returns whether `packet` is a copy of the opening packet of this flow, and not the opening
     /// packet of a later flow from the same port. Callers may use a sequence number again.
     fn is_opened_by(&self, now: Instant, packet: &Packet, tuning: &Tuning) -> bool {
-        // An open flow holds its port, so a delayed copy of its opening packet must not be placed on
-        // another target.
-        let may_be_copied = self.is_established
-            || now.saturating_duration_since(self.first_packet_at) < tuning.opening_timeout;
-        self.opening_sequence == Some(packet.sequence) && !self.is_closing && may_be_copied
+        // A delayed copy may also arrive after the caller has closed its side.
+        let age = now.saturating_duration_since(self.first_packet_at);
+        self.opening_sequence == Some(packet.sequence) && age < tuning.opening_copy_lifetime
     }
 
     fn load_share(&self) -> LoadShare {
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -49,8 +49,10 @@
     /// trip between caller and target, and early enough for an outcome before the caller
     /// retransmits after 200 ms.
     pub unanswered_open_delay: Duration,
-    /// How long after the first copy of an opening packet its caller gives up.
-    pub opening_timeout: Duration,
+    /// How long after the placement of a new flow copies of its opening packet may arrive. Callers
+    /// send the last one after 0.6 s, and the rest is the time that it may be under way. A flow that
+    /// is placed on a target by its last known entry then reaches it less than 3 s after a change.
+    pub opening_copy_lifetime: Duration,
     /// The minimum time between two connection checks of a target, which decide whether its flows
     /// may be reset.
     pub check_interval: Duration,
@@ -117,7 +119,7 @@
             reset_after: Duration::from_millis(600),
             single_flow_reset_after: Duration::from_millis(1400),
             unanswered_open_delay: Duration::from_millis(60),
-            opening_timeout: Duration::from_millis(1400),
+            opening_copy_lifetime: Duration::from_secs(2),
             check_interval: Duration::from_millis(500),
             maximum_checks: 64,
             minimum_retransmission_delay: Duration::from_millis(150),
