Ask peers of other zones if the state of the first peer is old

Seen in a review: two daemons of one zone that the store rejects do not get changes of targets and operators, although daemons of other zones have them. New flows go to draining targets, and an old configuration stays in force, for as long as the store rejects both.

A daemon that cannot read the store stopped at the first peer that answered, however old its state was, and asked its own zone first. Two such daemons exchanged their old states.

A fetch now ends only at a state that is at most 2 s old, and asks peers of the own zone and of other zones in turn.

--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -20,6 +20,10 @@
 /// How long one peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The largest age of a state after which no further peer is asked. A state that is older may come
+/// from a peer that the store rejects as well.
+const FRESH_STATE_AGE: Duration = Duration::from_millis(2000);
+
 /// The largest number of peers that are asked in one attempt.
 const PEERS_PER_ATTEMPT: usize = 3;
 
@@ -87,6 +91,7 @@
             for peer in self.candidates().into_iter().take(PEERS_PER_ATTEMPT) {
                 match self.fetch_peer_state(peer).await {
                     Ok(state) if state.age_ms.is_some() => {
+                        let is_fresh = state.is_fresh(FRESH_STATE_AGE);
                         if !is_peer_state_in_use {
                             info!(
                                 peer:% = peer, age_ms = state.age_ms,
@@ -103,7 +108,9 @@
                         {
                             return;
                         }
-                        break;
+                        if is_fresh {
+                            break;
+                        }
                     }
                     Ok(_) => debug!("state of {peer} is not used: it has not read the targets yet"),
                     Err(error) => debug!("state could not be fetched from {peer}: {error}"),
@@ -114,7 +121,7 @@
     }
 
     /// Returns the admin addresses of the other daemons that are alive or leaving, those of the own
-    /// zone first.
+    /// zone and of other zones in turn. The store may reject all daemons of a zone.
     fn peers(&self) -> Vec<SocketAddr> {
         let view = self.shared.members.load();
         let mut peers: Vec<(bool, SocketAddr)> = view
@@ -127,8 +134,14 @@
         // Shuffled, so that daemons that lose the store at the same time do not all ask the same
         // peer.
         peers.shuffle(&mut rand::rng());
-        peers.sort_by_key(|(is_other_zone, _)| *is_other_zone);
-        peers.into_iter().map(|(_, admin)| admin).collect()
+        let (other_zones, own_zone): (Vec<_>, Vec<_>) =
+            peers.into_iter().partition(|(is_other_zone, _)| *is_other_zone);
+        let mut ranked: Vec<_> = [own_zone, other_zones]
+            .into_iter()
+            .flat_map(|group: Vec<(bool, SocketAddr)>| group.into_iter().enumerate())
+            .collect();
+        ranked.sort_by_key(|(rank, (is_other_zone, _))| (*rank, *is_other_zone));
+        ranked.into_iter().map(|(_, (_, admin))| admin).collect()
     }
 
     /// Returns the admin addresses in the settings without the own one.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -501,6 +501,30 @@
     assert!(!daemon.log().contains("store does not answer"));
 }
 
+/// Guards against daemons of a zone that the store rejects, and which pass their old states to each
+/// other instead of asking a daemon of another zone.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejected_daemons_of_a_zone_follow_changes_through_another_zone() {
+    let port = allocate_ports();
+    let (store, targets) = start_store_and_targets(port).await;
+    let rejecting = Store::start().expect("the store starts");
+    rejecting.set_mode(StoreMode::Unavailable);
+    let reader = Daemon::start(3, "zone-b", port, &store, 1);
+    reader.wait_until_ready().await;
+    let rejected = [1, 2].map(|number| Daemon::start(number, "zone-a", port, &rejecting, 3));
+    for daemon in &rejected {
+        daemon.wait_until_ready().await;
+        wait_until("all members are known", async || {
+            daemon.run_tool("members").await.as_array().is_some_and(|members| members.len() == 3)
+        })
+        .await;
+    }
+    targets[0].register(&store, "draining");
+    for daemon in &rejected {
+        daemon.wait_until_logged("Draining").await;
+    }
+}
+
 /// Guards against commands of the tool that lack the state of a daemon in gateway mode.
 #[tokio::test(flavor = "multi_thread")]
 async fn tool_shows_the_state_of_a_daemon() {
