--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -207,8 +207,9 @@
 /// Logs the changes between two views: the version of the configuration, whether missing store
 /// entries prove that their targets have ended, and the state of each target.
 ///
-/// A line also says how long the previous state had not been confirmed, in milliseconds. A change may
-/// have been in the store for this time.
+/// A line also says how long the previous state had not been confirmed, in milliseconds (0 if it never
+/// was), and up to which revision it had been read. A change may have been in the store for this
+/// time, and one up to this revision was missed.
 fn log_changes(now: Instant, previous: &View, view: &View) {
     let age_ms = |at: Option<Instant>| {
         at.map_or(0, |at| now.saturating_duration_since(at).as_millis() as u64)
@@ -216,11 +217,16 @@
     if previous.version() != view.version() {
         info!(
             version = view.version().unwrap_or(0), former = previous.version().unwrap_or(0),
-            unconfirmed_ms = age_ms(previous.confirmed_at);
+            revision = view.config_revision(), unconfirmed_ms = age_ms(previous.confirmed_at);
             "configuration is in force"
         );
     }
-    let unconfirmed_ms = age_ms(previous.read_at);
+    // A zone that is taken out of service changes targets through the operators' items.
+    let former = Former {
+        read: previous.revision,
+        unconfirmed_ms: age_ms(previous.read_at),
+        operators_unconfirmed_ms: age_ms(previous.confirmed_at),
+    };
     if previous.is_absence_conclusive != view.is_absence_conclusive && previous.is_complete() {
         info!(is_settled = view.is_absence_conclusive;
             "meaning of missing store entries has changed: they prove that \
@@ -234,7 +240,7 @@
         .collect();
     if changed.len() <= MAXIMUM_CHANGE_LINES {
         for entry in changed {
-            log_target(entry, view.revision, unconfirmed_ms);
+            log_target(entry, view.revision, &former);
         }
         return;
     }
@@ -245,12 +251,24 @@
         count = changed.len(), present = count(Presence::Present),
         lapsed = count(Presence::Lapsed), gone = count(Presence::Gone),
         usable = changed.iter().filter(|entry| entry.is_usable).count(),
-        first = first.join(" "), read = view.revision, unconfirmed_ms = unconfirmed_ms;
+        first = first.join(" "), read = view.revision, former_read = former.read,
+        unconfirmed_ms = former.unconfirmed_ms,
+        operators_unconfirmed_ms = former.operators_unconfirmed_ms;
         "targets have changed"
     );
 }
 
-fn log_target(entry: &Entry, read: Revision, unconfirmed_ms: u64) {
+/// How far and how recently the previous view was confirmed.
+struct Former {
+    /// The store's revision at the last read of the targets.
+    read: Revision,
+    /// The milliseconds since that read.
+    unconfirmed_ms: u64,
+    /// The milliseconds since the last confirmation of the operators' items.
+    operators_unconfirmed_ms: u64,
+}
+
+fn log_target(entry: &Entry, read: Revision, former: &Former) {
     let target = &entry.target;
     let presence = match entry.presence {
         Presence::Present => "present",
@@ -261,7 +279,8 @@
         target_id = &*target.name, service = &*target.service, zone = &*target.zone,
         availability:? = target.availability, standing = presence, usable = entry.is_usable,
         cookie = entry.cookie, revision = target.revision, read = read,
-        unconfirmed_ms = unconfirmed_ms;
+        former_read = former.read, unconfirmed_ms = former.unconfirmed_ms,
+        operators_unconfirmed_ms = former.operators_unconfirmed_ms;
         "target has changed"
     );
 }
