testkit: let the store refuse single daemons, answer slowly, lose answers and cut watches

Each daemon can get a gate of its own, so that the store refuses some daemons while it serves the others. A compaction can leave the waiting watches without an answer and then close them.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -36,6 +36,6 @@
 pub use proxy::{Proxy, ProxyMode};
 pub use responder::{Responder, ResponderRecord};
 pub use segment::Segment;
-pub use store::{Replica, Store, StoreMode};
+pub use store::{Gate, Replica, Store, StoreMode};
 pub use target::{Controls, Target, TargetConfig, TargetRecord};
 pub use util::free_address;
--- a/testkit/src/store.rs
+++ b/testkit/src/store.rs
@@ -28,6 +28,10 @@
     Unavailable,
     /// Accepts requests and never responds.
     Silent,
+    /// Responds this much later.
+    Slow(Duration),
+    /// Loses every third response. The connection returns nothing further.
+    LosesResponses,
 }
 
 #[derive(Debug, Default)]
@@ -109,6 +113,27 @@
 struct Shared {
     state: Mutex<State>,
     changed: watch::Sender<()>,
+    /// How long the waiting watches get nothing before they are cut, when they are.
+    cuts: watch::Sender<Duration>,
+}
+
+/// A further address of a [`Store`], which can refuse calls by itself.
+#[derive(Debug)]
+pub struct Gate {
+    server: Server,
+    refusal: Arc<Mutex<Option<u16>>>,
+}
+
+impl Gate {
+    /// Returns the address of the gate.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Responds with this status to all calls, or lets the store respond if `None`.
+    pub fn refuse(&self, status: Option<u16>) {
+        *lock(&self.refusal) = status;
+    }
 }
 
 /// A test double for the store of the users' platform. It has the calls that daemons use.
@@ -125,7 +150,9 @@
     ///
     /// Returns the error of binding the listener.
     pub fn start() -> io::Result<Self> {
-        let shared = Arc::new(Shared { state: Mutex::default(), changed: watch::Sender::new(()) });
+        let changed = watch::Sender::new(());
+        let cuts = watch::Sender::new(Duration::ZERO);
+        let shared = Arc::new(Shared { state: Mutex::default(), changed, cuts });
         let handler = shared.clone();
         let server = Server::start((Ipv4Addr::LOCALHOST, 0).into(), move |uri| {
             handle(handler.clone(), uri)
@@ -133,6 +160,26 @@
         Ok(Self { shared, server })
     }
 
+    /// Opens a gate on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the listener.
+    pub fn open_gate(&self) -> io::Result<Gate> {
+        let (shared, refusal) = (self.shared.clone(), Arc::<Mutex<Option<u16>>>::default());
+        let status = refusal.clone();
+        let server = Server::start((Ipv4Addr::LOCALHOST, 0).into(), move |uri| {
+            let (shared, status) = (shared.clone(), status.clone());
+            async move {
+                if let Some(status) = *lock(&status) {
+                    return Reply::Json(status, json!({ "error": "refused" }));
+                }
+                handle(shared, uri).await
+            }
+        })?;
+        Ok(Gate { server, refusal })
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.server.address
@@ -180,6 +227,12 @@
         state.events.clear();
     }
 
+    /// Drops the history of changes. The waiting watches get nothing for `silence` and are then cut.
+    pub fn compact_and_cut_watches(&self, silence: Duration) {
+        self.compact();
+        self.shared.cuts.send_replace(silence);
+    }
+
     /// Sets the replicas that answer stale reads in turn, one for each page.
     pub fn set_replicas(&self, replicas: &[Replica]) {
         let mut state = lock(&self.shared.state);
@@ -219,25 +272,31 @@
 }
 
 async fn handle(shared: Arc<Shared>, uri: String) -> Reply {
-    let mode = {
+    let (mode, call) = {
         let mut state = lock(&shared.state);
         state.calls += 1;
-        state.mode
+        (state.mode, state.calls)
     };
     match mode {
-        StoreMode::Normal => {}
+        StoreMode::Normal | StoreMode::LosesResponses => {}
         StoreMode::Unavailable => return Reply::Json(503, json!({ "error": "unavailable" })),
         StoreMode::Silent => std::future::pending().await,
+        StoreMode::Slow(delay) => tokio::time::sleep(delay).await,
     }
-    let prefix = text_parameter(&uri, "prefix").unwrap_or_default();
+    let reply = respond(&shared, &uri).await;
+    if lock(&shared.state).mode == StoreMode::LosesResponses && call % 3 == 0 {
+        std::future::pending().await
+    }
+    reply
+}
+
+async fn respond(shared: &Shared, uri: &str) -> Reply {
+    let prefix = text_parameter(uri, "prefix").unwrap_or_default();
     if uri.starts_with("/banyanwharf/kv-range?") {
-        let is_stale = parameter(&uri, "allowStale") == Some(1);
-        Reply::Json(
-            200,
-            range(&shared, &prefix, text_parameter(&uri, "after").as_deref(), is_stale),
-        )
+        let is_stale = parameter(uri, "allowStale") == Some(1);
+        Reply::Json(200, range(shared, &prefix, text_parameter(uri, "after").as_deref(), is_stale))
     } else if uri.starts_with("/banyanwharf/kv-watch?") {
-        watch(&shared, &prefix, &uri).await
+        watch(shared, &prefix, uri).await
     } else {
         Reply::Json(404, json!({ "error": "not found" }))
     }
@@ -270,7 +329,7 @@
     }
     let after = parameter(uri, "after").unwrap_or(0);
     let wait = Duration::from_millis(parameter(uri, "waitMs").unwrap_or(0));
-    let mut changed = shared.changed.subscribe();
+    let (mut changed, mut cuts) = (shared.changed.subscribe(), shared.cuts.subscribe());
     let found = async {
         loop {
             changed.mark_unchanged();
@@ -283,8 +342,17 @@
             }
         }
     };
-    let found = tokio::time::timeout(wait, found).await;
-    found.unwrap_or_else(|_| events(shared, prefix, after))
+    tokio::select! {
+        found = tokio::time::timeout(wait, found) => {
+            found.unwrap_or_else(|_| events(shared, prefix, after))
+        }
+        // An error is not possible: the sender lives as long as the server.
+        _ = cuts.changed() => {
+            let silence = *cuts.borrow();
+            tokio::time::sleep(silence).await;
+            Reply::Close
+        }
+    }
 }
 
 fn events(shared: &Shared, prefix: &str, after: u64) -> Reply {
