Bind a test target to a port that is free for TCP too

A target took a free UDP port and retried to listen on the same TCP port, which another socket may hold. Daemons were then refused there, took the target for ended and reset its flows (`flow is reset`, reason TargetSilent), although it answered over UDP. That another socket held the port is inferred, not observed.

A target that is given an address still retries, since the address cannot be chosen there.

--- a/tests/gateways/target.rs
+++ b/tests/gateways/target.rs
@@ -110,12 +110,20 @@
         zone: &str,
         caller_port: u16,
     ) -> Target {
-        let socket = UdpSocket::bind(address).await.expect("the port is free");
+        // A free UDP port may be in use by a TCP connection, so that daemons would be refused there.
+        let (socket, listener) = loop {
+            let socket = UdpSocket::bind(address).await.expect("the port is free");
+            let local = socket.local_addr().expect("the address is valid");
+            let listener = TcpListener::bind(local).await.ok();
+            if listener.is_some() || address.port() != 0 {
+                break (socket, listener);
+            }
+        };
         let SocketAddr::V4(address) = socket.local_addr().expect("the address is valid") else {
             unreachable!("the address is an IPv4 address")
         };
         let record = Arc::new(Record::default());
-        let listener = tokio::spawn(accept(address, record.clone()));
+        let listener = tokio::spawn(accept(address, listener, record.clone()));
         let task = tokio::spawn(run(socket, number, caller_port, record.clone()));
         let id = format!("i-{number:08x}");
         let (service, zone) = (service.to_owned(), zone.to_owned());
@@ -158,20 +166,23 @@
 
 /// Accepts TCP connections at the target's address, and refuses them while the target is silent, as
 /// after a crash of its process.
-async fn accept(address: SocketAddrV4, record: Arc<Record>) {
+async fn accept(address: SocketAddrV4, mut bound: Option<TcpListener>, record: Arc<Record>) {
     loop {
-        sleep(LISTEN_PERIOD).await;
-        if record.is_silent.load(Ordering::Relaxed) {
-            continue;
-        }
         // The port may still be in use by a connection of another test.
-        let Ok(listener) = TcpListener::bind(address).await else {
-            continue;
+        let listener = match bound.take() {
+            Some(listener) => Ok(listener),
+            None => TcpListener::bind(address).await,
         };
-        while !record.is_silent.load(Ordering::Relaxed) {
-            // The connection is closed at once, since daemons send nothing on it.
-            let _ = timeout(LISTEN_PERIOD, listener.accept()).await;
+        if let Ok(listener) = listener {
+            while !record.is_silent.load(Ordering::Relaxed) {
+                // The connection is closed at once, since daemons send nothing on it.
+                let _ = timeout(LISTEN_PERIOD, listener.accept()).await;
+            }
         }
+        while record.is_silent.load(Ordering::Relaxed) {
+            sleep(LISTEN_PERIOD).await;
+        }
+        sleep(LISTEN_PERIOD).await;
     }
 }
 
