soak: run fleets and plans shaped like the users' deployments

The soak can now run four daemons in three zones and five in four, with 14 and 4 targets. Their plans follow the users' operators: routes are dropped and added, the main route is split 95 to 5 and back, limits change, also in quick succession. Faults are those of the store (refusing some daemons, slow, losing answers, compaction with cut watches, silent connections) and of daemons and zones. Some flows go directly to each daemon.

An opening packet is judged by all configurations that an undisturbed daemon may follow when it is sent, and by what the same process has followed before. Violations are counted by rule. The delay from each publication to the log of each daemon is measured, and late ones are reported.

SOAK_DAEMON selects the program under test; SOAK_WITHOUT, SOAK_FAULTS and SOAK_STALE_READS switch habits and faults.

--- a/tests/soaks/mod.rs
+++ b/tests/soaks/mod.rs
@@ -2,7 +2,9 @@
 //! and the promises are checked by what callers and targets observe.
 
 pub(crate) mod caller;
+pub(crate) mod delays;
 pub(crate) mod fabric;
+pub(crate) mod fleet;
 pub(crate) mod plan;
 pub(crate) mod process;
 pub(crate) mod recorder;
