Let a test target ignore the end of an earlier flow from the same port

The target double removed a flow at any FIN, so a FIN that had waited in the socket of the paused daemon ended the later flow. A real end ignores a FIN outside its window.

The double now checks the numbers of a FIN as it does for data.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -23,6 +23,7 @@
     caller::{Caller, Outcome},
     config::config,
     daemon::{Daemon, settings, wait_until},
+    segment::{ACK, Endpoint, FIN, RST, SYN, Segment},
     target::Target,
 };
 use serde_json::json;
@@ -536,6 +537,42 @@
     }
 }
 
+/// Guards against a test double that reports a broken flow which no daemon has broken: a packet that
+/// waited in the socket of a paused daemon ends an earlier flow from the same port.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_end_of_an_earlier_flow_leaves_the_present_one_open() {
+    let port = allocate_ports();
+    let target = Target::start(1, "web", "zone-a", port).await;
+    let socket =
+        UdpSocket::bind((Ipv4Addr::new(127, 0, 9, 9), port)).await.expect("a free address");
+    let endpoint = |sequence, acknowledged| Endpoint {
+        address: (Ipv4Addr::new(127, 0, 9, 9), 5_000),
+        service: WEB,
+        token: 7,
+        sequence,
+        acknowledged,
+    };
+    let initial = target.number as u32 * 1_000_000;
+    let mut flags = Vec::new();
+    for (segment, has_answer) in [
+        (endpoint(100, 0).segment(SYN, Vec::new()), true),
+        (endpoint(5_000, 0).segment(SYN, Vec::new()), true),
+        (endpoint(100, initial).segment(FIN | ACK, Vec::new()), false),
+        (endpoint(5_000, initial).segment(ACK, b"1".to_vec()), true),
+        (endpoint(5_001, initial).segment(FIN | ACK, Vec::new()), true),
+        (endpoint(5_001, initial).segment(ACK, b"2".to_vec()), true),
+    ] {
+        let datagram = [&target.number.to_be_bytes()[..], &segment.encode()].concat();
+        socket.send_to(&datagram, target.address).await.expect("the packet is sent");
+        if has_answer {
+            let mut buffer = [0; 2048];
+            let (length, _) = socket.recv_from(&mut buffer).await.expect("an answer");
+            flags.push(Segment::decode(&buffer[..length]).flags);
+        }
+    }
+    assert_eq!(flags, [SYN | ACK, SYN | ACK, ACK, ACK, RST]);
+}
+
 /// Guards against commands of the tool that lack the state of a daemon in gateway mode.
 #[tokio::test(flavor = "multi_thread")]
 async fn tool_shows_the_state_of_a_daemon() {
--- a/tests/gateways/target.rs
+++ b/tests/gateways/target.rs
@@ -233,6 +233,10 @@
             let is_own_flow =
                 segment.acknowledged.wrapping_sub(initial_sequence) < INITIAL_SEQUENCE_STEP;
             if segment.flags & FIN != 0 {
+                // A daemon that was paused may deliver the end of an earlier flow from this port.
+                if !is_own_flow || segment.sequence != flow.next {
+                    continue;
+                }
                 flows.remove(&segment.source);
             } else if segment.data.is_empty() || !is_own_flow {
                 continue;
