Correct the fallback to peers and the check of operators' changes after a second review

A second review of the new code found these faults, by reasoning:

- While the store is down for all daemons, each fetched the states of three peers in each attempt instead of one, one of them across zones, since no state is fresh then.
Two rejected daemons could still exchange their states for two attempts.
Every other attempt now begins with the other zones, and ends at the first answer as before.
- The operators' watch was repeated needlessly after each operators' change that is followed by one of a target.
Changes that were read already no longer count.
- Changes that a list of targets covers after the history was lost were not counted.
- A daemon that was filled by a peer only never logged that its view is unconfirmed; the line now says that the store has not confirmed the view.

--- a/src/bin/banyanwharfd.rs
+++ b/src/bin/banyanwharfd.rs
@@ -2,7 +2,7 @@
 //!
 //! On SIGHUP a daemon in gateway mode reloads its settings. SIGTERM and SIGINT start a
 //! graceful shutdown. A further SIGTERM changes nothing, since supervisors repeat it; a further
-//! SIGINT ends the process at once. If a component of a daemon in gateway mode ends unexpectedly,
+//! SIGINT ends the process at once. If an essential component of a daemon in gateway mode ends,
 //! the daemon stops gracefully and exits with an error code, so that its supervisor starts it again.
 
 use std::{
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -50,8 +50,7 @@
     /// retransmits after 200 ms.
     pub unanswered_open_delay: Duration,
     /// How long after the placement of a new flow copies of its opening packet may arrive. Callers
-    /// send the last one after 0.6 s, and the rest is the time that it may be under way. A flow that
-    /// is placed on a target by its last known entry then reaches it less than 3 s after a change.
+    /// send the last one after 0.6 s, and the rest is the time that it may be under way.
     pub opening_copy_lifetime: Duration,
     /// The minimum time between two connection checks of a target, which decide whether its flows
     /// may be reset.
--- a/src/gateway/component.rs
+++ b/src/gateway/component.rs
@@ -34,8 +34,8 @@
         }
     }
 
-    /// Returns whether the daemon would forward packets by an outdated view, or not at all, without
-    /// the component.
+    /// Returns whether the daemon would forward packets by an outdated view, by wrong assumptions
+    /// about other daemons, or not at all, without the component.
     pub(super) fn is_essential(self) -> bool {
         match self {
             Component::DirectoryActor
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -208,8 +208,8 @@
 /// entries prove that their targets have ended, and the state of each target.
 ///
 /// A line also says how long the previous state had not been confirmed, in milliseconds (0 if it never
-/// was), and up to which revision it had been read. A change may have been in the store for this
-/// time, and one up to this revision was missed.
+/// was). A change may have been in the store for this time. Lines about targets also have the
+/// revision up to which targets had been read; a change up to it was missed.
 fn log_changes(now: Instant, previous: &View, view: &View) {
     let age_ms = |at: Option<Instant>| {
         at.map_or(0, |at| now.saturating_duration_since(at).as_millis() as u64)
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -30,7 +30,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// The age of the last confirmation of the targets or the configuration from which on the view counts
-/// as out of date. A daemon that reads or follows without failures confirms both more often.
+/// as unconfirmed. A daemon that reads or follows without failures confirms both more often.
 const MAXIMUM_VIEW_AGE: Duration = Duration::from_secs(4);
 
 /// The number of ticks between two sweeps of the flow table.
@@ -85,6 +85,7 @@
         let mut send_batch = SendBatch::new();
         let (checker, mut check_outcomes) = Checker::new();
         let mut tick: u32 = 0;
+        let started_at = Instant::now();
         let mut is_view_outdated = false;
         loop {
             tokio::select! {
@@ -96,7 +97,8 @@
                     self.forwarder
                         .set_zone_daemons(self.shared.zone_daemon_count.load(Ordering::Relaxed));
                     self.update_cut_off();
-                    is_view_outdated = self.log_view_age(Instant::now(), is_view_outdated);
+                    is_view_outdated =
+                        self.log_view_age(Instant::now(), started_at, is_view_outdated);
                     self.forwarder.check_unanswered_opens(Instant::now());
                     self.reset_lost_flows(&receive_batch, &mut send_batch);
                     tick = tick.wrapping_add(1);
@@ -147,26 +149,27 @@
         }
     }
 
-    /// Logs when the view becomes out of date or up to date again, and returns whether it is out of
-    /// date. The packet loop has its own thread, so that it also notices when the tasks that keep the
-    /// view up to date no longer run.
-    fn log_view_age(&self, now: Instant, was_outdated: bool) -> bool {
+    /// Logs when the store has not confirmed the view for [`MAXIMUM_VIEW_AGE`] and when it has
+    /// confirmed the view again. Returns whether the view is unconfirmed. The packet loop has its own
+    /// thread, so that it also notices when the tasks that renew the view no longer run.
+    fn log_view_age(&self, now: Instant, started_at: Instant, was_unconfirmed: bool) -> bool {
         let view = self.forwarder.view();
-        let (Some(read_at), Some(confirmed_at)) = (view.read_at, view.confirmed_at) else {
-            return was_outdated;
-        };
-        let [targets, config] = [read_at, confirmed_at].map(|at| now.saturating_duration_since(at));
-        let is_outdated = targets.max(config) > MAXIMUM_VIEW_AGE;
-        if is_outdated && !was_outdated {
+        if !view.is_complete() {
+            return was_unconfirmed;
+        }
+        let [targets, config] = [view.read_at, view.confirmed_at]
+            .map(|at| now.saturating_duration_since(at.unwrap_or(started_at)));
+        let is_unconfirmed = targets.max(config) > MAXIMUM_VIEW_AGE;
+        if is_unconfirmed && !was_unconfirmed {
             warn!(
                 targets_ms = targets.as_millis() as u64, config_ms = config.as_millis() as u64,
                 revision = view.revision, version = view.version().unwrap_or(0);
-                "view is out of date; packets are still forwarded by it"
+                "view is not confirmed; packets are still forwarded by it"
             );
-        } else if was_outdated && !is_outdated {
-            info!(revision = view.revision; "view is up to date again");
+        } else if was_unconfirmed && !is_unconfirmed {
+            info!(revision = view.revision; "view is confirmed again");
         }
-        is_outdated
+        is_unconfirmed
     }
 
     /// Publishes whether the daemon is cut off: no target answers, and the store or another zone
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -20,10 +20,6 @@
 /// How long one peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The largest age of a state after which no further peer is asked. A state that is older may come
-/// from a peer that the store rejects as well.
-const FRESH_STATE_AGE: Duration = Duration::from_millis(2000);
-
 /// The largest number of peers that are asked in one attempt.
 const PEERS_PER_ATTEMPT: usize = 3;
 
@@ -59,7 +55,7 @@
     pub(super) async fn join(self) {
         let mut delay = FIRST_JOIN_DELAY;
         loop {
-            if self.peers().is_empty() {
+            if self.peers(true).is_empty() {
                 for contact in self.contacts() {
                     match self.fetch_member_snapshot(contact).await {
                         Ok(snapshot) => {
@@ -82,16 +78,20 @@
     /// view is not complete.
     pub(super) async fn run_state_fallback(self) {
         let mut is_peer_state_in_use = false;
+        // The store may reject all daemons of the own zone, which would then pass old states to each
+        // other. Every other attempt therefore begins with the other zones.
+        let mut is_own_zone_first = true;
         loop {
             sleep(CHECK_PERIOD).await;
             if !self.shared.needs_peer_state() {
                 is_peer_state_in_use = false;
                 continue;
             }
-            for peer in self.candidates().into_iter().take(PEERS_PER_ATTEMPT) {
+            let candidates = self.candidates(is_own_zone_first);
+            is_own_zone_first = !is_own_zone_first;
+            for peer in candidates.into_iter().take(PEERS_PER_ATTEMPT) {
                 match self.fetch_peer_state(peer).await {
                     Ok(state) if state.age_ms.is_some() => {
-                        let is_fresh = state.is_fresh(FRESH_STATE_AGE);
                         if !is_peer_state_in_use {
                             info!(
                                 peer:% = peer, age_ms = state.age_ms,
@@ -108,9 +108,7 @@
                         {
                             return;
                         }
-                        if is_fresh {
-                            break;
-                        }
+                        break;
                     }
                     Ok(_) => debug!("state of {peer} is not used: it has not read the targets yet"),
                     Err(error) => debug!("state could not be fetched from {peer}: {error}"),
@@ -121,27 +119,21 @@
     }
 
     /// Returns the admin addresses of the other daemons that are alive or leaving, those of the own
-    /// zone and of other zones in turn. The store may reject all daemons of a zone.
-    fn peers(&self) -> Vec<SocketAddr> {
+    /// zone first or last.
+    fn peers(&self, is_own_zone_first: bool) -> Vec<SocketAddr> {
         let view = self.shared.members.load();
         let mut peers: Vec<(bool, SocketAddr)> = view
             .iter()
             .filter(|(id, member)| {
                 *id != self.info.id() && matches!(member.status, Status::Alive | Status::Leaving)
             })
-            .map(|(_, member)| (member.info.zone != self.info.zone, member.info.admin))
+            .map(|(_, member)| (member.info.zone == self.info.zone, member.info.admin))
             .collect();
         // Shuffled, so that daemons that lose the store at the same time do not all ask the same
         // peer.
         peers.shuffle(&mut rand::rng());
-        let (other_zones, own_zone): (Vec<_>, Vec<_>) =
-            peers.into_iter().partition(|(is_other_zone, _)| *is_other_zone);
-        let mut ranked: Vec<_> = [own_zone, other_zones]
-            .into_iter()
-            .flat_map(|group: Vec<(bool, SocketAddr)>| group.into_iter().enumerate())
-            .collect();
-        ranked.sort_by_key(|(rank, (is_other_zone, _))| (*rank, *is_other_zone));
-        ranked.into_iter().map(|(_, (_, admin))| admin).collect()
+        peers.sort_by_key(|(is_own_zone, _)| *is_own_zone != is_own_zone_first);
+        peers.into_iter().map(|(_, admin)| admin).collect()
     }
 
     /// Returns the admin addresses in the settings without the own one.
@@ -151,8 +143,8 @@
     }
 
     /// Returns the admin addresses of the peers, followed by the other addresses in the settings.
-    fn candidates(&self) -> Vec<SocketAddr> {
-        let mut candidates = self.peers();
+    fn candidates(&self, is_own_zone_first: bool) -> Vec<SocketAddr> {
+        let mut candidates = self.peers(is_own_zone_first);
         for contact in self.contacts() {
             if !candidates.contains(&contact) {
                 candidates.push(contact);
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 
 use crate::cookie::{Listing, OperatorState};
@@ -16,10 +14,3 @@
     /// The milliseconds since the targets were read; `None` if they have never been read.
     pub(super) age_ms: Option<u64>,
 }
-
-impl PeerState {
-    /// Returns whether the targets were read at most `maximum_age` ago.
-    pub(super) fn is_fresh(&self, maximum_age: Duration) -> bool {
-        self.age_ms.is_some_and(|age| Duration::from_millis(age) <= maximum_age)
-    }
-}
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep_until, timeout};
 
 use crate::{
-    cookie::{Listing, ListingUpdate, Revision},
+    cookie::{EntryChange, Listing, ListingUpdate, Revision},
     gateway::{Consistency, ReadOutcome, Source, directory_actor::Request, shared::Shared},
     platform::{Backoff, Error, Schedule},
     telemetry::Histogram,
@@ -142,6 +142,10 @@
         let request = match after {
             None => {
                 tracker.record_result("targets", read_all_targets(&*source).await).map(|read| {
+                    if is_history_lost {
+                        // The changes that the list includes are not counted.
+                        request_operator_check(&shared, 0, read.value.revision, &[]);
+                    }
                     known = Some(read.value.revision);
                     is_history_lost = false;
                     Request::TargetsRead(read)
@@ -160,7 +164,8 @@
                 };
                 is_history_lost = result.as_ref().is_err_and(is_history_unusable);
                 tracker.record_result("watch", result).map(|read| {
-                    request_operator_check(&shared, after, &read.value);
+                    let ListingUpdate { revision, changes } = &read.value;
+                    request_operator_check(&shared, after, *revision, changes);
                     known = Some(read.value.revision.max(after));
                     Request::TargetsUpdated(read)
                 })
@@ -183,15 +188,21 @@
     }
 }
 
-/// Wakes the reader of the operators' items if the store has changed more often than an update of the
-/// targets since `after` shows, and that reader has not read up to the update's revision. The
-/// connection of the operators' watch may have stopped carrying data, which only its timeout would
-/// show.
-fn request_operator_check(shared: &Shared, after: Revision, update: &ListingUpdate) {
-    let changes = update.revision.saturating_sub(after);
-    if changes > update.changes.len() as u64
-        && update.revision > shared.read_operator_revision.load(Ordering::Relaxed)
-    {
+/// Wakes the reader of the operators' items if the store has changed up to `revision` more often than
+/// that reader has read and the targets' changes since `after` show. The connection of the operators'
+/// watch may have stopped carrying data, which only its timeout would show.
+///
+/// The store counts one revision for each change. If it counted more, there would be one needless call
+/// for each update of the targets.
+fn request_operator_check(
+    shared: &Shared,
+    after: Revision,
+    revision: Revision,
+    changes: &[EntryChange],
+) {
+    let known = after.max(shared.read_operator_revision.load(Ordering::Relaxed));
+    let explained = changes.iter().filter(|change| change.revision() > known).count();
+    if revision.saturating_sub(known) > explained as u64 {
         shared.operator_check.notify_one();
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -40,7 +40,8 @@
     /// The highest revision of an operators' change that the zone reader has announced. This daemon
     /// reads the change from the store.
     pub(super) announced_operator_revision: AtomicU64,
-    /// The revision up to which this daemon has read the operators' changes from the store.
+    /// The revision up to which this daemon has read the operators' changes from the store; 0 if the
+    /// last call failed, since changes may have been missed.
     pub(super) read_operator_revision: AtomicU64,
     /// Wakes the reader of the operators' items, since the store may hold a change that its watch has
     /// not reported.
