Do not take a missing entry for the end of a target after following has ended

The store had been silent for 1.8 s while entries lapsed. The daemon had followed another one and made no call of its own, so it did not know of the outage. When the zone reader's data became too old, it read the store, found entries missing and took the targets for ended, 0.65 s after the outage; targets write their entries again within 2 s.

The end of following now counts like a failed call: until the store has answered for 3 s, a missing entry proves nothing.

missing_entry_proves_nothing_after_following_has_ended failed before: the entry's target was logged as gone.

--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -52,6 +52,9 @@
     ApplyDelta(Delta, RpcReplyPort<Option<Revision>>),
     /// A call to the store failed.
     StoreCallFailed,
+    /// This daemon no longer follows a zone reader. The store may have been unavailable since the
+    /// last read of the zone reader, without a failed call of this daemon.
+    FollowingEnded,
     /// The process was paused. The known state may be outdated, so that a missing entry does not
     /// prove that its target has ended.
     ProcessPaused,
@@ -169,7 +172,9 @@
                     );
                 }
             }
-            Request::StoreCallFailed | Request::ProcessPaused => self.directory.record_failure(now),
+            Request::StoreCallFailed | Request::FollowingEnded | Request::ProcessPaused => {
+                self.directory.record_failure(now)
+            }
         }
         let view = self.directory.view(now);
         log_changes(now, &self.shared.view.load(), &view);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -109,6 +109,13 @@
             }
             let result = self.follow_first_candidate(zone_reader.take()).await;
             let is_following = result.is_ok();
+            // The readers start when the flag is cleared, and their reads must arrive after this.
+            if !is_following
+                && self.shared.is_following.load(Ordering::Relaxed)
+                && self.directory_actor.cast(directory_actor::Request::FollowingEnded).is_err()
+            {
+                return;
+            }
             let was_following = self.shared.is_following.swap(is_following, Ordering::Relaxed);
             match &result {
                 Ok(zone_reader) if !was_following => {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,7 +18,7 @@
     gateway::{Changes, Codec, Consistency, DecodeError, Gateway, ReadOutcome, Source},
     platform::Error,
 };
-use banyanwharf_testkit::{Proxy, Replica, Store, StoreMode};
+use banyanwharf_testkit::{Proxy, ProxyMode, Replica, Store, StoreMode};
 use gateways::{
     caller::{Caller, Outcome},
     config::config,
@@ -502,6 +502,40 @@
     assert!(!daemon.log().contains("store does not answer"));
 }
 
+/// Guards against resets of the flows of targets whose entries have lapsed: the store was unavailable
+/// while this daemon followed another one, and so made no call of its own that failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn missing_entry_proves_nothing_after_following_has_ended() {
+    let port = allocate_ports();
+    let (store, targets) = start_store_and_targets(port).await;
+    let paths = [1, 2].map(|_| Proxy::start(store.address()).expect("the proxy starts"));
+    let daemons: Vec<Daemon> = (1..=2)
+        .map(|number| {
+            let path = paths[usize::from(number) - 1].address();
+            Daemon::start_with_store(number, "zone-a", port, path, 3 - number)
+        })
+        .collect();
+    let follows = |daemon: &&Daemon| daemon.log().contains("store is read by another daemon");
+    wait_until("one follows the other", async || daemons.iter().any(|d| follows(&d))).await;
+    let (reader, follower) = if follows(&&daemons[0]) { (1, 0) } else { (0, 1) };
+    paths[reader].set_mode(ProxyMode::DropAll);
+    targets[0].deregister(&store);
+    let follower = &daemons[follower];
+    follower.wait_until_logged("this daemon reads the store").await;
+    let is_missing = |line: &&str| {
+        line.contains(&format!("\"target_id\":\"{}\"", targets[0].id))
+            && line.contains("target has changed")
+            && !line.contains("\"standing\":\"present\"")
+    };
+    wait_until("the entry is missing", async || {
+        follower.log().lines().any(|line| is_missing(&line))
+    })
+    .await;
+    let log = follower.log();
+    let first = log.lines().find(is_missing).expect("logged");
+    assert!(first.contains("\"standing\":\"lapsed\""), "{first}");
+}
+
 /// Guards against a view that is not renewed although the daemon seems to work, without a log line.
 #[tokio::test(flavor = "multi_thread")]
 async fn unconfirmed_view_is_logged() {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -53,7 +53,7 @@
 /// the failure. Each entry is the time of an action in milliseconds after the start of the run, and
 /// the action; the number in an action is the daemon's. The actions are stored instead of the
 /// seeds, since a seed gives another plan when the generation of plans changes.
-const FAILED: [(&str, &[(u64, Action)]); 2] = [
+const FAILED: [(&str, &[(u64, Action)]); 3] = [
     (
         "a second SIGTERM ended a daemon that was stopping",
         &[
@@ -78,6 +78,17 @@
             ),
         ],
     ),
+    (
+        "a follower took entries that lapsed in an outage of the store for ended targets",
+        &[(
+            4000,
+            Action::StoreDown {
+                duration: Duration::from_millis(1761),
+                is_silent: true,
+                entries_lapse: true,
+            },
+        )],
+    ),
 ];
 
 /// Name for reports, seed, setup and plan of a run. The seed determines the random choices that the
