soak: hold the block of ports of a test process

plans_that_failed_hold failed once beside another run of the soak; its output was not kept. Six copies beside the same run showed one way: a panic with 'Address already in use', since the block of ports is the process id modulo 8 and two processes had the same one. That this was the cause of the first failure is likely, not shown.

A test process now takes the first block whose holder address it can bind, and holds it until it ends.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,7 +16,11 @@
 
 use std::{
     env,
-    sync::atomic::{AtomicU16, Ordering},
+    net::{Ipv4Addr, UdpSocket},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU16, Ordering},
+    },
     time::Duration,
 };
 
@@ -35,15 +39,23 @@
 /// The number of ports of a test process. Several test processes may run at the same time.
 const PORTS_PER_PROCESS: u16 = 800;
 
+/// The number of blocks of ports.
+const PORT_BLOCKS: u16 = 8;
+/// The address at which a test process holds the first port of its block. No run uses the address.
+const PORT_BLOCK_HOLDER: Ipv4Addr = Ipv4Addr::new(127, 0, 10, 1);
+
 /// The offset of the next run's ports. The tests of one process run at the same time.
 static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
+/// The socket that holds the block of ports of this process, and the first port of the block.
+static PORT_BLOCK: LazyLock<(UdpSocket, u16)> = LazyLock::new(|| {
+    let mut first_ports = (0..PORT_BLOCKS).map(|block| FIRST_PORT + block * PORTS_PER_PROCESS);
+    let hold = |port| UdpSocket::bind((PORT_BLOCK_HOLDER, port)).ok().map(|socket| (socket, port));
+    first_ports.find_map(hold).expect("a block of ports is free")
+});
+
 fn allocate_ports() -> u16 {
-    // Eight blocks of ports are used, so that test processes with nearby ids get different blocks.
-    let process = (std::process::id() % 8) as u16 * PORTS_PER_PROCESS;
-    FIRST_PORT
-        + process
-        + NEXT_PORT_OFFSET.fetch_add(PORTS_PER_RUN, Ordering::Relaxed) % PORTS_PER_PROCESS
+    PORT_BLOCK.1 + NEXT_PORT_OFFSET.fetch_add(PORTS_PER_RUN, Ordering::Relaxed) % PORTS_PER_PROCESS
 }
 
 /// The default limit of concurrent runs; each run has five daemons.
