Let the process tests skip ports that another process uses

The log of the test's daemon was empty although its readiness check had succeeded, so another process had answered at its address; the test's own daemon had not started. That it was a daemon of those cases is inferred from the ports.

A test now takes ports only if the data addresses of its daemons are free.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,7 +22,7 @@
 use gateways::{
     caller::{Caller, Outcome},
     config::config,
-    daemon::{Daemon, settings, wait_until},
+    daemon::{Daemon, address, settings, wait_until},
     segment::{ACK, Endpoint, FIN, RST, SYN, Segment},
     target::Target,
 };
@@ -38,7 +38,14 @@
 
 fn allocate_ports() -> u16 {
     let first = 21_000 + (std::process::id() % 100) as u16 * 100;
-    first + NEXT_PORT_OFFSET.fetch_add(10, Ordering::Relaxed)
+    loop {
+        let port = first + NEXT_PORT_OFFSET.fetch_add(10, Ordering::Relaxed);
+        // Daemons of another process at the same ports would answer in place of those of the test.
+        let is_free = |number| std::net::UdpSocket::bind(address(number, port)).is_ok();
+        if (1..=3).all(is_free) {
+            return port;
+        }
+    }
 }
 
 /// Starts a store that has a configuration with both services, and two targets of each service.
