Wait for the follower's own watch in the test of missing entries

missing_entry_proves_nothing_after_following_has_ended failed once in six runs: the removal was shown by a watch that the follower had begun before it followed, which is a read of its own and settled, so that the entry counts as gone rightly. The test now removes the entry after that watch has ended.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -27,7 +27,7 @@
     target::Target,
 };
 use serde_json::json;
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, time::sleep};
 
 const WEB: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 80);
 const FILES: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8080);
@@ -525,6 +525,8 @@
     let follows = |daemon: &&Daemon| daemon.log().contains("store is read by another daemon");
     wait_until("one follows the other", async || daemons.iter().any(|d| follows(&d))).await;
     let (reader, follower) = if follows(&&daemons[0]) { (1, 0) } else { (0, 1) };
+    // A watch that the follower began before ends within 1 s and would show the removal.
+    sleep(Duration::from_millis(1500)).await;
     paths[reader].set_mode(ProxyMode::DropAll);
     targets[0].deregister(&store);
     let follower = &daemons[follower];
