Decode priority, deadline and latency objective of routes, and observe the answers of flows

The configuration states these for each route, and the daemon ignored them. A flow now also reports when its caller acknowledges the first bytes of an answer, with the time since the request and the round-trip time of the opening. Nothing decides by them yet.

--- a/src/cookie/config.rs
+++ b/src/cookie/config.rs
@@ -14,12 +14,18 @@
     pub weight: u32,
 }
 
-/// The services to which the flows of one service address are routed.
+/// The services to which the flows of one service address are routed, and what its requests need.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "snake_case", default)]
 pub struct Route {
     /// The services and their shares of the new flows.
     pub shares: Vec<Share>,
+    /// The priority class of the requests; 0 is the highest.
+    pub priority: u32,
+    /// How long a caller waits for an answer; zero if the configuration does not say.
+    pub deadline: Duration,
+    /// The time within which a request should be answered; zero if the configuration does not say.
+    pub latency_objective: Duration,
 }
 
 impl Route {
--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -2,7 +2,7 @@
 
 use hashbrown::HashMap;
 
-use crate::cookie::{Cookie, Flow, Packet, Tuning};
+use crate::cookie::{Cookie, Flow, Packet, Tuning, work::Answer};
 
 /// The state of one flow, derived from the packets that this daemon saw.
 #[derive(Debug, Clone)]
@@ -34,6 +34,19 @@
     unanswered_since: Instant,
     /// Whether the caller has retransmitted a packet since `unanswered_since`.
     is_retransmitting: bool,
+    /// The round-trip time between caller and target at the opening of the flow.
+    round_trip: Option<Duration>,
+    /// The request that is not answered yet, if this daemon saw its first packet.
+    request: Option<Request>,
+}
+
+/// A request that its target has not answered yet.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    /// When the first packet of the request arrived.
+    sent_at: Instant,
+    /// Whether the caller retransmitted a packet of the request.
+    is_retransmitted: bool,
 }
 
 /// Which daemon forwarded the packet that the target has now answered.
@@ -157,13 +170,14 @@
         Signal::Retransmitted(state.unanswered_since)
     }
 
-    /// Records a packet after the opening packet, and returns what it shows about the target.
+    /// Records a packet after the opening packet. Returns what it shows about the target, and the
+    /// answer of which it acknowledges the first bytes.
     pub(super) fn record_packet(
         &mut self,
         now: Instant,
         packet: &Packet,
         tuning: &Tuning,
-    ) -> Signal {
+    ) -> (Signal, Option<Answer>) {
         // Another daemon may have sent a retransmission of the opening packet to another target.
         // The caller echoes the cookie of the target that answered, so the packet's cookie counts.
         if self.cookie(&packet.flow).is_some_and(|cookie| cookie != packet.cookie) {
@@ -171,12 +185,15 @@
         }
         let Some(state) = self.states.get_mut(&packet.flow) else {
             self.insert(now, packet, packet.cookie, true);
-            return Signal::Neutral;
+            return (Signal::Neutral, None);
         };
         let before = state.load_share();
+        let (answer, former_sequence) = (state.take_answer(now, packet), state.next_sequence);
         let signal = state.record_packet(now, packet, tuning);
+        let has_new_data = packet.length > 0 && state.next_sequence != former_sequence;
+        state.record_request(now, has_new_data, signal);
         replace_share(&mut self.loads, before, state.load_share());
-        signal
+        (signal, answer)
     }
 
     /// Treats all unanswered packets as if they were first sent at `now`, so that the time before
@@ -185,6 +202,7 @@
         for state in self.states.values_mut() {
             state.unanswered_since = now;
             state.is_retransmitting = false;
+            state.request = None;
         }
     }
 
@@ -272,6 +290,41 @@
             acknowledged: if is_established { packet.acknowledged } else { 0 },
             unanswered_since: now,
             is_retransmitting: false,
+            round_trip: None,
+            request: None,
+        }
+    }
+
+    /// Returns the answer to the current request if `packet` acknowledges its first bytes.
+    fn take_answer(&mut self, now: Instant, packet: &Packet) -> Option<Answer> {
+        if !self.is_established || !is_after(packet.acknowledged, self.acknowledged) {
+            return None;
+        }
+        let Request { sent_at, is_retransmitted } = self.request.take()?;
+        Some(Answer {
+            service: packet.flow.service,
+            cookie: self.cookie,
+            elapsed: now.saturating_duration_since(sent_at),
+            round_trip: self.round_trip,
+            bytes: packet.acknowledged.wrapping_sub(self.acknowledged),
+            is_retransmitted,
+        })
+    }
+
+    /// Records what a packet shows about the current request. New data while no request is open
+    /// begins one.
+    fn record_request(&mut self, now: Instant, has_new_data: bool, signal: Signal) {
+        if let Signal::OpenAnswered(waited, SentBy::ThisDaemon) = signal {
+            self.round_trip = Some(waited);
+        }
+        match &mut self.request {
+            Some(request) => {
+                request.is_retransmitted |= matches!(signal, Signal::Retransmitted(_));
+            }
+            None if has_new_data => {
+                self.request = Some(Request { sent_at: now, is_retransmitted: false });
+            }
+            None => {}
         }
     }
 
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -433,7 +433,7 @@
         if entry.presence == Presence::Gone && self.proves_target_end(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let signal = self.flows.record_packet(now, packet, &self.tuning);
+        let (signal, _answer) = self.flows.record_packet(now, packet, &self.tuning);
         self.apply_signal(now, flow, packet.cookie, signal);
         if self.observer.is_silent(entry) {
             self.observer.request_check(now, entry);
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -31,6 +31,7 @@
 mod tuning;
 mod verdict;
 mod view;
+pub mod work;
 
 pub use check::{Check, CheckOutcome};
 pub use config::{Config, Route, Service, Share};
--- a/tests/cookies/mod.rs
+++ b/tests/cookies/mod.rs
@@ -64,8 +64,10 @@
 
 /// Returns a configuration that routes port 1 to the service "web" and port 2 to "files".
 pub(crate) fn config(version: u64, cold_rate: f64) -> Config {
-    let route =
-        |service: &str| Route { shares: vec![Share { service: service.into(), weight: 1 }] };
+    let route = |service: &str| {
+        let shares = vec![Share { service: service.into(), weight: 1 }];
+        Route { shares, ..Route::default() }
+    };
     let service = Service { cold_rate, cold_for: Duration::from_secs(2) };
     Config {
         version,
