--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -50,6 +50,8 @@
     configured_at: Option<Instant>,
     revision: Revision,
     read_at: Option<Instant>,
+    /// When the targets were first read.
+    first_read_at: Option<Instant>,
     /// When the targets were last read while the store had been available for
     /// [`Tuning::lapse_grace`], so that the targets had written their entries.
     settled_read_at: Option<Instant>,
@@ -82,6 +84,7 @@
             configured_at: None,
             revision: 0,
             read_at: None,
+            first_read_at: None,
             settled_read_at: None,
             store_health: StoreHealth::default(),
             sequence: 0,
@@ -216,6 +219,7 @@
     /// Records that the known targets were read at `read_at`.
     fn record_read(&mut self, now: Instant, read_at: Option<Instant>) {
         self.read_at = self.read_at.max(read_at);
+        self.first_read_at.get_or_insert(now);
         if self.store_health.is_stable(now, self.tuning.lapse_grace) {
             self.settled_read_at = self.read_at;
         }
@@ -364,10 +368,18 @@
             revision: self.revision,
             read_at: self.read_at,
             confirmed_at: self.confirmed_at,
-            is_absence_conclusive: self.is_absence_conclusive(now),
+            is_absence_conclusive: self.is_absence_conclusive(now) && self.has_settled(now),
         }
     }
 
+    /// Returns whether this daemon has known targets for [`Tuning::settle_time`]. Before, the store may
+    /// have been unavailable shortly before the first read, so that entries of running targets have
+    /// expired and this daemon has never seen them.
+    fn has_settled(&self, now: Instant) -> bool {
+        let settle_time = self.tuning.settle_time;
+        self.first_read_at.is_some_and(|at| now.saturating_duration_since(at) >= settle_time)
+    }
+
     fn build_index(&self) -> Index {
         let replaced = self.replaced_targets.iter().map(|known| (known, self.successor(known)));
         let mut all: Vec<(&KnownTarget, Option<Successor>)> =
