Query unknown contacts for as long as a daemon runs, and divide cold limits by too many daemons

A daemon stopped to query its contacts once it knew any other daemon, so that two groups that formed separately did not meet for as long as 21 s. And it divided the limit of a cold target by the daemons that it knew, which right after a restart of all daemons are only itself and a contact.

A known contact is not queried, since the failure detector already exchanges views with it; with 1,100 daemons the member views would otherwise cost each contact more than its budget. A failure that a member view claims is verified by a ping, and the members of another group are passed on to the own group.

`cookie::Census` decides by how many daemons a limit is divided: the known ones and one that may be starting; at least 12 until the daemon has run for 10 s and the number has been the same for 5 s. A daemon that none of its contacts has answered no longer counts as the only one after 10 s.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -25,7 +25,7 @@
 pub struct Forwarder {
     tuning: Tuning,
     zone: Arc<str>,
-    zone_daemons: usize,
+    cold_sharers: usize,
     view: Arc<View>,
     flows: Flows,
     observer: Observer,
@@ -52,7 +52,7 @@
     pub fn new(zone: Arc<str>, tuning: Tuning) -> Forwarder {
         let flows = Flows::new(tuning.maximum_flows);
         Forwarder {
-            zone_daemons: tuning.assumed_zone_daemons,
+            cold_sharers: tuning.assumed_zone_daemons,
             observer: Observer::new(tuning.clone()),
             tuning,
             zone,
@@ -76,10 +76,10 @@
         self.view = view;
     }
 
-    /// Sets the number of daemons in the own zone, including this one; 0 if the number is not
-    /// known.
-    pub fn set_zone_daemons(&mut self, count: usize) {
-        self.zone_daemons = if count == 0 { self.tuning.assumed_zone_daemons } else { count };
+    /// Sets the number of daemons among which the limit of a cold target is divided, see
+    /// [`Census::sharers`](crate::cookie::Census::sharers); 0 if the number is not known.
+    pub fn set_cold_sharers(&mut self, count: usize) {
+        self.cold_sharers = if count == 0 { self.tuning.assumed_zone_daemons } else { count };
     }
 
     /// Records that the process was paused. Opening packets, which may have waited during the
@@ -368,7 +368,7 @@
             view: &self.view,
             tuning: &self.tuning,
             zone: &self.zone,
-            zone_daemons: self.zone_daemons,
+            cold_sharers: self.cold_sharers,
         };
         let choice =
             selector.choose(&mut self.observer, &self.flows, service, &flow, previous_target);
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -9,6 +9,7 @@
 //! This module does no I/O and reads no clock: functions that need the current time take it as an
 //! argument.
 
+mod census;
 mod check;
 mod config;
 mod counters;
@@ -33,6 +34,7 @@
 mod view;
 pub mod work;
 
+pub use census::Census;
 pub use check::{Check, CheckOutcome};
 pub use config::{Config, Route, Service, Share};
 pub use counters::Counters;
--- a/src/cookie/selector.rs
+++ b/src/cookie/selector.rs
@@ -43,8 +43,8 @@
     pub(super) view: &'a View,
     pub(super) tuning: &'a Tuning,
     pub(super) zone: &'a str,
-    /// The number of daemons in the own zone, including this one.
-    pub(super) zone_daemons: usize,
+    /// The number of daemons among which the limit of a cold target is divided.
+    pub(super) cold_sharers: usize,
 }
 
 impl Selector<'_> {
@@ -89,7 +89,7 @@
             return None;
         }
         let total = rate * self.tuning.cold_factor + self.tuning.cold_slack;
-        Some((total / self.zone_daemons.max(1) as f64) as usize)
+        Some((total / self.cold_sharers.max(1) as f64) as usize)
     }
 
     fn is_allowed(&self, entry: &Entry, observer: &mut Observer, limit: Option<usize>) -> bool {
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -88,10 +88,17 @@
     /// The new flows per second that a cold target may get in addition to the configured rate times
     /// [`cold_factor`](Tuning::cold_factor).
     pub cold_slack: f64,
-    /// The assumed number of daemons in the own zone while the other daemons are not known. The
-    /// daemons of a zone share the rate of a cold target, so a high number protects cold targets
+    /// The minimum number of daemons that share the rate of a cold target while the number of
+    /// daemons in the own zone is not known or not stable. A high number protects cold targets
     /// while daemons start.
     pub assumed_zone_daemons: usize,
+    /// How long a daemon must have run before the number of daemons that it knows in the own zone
+    /// counts as stable. After a restart of all daemons, each learns of the others within some
+    /// seconds.
+    pub census_run_time: Duration,
+    /// How long the number of known daemons in the own zone must have been the same before it counts
+    /// as stable: several rounds of pings, which carry news of other daemons.
+    pub census_stable_time: Duration,
     /// The factor by which the load of a cold target is multiplied.
     pub cold_load_factor: f64,
     /// The penalty for targets of other zones when a target is selected, added to their load, in
@@ -132,6 +139,8 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             assumed_zone_daemons: 12,
+            census_run_time: Duration::from_secs(10),
+            census_stable_time: Duration::from_secs(5),
             cold_load_factor: 2.0,
             other_zone_penalty: 0.25,
             pause_drop_time: Duration::from_millis(300),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     admin,
-    cookie::{Forwarder, Tuning},
+    cookie::{Census, Forwarder, Tuning},
     gateway::{
         Codec, Error, Result, Source,
         admin_handler::AdminHandler,
@@ -296,7 +296,7 @@
         info: own.clone(),
         sender: Sender::new(Arc::new(outgoing), keyring.clone(), own.id()),
         shared: shared.clone(),
-        started_at: Instant::now(),
+        census: Census::new(&tuning(settings), Instant::now()),
     };
     let (actor, actor_task) = Actor::spawn(None, Members, arguments).await?;
     let actor_task = watch_actor(watcher, Component::MembersActor, actor_task);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::{
+    cookie::Census,
     gateway::{MAXIMUM_CHANGE_LINES, shared::Shared},
     member::{self, Detector, Id, Info, Member, Message, Output, Snapshot, Status},
     wire::{Body, Frame, Keyring, MAX_FRAME_BYTES, Sender},
@@ -17,9 +18,6 @@
 /// The interval of the timer events of the failure detector.
 const TICK: Duration = Duration::from_millis(200);
 
-/// A daemon that has found no other daemon after this time counts as the only one of its zone.
-const SINGLE_DAEMON_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// A message to the actor.
 #[derive(Debug)]
 pub(super) enum Request {
@@ -44,7 +42,7 @@
     pub(super) info: Info,
     pub(super) sender: Sender,
     pub(super) shared: Arc<Shared>,
-    pub(super) started_at: Instant,
+    pub(super) census: Census,
 }
 
 impl Actor for Members {
@@ -78,9 +76,6 @@
         match request {
             Request::Tick => {
                 self.detector.on_tick(now, &mut outputs);
-                if self.shared.zone_daemon_count.load(Ordering::Relaxed) == 0 {
-                    self.publish();
-                }
             }
             Request::Received { from, address, message } => {
                 self.detector.on_message(now, from, address, message, &mut outputs);
@@ -112,20 +107,40 @@
         if is_changed {
             self.publish();
         }
+        self.publish_sharers(now);
     }
 
     fn publish(&self) {
         let view = self.detector.view();
         let previous = self.shared.members.swap(Arc::new(view.clone()));
         log_changes(&previous, view);
+    }
+
+    /// Publishes the number of daemons among which the limit of a cold target is divided.
+    fn publish_sharers(&mut self, now: Instant) {
+        self.census.record(now, self.zone_daemons());
+        let sharers = self.census.sharers(now);
+        let previous = self.shared.cold_sharers.swap(sharers, Ordering::Relaxed);
+        if previous != sharers {
+            info!(previous, sharers; "limits of cold targets are divided by another number of daemons");
+        }
+    }
+
+    /// Returns the number of daemons in the own zone, including this one; `None` if the daemon has
+    /// contacts and has not learned of any other daemon yet.
+    fn zone_daemons(&self) -> Option<usize> {
+        let view = self.detector.view();
+        let contacts = self.shared.contacts.load();
+        let has_contacts = contacts.iter().any(|contact| *contact != self.info.admin);
+        if view.len() == 1 && has_contacts {
+            return None;
+        }
         // A member that does not answer may still forward packets on its side of a network
         // partition, so it is counted.
         let in_zone = view.iter().filter(|(_, member)| {
             member.info.zone == self.info.zone && member.status != Status::Left
         });
-        let is_known = view.len() > 1 || self.started_at.elapsed() >= SINGLE_DAEMON_TIMEOUT;
-        let count = if is_known { in_zone.count().max(1) } else { 0 };
-        self.shared.zone_daemon_count.store(count, Ordering::Relaxed);
+        Some(in_zone.count())
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -38,6 +38,14 @@
     Instrument::gauge("gateway_view_age_ms", "Time since the last read of targets in ms.");
 const READS_STORE: Instrument =
     Instrument::gauge("gateway_reads_store", "Whether this daemon reads the store itself.");
+const COLD_SHARERS: Instrument = Instrument::gauge(
+    "gateway_cold_sharers",
+    "Daemons among which the limits of cold targets are divided.",
+);
+const CONTACT_QUERIES: Instrument = Instrument::counter(
+    "gateway_contact_queries",
+    "Queries of contacts for their member view, by outcome.",
+);
 const SUPPRESSED_LINES: Instrument =
     Instrument::gauge("gateway_suppressed_lines", "Log lines left out since the last line.");
 
@@ -97,6 +105,11 @@
     for (cause, count) in &counters.drops {
         snapshot.set(DROPS, [("cause", format!("{cause:?}"))], *count);
     }
+    snapshot.set_unlabeled(COLD_SHARERS, shared.cold_sharers.load(Ordering::Relaxed) as u64);
+    let queries = [("answered", &shared.contact_answers), ("failed", &shared.contact_failures)];
+    for (outcome, count) in queries {
+        snapshot.set(CONTACT_QUERIES, [("outcome", outcome)], count.load(Ordering::Relaxed));
+    }
     let malformed = shared.malformed.load(Ordering::Relaxed);
     snapshot.set(DROPS, [("cause", "Malformed")], malformed);
     snapshot.set(DROPS, [("cause", "Unsent")], shared.unsent.load(Ordering::Relaxed));
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -95,7 +95,7 @@
                     pause_detector.tick();
                     self.refresh_view();
                     self.forwarder
-                        .set_zone_daemons(self.shared.zone_daemon_count.load(Ordering::Relaxed));
+                        .set_cold_sharers(self.shared.cold_sharers.load(Ordering::Relaxed));
                     self.update_cut_off();
                     is_view_outdated =
                         self.log_view_age(Instant::now(), started_at, is_view_outdated);
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -1,4 +1,8 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
 
 use log::{debug, info};
 use ractor::ActorRef;
@@ -8,10 +12,11 @@
 use crate::{
     admin::{self, ApiClient as _},
     gateway::{directory_actor, members, peer_state::PeerState, shared::Shared},
-    member::{Info, Snapshot, Status},
+    member::{Contacts, Info, Snapshot, Status},
 };
 
-/// How often the client checks whether the daemon needs the state of a peer.
+/// How often the client checks whether the daemon needs the state of a peer, and whether a contact
+/// is to be queried.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// The time between two fetches of the state of a peer. Changes must be in force within 3 s.
@@ -23,11 +28,6 @@
 /// The largest number of peers that are asked in one attempt.
 const PEERS_PER_ATTEMPT: usize = 3;
 
-/// The first and the largest delay between two attempts to find members. The delay doubles with
-/// each attempt.
-const FIRST_JOIN_DELAY: Duration = Duration::from_millis(500);
-const MAXIMUM_JOIN_DELAY: Duration = Duration::from_secs(8);
-
 /// Calls the admin APIs of other daemons.
 #[derive(Clone)]
 pub(super) struct PeerClient {
@@ -51,26 +51,35 @@
 }
 
 impl PeerClient {
-    /// Requests the member view from the contacts in the settings while no other daemon is known.
+    /// Requests the member view from contacts in the settings that the daemon does not know, so that
+    /// groups of daemons that formed separately discover each other.
     pub(super) async fn join(self) {
-        let mut delay = FIRST_JOIN_DELAY;
+        let mut contacts = Contacts::new(Instant::now());
         loop {
-            if self.peers(true).is_empty() {
-                for contact in self.contacts() {
-                    match self.fetch_member_snapshot(contact).await {
-                        Ok(snapshot) => {
-                            if self.members.cast(members::Request::Merge(snapshot)).is_err() {
-                                return;
-                            }
-                        }
-                        Err(error) => {
-                            debug!("members could not be fetched from {contact}: {error}")
-                        }
+            let due = contacts.due(
+                Instant::now(),
+                &self.info,
+                &self.shared.contacts.load(),
+                &self.shared.members.load(),
+            );
+            for contact in due {
+                let response = match self.fetch_member_snapshot(contact).await {
+                    Ok(response) => response,
+                    Err(error) => {
+                        debug!("members could not be fetched from {contact}: {error}");
+                        self.shared.contact_failures.fetch_add(1, Ordering::Relaxed);
+                        continue;
                     }
+                };
+                let (snapshot, bytes) = response;
+                contacts.record_response(Instant::now(), bytes);
+                self.shared.contact_answers.fetch_add(1, Ordering::Relaxed);
+                info!(contact:% = contact, members = snapshot.members.len(); "contact has sent its members");
+                if self.members.cast(members::Request::Merge(snapshot)).is_err() {
+                    return;
                 }
             }
-            sleep(delay).await;
-            delay = (delay * 2).min(MAXIMUM_JOIN_DELAY);
+            sleep(CHECK_PERIOD).await;
         }
     }
 
@@ -153,10 +162,11 @@
         candidates
     }
 
-    async fn fetch_member_snapshot(&self, address: SocketAddr) -> Result<Snapshot, Error> {
+    /// Fetches the member view of the daemon at `address`. Returns it with its size in bytes.
+    async fn fetch_member_snapshot(&self, address: SocketAddr) -> Result<(Snapshot, usize), Error> {
         let client = admin::connect(address, PEER_TIMEOUT)?;
         let response = timeout(PEER_TIMEOUT, client.member_snapshot()).await??;
-        Ok(serde_json::from_str(response.get())?)
+        Ok((serde_json::from_str(response.get())?, response.get().len()))
     }
 
     async fn fetch_peer_state(&self, address: SocketAddr) -> Result<PeerState, Error> {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,8 +23,12 @@
     pub(super) is_leaving: AtomicBool,
     /// The known daemons, published by the actor `Members`.
     pub(super) members: ArcSwap<member::View>,
-    /// The number of daemons in the own zone, including this one; 0 if it is not known yet.
-    pub(super) zone_daemon_count: AtomicUsize,
+    /// The number of daemons among which the limit of a cold target is divided, published by the
+    /// actor `Members`; 0 before the first time.
+    pub(super) cold_sharers: AtomicUsize,
+    /// The number of queries of contacts for their member view that were answered, and that failed.
+    pub(super) contact_answers: AtomicU64,
+    pub(super) contact_failures: AtomicU64,
     /// The admin addresses of other daemons in the settings.
     pub(super) contacts: ArcSwap<Vec<SocketAddr>>,
     /// Whether no target answers and the store or another zone cannot be reached either, published
--- a/src/member/detector/apply.rs
+++ b/src/member/detector/apply.rs
@@ -39,7 +39,13 @@
     }
 
     /// Merges another daemon's snapshot into the view.
+    ///
+    /// A member that is present in the view and suspected or failed in the snapshot is pinged before
+    /// its status changes, since the snapshot may come from the other side of a partition.
     pub fn merge_snapshot(&mut self, now: Instant, snapshot: Snapshot) {
+        let is_joining = self.view.iter().all(|(id, member)| {
+            id == self.own || matches!(member.status, Status::Failed | Status::Left)
+        });
         for member in snapshot.members {
             let id = member.info.id();
             let update = Update {
@@ -51,9 +57,12 @@
             };
             let present = !matches!(member.status, Status::Failed | Status::Left);
             if present || self.view.get(id).is_some() || id == self.own {
-                // Other members know the member already, so the update is not sent on.
+                // The other members that a joining daemon finds know the member already, so the
+                // update is not sent on. Otherwise the snapshot comes from a group that formed
+                // separately, and the members of the own group may not know the member.
                 let known = self.view.get(id).is_some();
-                if self.apply(now, &update, false) == ApplyOutcome::Adopted && !known {
+                let is_adopted = self.apply(now, &update, true) == ApplyOutcome::Adopted;
+                if is_adopted && !known && is_joining {
                     self.update_queue.remove(id);
                 }
             } else {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -8,6 +8,7 @@
 
 mod buckets;
 mod config;
+mod contacts;
 mod counters;
 mod detector;
 mod info;
@@ -21,6 +22,7 @@
 mod view;
 
 pub use config::Config;
+pub use contacts::Contacts;
 pub use counters::Counters;
 pub use detector::Detector;
 pub use info::{Info, Status};
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -1161,7 +1161,7 @@
     for daemon in 0..daemons {
         let mut fixture =
             DaemonFixture::with_cold_rate(vec![cold.clone(), target(2, "web", OTHER_ZONE)], 4.0);
-        fixture.forwarder.set_zone_daemons(daemons);
+        fixture.forwarder.set_cold_sharers(daemons);
         for number in 0..100 {
             fixture.advance(ms(9));
             total += u32::from(fixture.open(daemon as u32 * 1000 + number).number == 1);
--- a/tests/detectors/mod.rs
+++ b/tests/detectors/mod.rs
@@ -136,18 +136,23 @@
 
     /// Starts a daemon at a new port, with the platform's list of all daemons as its contacts.
     pub(crate) fn start(&mut self, index: usize) {
+        self.start_alone(index);
+        let infos: Vec<Info> = self.daemons.iter().map(|d| d.info.clone()).collect();
+        let now = self.now;
+        self.with_detector(index, |detector| detector.set_contacts(now, infos));
+    }
+
+    /// Starts a daemon at a new port that knows no other daemon.
+    pub(crate) fn start_alone(&mut self, index: usize) {
         let incarnation = 1_790_000_000_000 + (self.now - self.started_at).as_millis() as u64;
         let seed = self.rng.random();
         let config = self.config.clone();
         let daemon = &mut self.daemons[index];
         daemon.start_count += 1;
         daemon.info.peer.set_port(7000 + daemon.start_count as u16);
-        let infos: Vec<Info> = self.daemons.iter().map(|d| d.info.clone()).collect();
-        let daemon = &mut self.daemons[index];
         daemon.paused_until = None;
         daemon.inbox.clear();
-        let mut detector = Detector::new(config, daemon.info.clone(), incarnation, seed, self.now);
-        detector.set_contacts(self.now, infos);
+        let detector = Detector::new(config, daemon.info.clone(), incarnation, seed, self.now);
         daemon.detector = Some(detector);
         let start_count = daemon.start_count;
         let phase = TICK.mul_f64(self.rng.random());
