--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -106,7 +106,8 @@
         let mut follower = fixture.directory.clone();
         criterion.bench_function(&format!("cookie/follow/{count} targets"), |bencher| {
             bencher.iter(|| {
-                let delta = fixture.directory.delta(fixture.now, Position::Read(fixture.revision));
+                let delta =
+                    fixture.directory.delta(fixture.now, Position::Read(fixture.revision.into()));
                 let delta = Delta { inventory: None, ..delta };
                 assert_ne!(
                     follower.apply_delta(fixture.now, black_box(delta)),
--- a/src/cookie/directory/delta.rs
+++ b/src/cookie/directory/delta.rs
@@ -72,6 +72,7 @@
             self.store_health.record_failure(now);
         }
         let before = self.sequence;
+        self.enter_era(now, delta.revision);
         self.revision = delta.revision;
         let mut missing: BTreeSet<Arc<str>> = BTreeSet::new();
         let mut lapsed: Vec<Arc<str>> = Vec::new();
@@ -86,33 +87,50 @@
         }
         for target in delta.lapsed {
             lapsed.push(target.name.clone());
-            self.insert_target(now, target);
+            if !self.is_restored(now, &target) {
+                self.insert_target(now, target);
+            }
         }
         for target in delta.written {
-            self.insert_target(now, target);
+            if self.is_restored(now, &target) {
+                self.restored_targets.insert(target.name.clone(), target);
+            } else {
+                self.restored_targets.remove(&target.name);
+                self.insert_target(now, target);
+            }
+        }
+        for name in delta.ended.iter().chain(&missing) {
+            self.restored_targets.remove(name);
         }
         lapsed.iter().for_each(|name| self.record_missing(now, name, true));
         delta.ended.iter().for_each(|name| self.record_missing(now, name, false));
         missing.iter().for_each(|name| self.record_missing(now, name, false));
+        self.apply_restored(now);
+        let present = self.targets.values_mut().filter(|t| t.presence == Presence::Present);
+        present.for_each(|known| known.era = delta.revision.era);
         self.forget_ended(now);
         self.record_read(now, now.checked_sub(age));
         // The followed daemon confirms only what this daemon has read as well.
-        if self.operator_revision >= delta.operator_change_revision {
+        if self.operator_revision >= delta.operator_change_revision
+            && self.operator_revision.era == delta.operator_change_revision.era
+        {
             self.confirmed_at = self.confirmed_at.max(now.checked_sub(operator_age));
+            self.release_unconfirmed_zones();
         }
         if self.sequence == before { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
 
     /// Returns whether this directory is complete after the delta: each target of the delta's
     /// inventory is in this directory or in the delta, and a target that is missing in the
-    /// inventory has certainly ended.
+    /// inventory has certainly ended. An entry has the same number in each era that holds it, and
+    /// the delta contains those that were written since this directory's era.
     fn is_delta_sufficient(&self, now: Instant, delta: &Delta) -> bool {
         let Some(inventory) = &delta.inventory else {
             return true;
         };
         let is_known = |item: &InventoryEntry| {
             let known = self.targets.get(&item.name);
-            known.is_some_and(|known| known.target.revision == item.revision)
+            known.is_some_and(|known| known.target.revision.number == item.revision.number)
                 || delta.written.iter().chain(&delta.lapsed).any(|t| t.name == item.name)
         };
         delta.is_absence_conclusive
--- /dev/null
+++ b/src/cookie/directory/era.rs
@@ -0,0 +1,91 @@
+//! The return of the store from a copy, which begins a new era of its revisions.
+//!
+//! Writers repeat what the copy lacks, but not at once, and the copy may show again what had
+//! already been removed. Neither a missing nor a restored entry is therefore trusted immediately.
+
+use std::{sync::Arc, time::Instant};
+
+use crate::cookie::{Directory, Presence, Revision, Target};
+
+/// The first read of the targets in an era.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EraStart {
+    at: Instant,
+    /// The store's revision at that read. Entries with a higher number were written in the era.
+    revision: Revision,
+}
+
+impl Directory {
+    /// Begins the era of `revision`, at which the targets were read, unless it has already begun.
+    pub(super) fn enter_era(&mut self, now: Instant, revision: Revision) {
+        if self.read_at.is_none() || revision.era <= self.revision.era {
+            return;
+        }
+        self.store_health.record_return(now);
+        self.restored_targets.clear();
+        self.era_start = Some(EraStart { at: now, revision });
+    }
+
+    /// Returns whether the entry of `target` may be one that was removed before the store returned
+    /// from a copy: the same or a later start of the target is known, it has not been seen in the
+    /// present era, and the entry was not certainly written in this era.
+    pub(super) fn is_restored(&self, now: Instant, target: &Target) -> bool {
+        let (Some(start), Some(known)) = (self.era_start, self.targets.get(&target.name)) else {
+            return false;
+        };
+        let number = target.revision.number;
+        let is_former = if known.target.born == target.born {
+            known.presence == Presence::Gone && number <= known.target.revision.number
+        } else {
+            known.target.born > target.born
+        };
+        let is_written_in_era =
+            target.revision.era == self.revision.era && number > start.revision.number;
+        let lasted = now.saturating_duration_since(start.at);
+        is_former
+            && known.era < self.revision.era
+            && !is_written_in_era
+            && lasted < self.tuning.restored_entry_lifetime
+    }
+
+    /// Applies the restored entries that are still in the store although the entries of ended
+    /// targets have expired.
+    pub(super) fn apply_restored(&mut self, now: Instant) {
+        let is_due = self.era_start.is_some_and(|start| {
+            now.saturating_duration_since(start.at) >= self.tuning.restored_entry_lifetime
+        });
+        if is_due {
+            for target in std::mem::take(&mut self.restored_targets).into_values() {
+                self.insert_target(now, target);
+            }
+        }
+    }
+
+    /// Returns the zones out of service whose items the store does not show since it has returned
+    /// from a copy to zones with the items `listed`.
+    pub(super) fn restart_zone_grace(&mut self, now: Instant, listed: &[Arc<str>]) {
+        let until = now.checked_add(self.tuning.zone_grace).unwrap_or(now);
+        let missing = self.zones_out.iter().filter(|zone| !listed.contains(zone));
+        self.unconfirmed_zones = missing.map(|zone| (zone.clone(), until)).collect();
+    }
+
+    /// Returns zones to service whose items operators have not written again in time.
+    pub(super) fn release_unconfirmed_zones(&mut self) {
+        let Some(confirmed_at) = self.confirmed_at else {
+            return;
+        };
+        let is_over = |until: &Instant| *until <= confirmed_at;
+        let over: Vec<Arc<str>> = self
+            .unconfirmed_zones
+            .iter()
+            .filter(|(_, until)| is_over(until))
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        for zone in over {
+            self.unconfirmed_zones.remove(&zone);
+            self.zones_out.remove(&zone);
+            self.zones_back.insert(zone, (self.operator_revision, confirmed_at));
+            self.record_operator_change(self.operator_revision);
+        }
+    }
+}
--- a/src/cookie/directory/known_target.rs
+++ b/src/cookie/directory/known_target.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use crate::cookie::{Availability, Cookie, Presence, Sequence, Target};
+use crate::cookie::{Cookie, Presence, Revision, Sequence, Target};
 
 /// A target as it was last read, with the state that the directory derives from its reads.
 #[derive(Debug, Clone)]
@@ -11,6 +11,9 @@
     pub(super) target: Arc<Target>,
     pub(super) cookie: Cookie,
     pub(super) presence: Presence,
+    /// The last era of the store in which the entry was read. The revision of an entry that the
+    /// store holds unchanged in a later era stays that of the era in which it was written.
+    pub(super) era: u64,
     /// When the target stops being cold, according to its own entry.
     pub(super) warm_at: Instant,
     /// When the daemon noticed that the target has ended.
@@ -23,14 +26,12 @@
 
 impl KnownTarget {
     /// Records that the target's entry is missing in a read. With `may_return`, the target counts
-    /// as lapsed, unless it was draining; otherwise it has ended. Returns whether its presence
-    /// changes.
+    /// as lapsed; otherwise it has ended. Returns whether its presence changes.
     pub(super) fn record_missing(&mut self, now: Instant, may_return: bool) -> bool {
-        let is_leaving = self.target.availability == Availability::Draining;
         let former = self.presence;
         match self.presence {
             Presence::Gone => {}
-            Presence::Present | Presence::Lapsed if may_return && !is_leaving => {
+            Presence::Present | Presence::Lapsed if may_return => {
                 self.presence = Presence::Lapsed;
             }
             Presence::Present | Presence::Lapsed => self.mark_ended(now),
@@ -38,6 +39,13 @@
         self.presence != former
     }
 
+    /// Returns whether `target` is the known entry as the store shows it in another era.
+    pub(super) fn is_same_entry(&self, target: &Target) -> bool {
+        let Revision { era, .. } = self.target.revision;
+        let revision = Revision { era, ..target.revision };
+        *self.target == Target { revision, ..target.clone() }
+    }
+
     pub(super) fn mark_ended(&mut self, now: Instant) {
         self.presence = Presence::Gone;
         self.ended_at = Some(now);
--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -1,4 +1,5 @@
 mod delta;
+mod era;
 mod known_target;
 
 use std::{
@@ -9,9 +10,9 @@
 };
 
 use crate::cookie::{
-    Change, Config, Entry, EntryChange, Listing, ListingUpdate, OperatorState, Presence, Revision,
-    Sequence, Target, Tuning, View,
-    directory::known_target::KnownTarget,
+    Availability, Change, Config, Entry, EntryChange, Listing, ListingUpdate, OperatorState,
+    Presence, Revision, Sequence, Target, Tuning, Version, View,
+    directory::{era::EraStart, known_target::KnownTarget},
     hash::cookie,
     store_health::StoreHealth,
     view::{Index, Successor, is_usable},
@@ -31,7 +32,8 @@
 /// The configuration, the zones out of service and the targets that a daemon has read.
 ///
 /// Configurations, zones and targets each carry the store's revision, so that an older read never
-/// replaces newer data.
+/// replaces newer data. A read of a later era replaces the data of the former one as a whole; the
+/// data that only the former era held stays in use while its writers may write it again.
 #[derive(Debug, Clone)]
 pub struct Directory {
     tuning: Tuning,
@@ -42,7 +44,16 @@
     zones_out: BTreeSet<Arc<str>>,
     /// The zones that returned to service, with the store's revision and the time of their return.
     zones_back: BTreeMap<Arc<str>, (Revision, Instant)>,
+    /// The zones out of service whose items the store has not shown since it returned from a copy,
+    /// with the time until which they stay out.
+    unconfirmed_zones: BTreeMap<Arc<str>, Instant>,
+    /// The version of the store's configuration, if it is lower than that of the one in force.
+    withheld_version: Option<Version>,
     targets: BTreeMap<Arc<str>, KnownTarget>,
+    /// The entries that may have been removed before the store returned from a copy.
+    restored_targets: BTreeMap<Arc<str>, Target>,
+    /// The first read of the present era; `None` if it is the era of the first read of all.
+    era_start: Option<EraStart>,
     /// Targets that were replaced by a later start under the same id.
     replaced_targets: Vec<KnownTarget>,
     former_services: Arc<HashMap<SocketAddrV4, Vec<Arc<str>>>>,
@@ -73,19 +84,23 @@
             tuning,
             config: None,
             confirmed_at: None,
-            operator_revision: 0,
+            operator_revision: Revision::default(),
             zones_out: BTreeSet::new(),
             zones_back: BTreeMap::new(),
+            unconfirmed_zones: BTreeMap::new(),
+            withheld_version: None,
             targets: BTreeMap::new(),
+            restored_targets: BTreeMap::new(),
+            era_start: None,
             replaced_targets: Vec::new(),
             former_services: Arc::default(),
             configured_at: None,
-            revision: 0,
+            revision: Revision::default(),
             read_at: None,
             settled_read_at: None,
             store_health: StoreHealth::default(),
             sequence: 0,
-            last_operator_change: 0,
+            last_operator_change: Revision::default(),
             last_forgotten_change: 0,
             index: None,
         }
@@ -116,11 +131,18 @@
             return ApplyOutcome::Ignored;
         }
         let is_same = operator.revision == self.operator_revision;
+        if operator.revision.era > self.operator_revision.era {
+            self.restart_zone_grace(now, &operator.zones_out);
+            // Followers have to read the operators' items of the new era as well.
+            self.record_operator_change(operator.revision);
+        }
         self.operator_revision = operator.revision;
         if let Some(config) = &operator.config {
             self.set_config(now, config.clone());
         }
-        let zones: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
+        let mut zones: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
+        self.unconfirmed_zones.retain(|zone, _| !zones.contains(zone));
+        zones.extend(self.unconfirmed_zones.keys().cloned());
         let back: Vec<Arc<str>> = self.zones_out.difference(&zones).cloned().collect();
         for zone in back {
             self.zones_back.insert(zone, (operator.revision, now));
@@ -135,28 +157,32 @@
             self.zones_out = zones;
             self.record_operator_change(operator.revision);
         }
+        self.release_unconfirmed_zones();
         if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
 
-    /// Applies one change that operators published at the store's revision `revision`.
+    /// Applies one change that operators published at the store's revision `revision`. A change of
+    /// another era than the known state is ignored.
     pub fn apply_change(
         &mut self,
         now: Instant,
         revision: Revision,
         change: Change,
     ) -> ApplyOutcome {
-        if revision <= self.operator_revision {
+        if !revision.follows(self.operator_revision) {
             return ApplyOutcome::Ignored;
         }
         match change {
             Change::Config(config) => self.set_config(now, config),
             Change::ZoneOut(zone) => {
                 self.zones_back.remove(&zone);
+                self.unconfirmed_zones.remove(&zone);
                 if self.zones_out.insert(zone) {
                     self.record_operator_change(revision);
                 }
             }
             Change::ZoneBack(zone, since) => {
+                self.unconfirmed_zones.remove(&zone);
                 if self.zones_out.remove(&zone) {
                     self.zones_back.insert(zone, (since, now));
                     self.record_operator_change(revision);
@@ -166,9 +192,13 @@
         ApplyOutcome::New
     }
 
-    /// Records that all changes of operators up to `revision` have been applied.
+    /// Records that all changes of operators up to `revision` have been applied, if it is of the
+    /// era of the known state.
     pub fn advance_operator_revision(&mut self, revision: Revision) {
-        self.operator_revision = self.operator_revision.max(revision);
+        if revision.follows(self.operator_revision) {
+            self.operator_revision = revision;
+        }
+        self.release_unconfirmed_zones();
     }
 
     /// Applies a complete read of the targets.
@@ -178,16 +208,19 @@
             return ApplyOutcome::Ignored;
         }
         let is_same = listing.revision == self.revision && self.read_at.is_some();
-        self.replace_targets(now, listing);
+        self.replace_targets(now, listing, &[]);
         self.record_read(now, Some(now));
         if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
 
     /// Applies the changes of the targets' entries since a revision that is not newer than the known
-    /// one. An update without changes confirms the known targets.
+    /// one. An update without changes confirms the known targets. An update of another era than the
+    /// known targets is ignored.
     pub fn apply_update(&mut self, now: Instant, update: ListingUpdate) -> ApplyOutcome {
         self.store_health.record_success(now);
-        if self.read_at.is_none() || update.revision < self.revision {
+        let is_continuation = update.revision.era == self.revision.era
+            && update.revision.number >= self.revision.number;
+        if self.read_at.is_none() || !is_continuation {
             return ApplyOutcome::Ignored;
         }
         let (before, known_revision) = (self.sequence, self.revision);
@@ -201,14 +234,17 @@
             match change {
                 EntryChange::Written(target) => {
                     missing.remove(&target.name);
+                    self.restored_targets.remove(&target.name);
                     self.insert_target(now, target);
                 }
                 EntryChange::Removed { name, .. } => {
+                    self.restored_targets.remove(&name);
                     missing.insert(name);
                 }
             }
         }
         self.record_all_missing(now, missing);
+        self.apply_restored(now);
         self.record_read(now, Some(now));
         if self.sequence == before { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
@@ -227,23 +263,53 @@
         self.settled_read_at?.checked_sub(self.tuning.lapse_grace)
     }
 
-    /// Replaces the targets by those of a newer listing.
-    fn replace_targets(&mut self, now: Instant, listing: Listing) {
+    /// Replaces the targets by those of a newer listing. The store does not contain the entries of
+    /// the targets `lapsed`, which may still run.
+    fn replace_targets(&mut self, now: Instant, listing: Listing, lapsed: &[Arc<str>]) {
+        self.enter_era(now, listing.revision);
         self.revision = listing.revision;
+        self.restored_targets.clear();
         let mut missing: BTreeSet<Arc<str>> = self.targets.keys().cloned().collect();
         for target in listing.targets {
+            if lapsed.contains(&target.name) {
+                missing.remove(&target.name);
+                self.insert_lapsed(now, target);
+                continue;
+            }
+            if self.is_restored(now, &target) {
+                self.restored_targets.insert(target.name.clone(), target);
+                continue;
+            }
             missing.remove(&target.name);
             self.insert_target(now, target);
         }
         self.record_all_missing(now, missing);
     }
 
+    /// Adds a target whose entry the store does not contain, unless it is known to have ended.
+    fn insert_lapsed(&mut self, now: Instant, target: Target) {
+        let has_ended = self.targets.get(&target.name).is_some_and(|known| {
+            known.presence == Presence::Gone && known.target.born == target.born
+        });
+        if has_ended || self.is_restored(now, &target) {
+            return;
+        }
+        let name = target.name.clone();
+        self.insert_target(now, target);
+        self.record_missing(now, &name, true);
+    }
+
     /// Records that the entries of the targets `missing` are missing in a read of the store at the
     /// known revision.
     fn record_all_missing(&mut self, now: Instant, missing: BTreeSet<Arc<str>>) {
         let may_return = !self.store_health.is_stable(now, self.tuning.lapse_grace);
         for name in missing {
-            self.record_missing(now, &name, may_return);
+            // A draining target may remove its entry at any time, unless the store has lost it.
+            let is_expected = self.targets.get(&name).is_some_and(|known| {
+                known.target.availability == Availability::Draining
+                    && known.era == self.revision.era
+            });
+            self.record_missing(now, &name, may_return && !is_expected);
         }
         self.forget_ended(now);
     }
@@ -290,7 +356,8 @@
         self.last_operator_change = self.last_operator_change.max(revision);
     }
 
-    /// Applies the state of another daemon, which read the targets `age` ago.
+    /// Applies the state of another daemon, which read the targets `age` ago and to which the
+    /// targets `lapsed` of the listing are lapsed.
     ///
     /// This does not affect whether the store counts as available to this daemon.
     pub fn apply_peer(
@@ -299,14 +366,17 @@
         age: Duration,
         operator: &OperatorState,
         listing: Listing,
+        lapsed: &[Arc<str>],
     ) -> ApplyOutcome {
         let applied = self.apply_operator_state(now, operator);
         let read_at = now.checked_sub(age);
-        let is_older = read_at < self.read_at && self.read_at.is_some();
+        let is_older = read_at < self.read_at
+            && self.read_at.is_some()
+            && listing.revision.era == self.revision.era;
         if read_at.is_none() || is_older || listing.revision < self.revision {
             return applied;
         }
-        self.replace_targets(now, listing);
+        self.replace_targets(now, listing, lapsed);
         self.record_read(now, read_at);
         ApplyOutcome::New
     }
@@ -337,6 +407,12 @@
         Listing { revision: self.revision, targets }
     }
 
+    /// Returns the ids of the lapsed targets in [`listing`](Directory::listing).
+    pub fn lapsed(&self) -> Vec<Arc<str>> {
+        let lapsed = self.targets.iter().filter(|(_, known)| known.presence == Presence::Lapsed);
+        lapsed.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns the store's revision at the last read of the targets.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -347,6 +423,12 @@
         self.operator_revision
     }
 
+    /// Returns the version of the configuration in the store if it is not in force, since the store
+    /// has returned from a copy that holds a lower version than the one in force.
+    pub fn withheld_version(&self) -> Option<Version> {
+        self.withheld_version
+    }
+
     /// Returns a view of the current state.
     pub fn view(&mut self, now: Instant) -> View {
         let index = match &self.index {
@@ -424,12 +506,13 @@
     }
 
     /// Returns when a target stops being cold. After its zone returned to service, a target is cold
-    /// for the service's `cold_for`, unless its entry is newer than the return.
+    /// for the service's `cold_for`, unless its entry is newer than the return. Their order is not
+    /// known if they are of different eras.
     fn warm_at(&self, known: &KnownTarget) -> Instant {
         let target = &known.target;
         let service = self.config.as_ref().and_then(|config| config.services.get(&target.service));
         match (self.zones_back.get(&target.zone), service) {
-            (Some((since, at)), Some(service)) if target.revision <= *since => {
+            (Some((since, at)), Some(service)) if !target.revision.follows(*since) => {
                 known.warm_at.max(self.warm_after(*at, service.cold_for))
             }
             _ => known.warm_at,
@@ -443,9 +526,18 @@
     }
 
     fn set_config(&mut self, now: Instant, config: Arc<Config>) {
-        if self.config.as_ref().is_some_and(|held| config.revision <= held.revision) {
-            return;
+        if let Some(held) = &self.config {
+            if config.revision <= held.revision {
+                return;
+            }
+            // Callers may depend on what the version in force has added, and operators write again
+            // what the copy of the store lacks.
+            if config.revision.era > held.revision.era && config.version < held.version {
+                self.withheld_version = Some(config.version);
+                return;
+            }
         }
+        self.withheld_version = None;
         let former_services = Arc::make_mut(&mut self.former_services);
         former_services.retain(|address, _| config.routes.contains_key(address));
         for (address, route) in &config.routes {
@@ -461,7 +553,7 @@
         self.config = Some(config);
     }
 
-    fn insert_target(&mut self, now: Instant, target: Target) {
+    fn insert_target(&mut self, now: Instant, mut target: Target) {
         let warm_at = self.warm_after(now, target.cold_for);
         let present_ran_until = self.present_ran_until();
         match self.targets.get_mut(&target.name) {
@@ -469,7 +561,21 @@
                 if target.revision < known.target.revision {
                     return;
                 }
-                if target.revision > known.target.revision {
+                let is_new_era = target.revision.era > known.target.revision.era;
+                known.era = known.era.max(target.revision.era);
+                if known.target.availability == Availability::Draining {
+                    // A copy of the store may show the entry from before the target drained.
+                    target.availability = Availability::Draining;
+                }
+                let is_unchanged = is_new_era
+                    && known.presence == Presence::Present
+                    && known.is_same_entry(&target);
+                if is_unchanged {
+                    return;
+                }
+                if is_new_era {
+                    known.warm_at = known.warm_at.min(warm_at);
+                } else if target.revision > known.target.revision {
                     known.warm_at = warm_at;
                 }
                 known.ended_at = None;
@@ -495,6 +601,7 @@
                     cookie: cookie(&target),
                     presence: Presence::Present,
                     warm_at,
+                    era: target.revision.era,
                     ended_at: None,
                     ran_until: None,
                     last_change: self.sequence,
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -24,6 +24,7 @@
 mod operator;
 mod packet;
 mod rate_limiter;
+mod revision;
 mod selector;
 mod silence_detector;
 mod store_health;
@@ -45,6 +46,7 @@
 pub use listing::{EntryChange, Listing, ListingUpdate};
 pub use operator::{Change, OperatorState};
 pub use packet::{Kind, Packet};
+pub use revision::Revision;
 pub use target::{Availability, Presence, Target};
 pub use tuning::Tuning;
 pub use verdict::{Cause, Destination, Reason, Verdict};
@@ -57,9 +59,6 @@
 /// are meant for another target.
 pub type TargetNumber = u64;
 
-/// The revision number of the platform's store, which grows with each change.
-pub type Revision = u64;
-
 /// The number of a change in the [`Directory`] of one daemon.
 pub type Sequence = u64;
 
--- a/src/cookie/store_health.rs
+++ b/src/cookie/store_health.rs
@@ -27,6 +27,11 @@
         self.answered_at = Some(now);
     }
 
+    /// Records that the store has returned from a copy.
+    pub(super) fn record_return(&mut self, now: Instant) {
+        self.returned_at = Some(now);
+    }
+
     /// Returns whether no call has failed and the store has not recovered during the last
     /// `duration`.
     pub(super) fn is_stable(&self, now: Instant, duration: Duration) -> bool {
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -7,6 +7,13 @@
     /// entries again. Until it has passed, a target without an entry counts as lapsed and not as
     /// ended. The platform promises about 2 s.
     pub lapse_grace: Duration,
+    /// How long an entry of an ended target that a copy of the store shows again may stay in the
+    /// store without proving that the target runs: three heartbeats of 1.2 s, after which the entry
+    /// expires, and a margin.
+    pub restored_entry_lifetime: Duration,
+    /// How long a zone that was out of service stays out without its item after the store has
+    /// returned from a copy, so that operators can write the item again.
+    pub zone_grace: Duration,
     /// How long the directory keeps a target after its end, so that packets of its flows are
     /// answered with a reset. This is the maximum lifetime of a flow.
     pub ended_target_retention: Duration,
@@ -106,6 +113,8 @@
     fn default() -> Tuning {
         Tuning {
             lapse_grace: Duration::from_millis(2500),
+            restored_entry_lifetime: Duration::from_secs(5),
+            zone_grace: Duration::from_secs(5),
             ended_target_retention: Duration::from_secs(60),
             settle_time: Duration::from_secs(3),
             maximum_targets_age: Duration::from_millis(1500),
--- a/src/cookie/view.rs
+++ b/src/cookie/view.rs
@@ -101,9 +101,10 @@
         self.config.as_ref().map(|config| config.version)
     }
 
-    /// Returns the revision of the configuration's item in the store; 0 without a configuration.
+    /// Returns the revision of the configuration's item in the store; the lowest one
+    /// without a configuration.
     pub fn config_revision(&self) -> Revision {
-        self.config.as_ref().map_or(0, |config| config.revision)
+        self.config.as_ref().map_or(Revision::default(), |config| config.revision)
     }
 
     /// Returns all known targets, including those that ended recently.
--- a/src/gateway/admin_handler.rs
+++ b/src/gateway/admin_handler.rs
@@ -30,7 +30,7 @@
         Status, Target, TargetFlows, TicketReport, TicketState, Tickets, Zone, call_actor,
         encode_json,
     },
-    cookie::{Availability, Entry, Flow, Presence, View},
+    cookie::{Availability, Entry, Flow, Presence, Revision, View},
     flow::Protocol,
     gateway::{command::Command, directory_actor, members, shared::Shared},
     load::Class,
@@ -121,7 +121,7 @@
             platform: PlatformStatus {
                 // A daemon also reads the store itself before it has found a zone reader to follow.
                 is_reader: !self.shared.is_following.load(Ordering::Relaxed),
-                index: view.revision,
+                index: view.revision.number,
                 failures: self.shared.failing_calls(),
                 last_success_seconds: view.read_at.map(|read| read.elapsed().as_secs()),
             },
@@ -129,7 +129,11 @@
     }
 
     fn digest(&self, view: &View) -> Arc<str> {
-        format!("{:x}-{:x}", view.version().unwrap_or(0), view.revision).into()
+        let version = view.version().unwrap_or(0);
+        match view.revision {
+            Revision { era: 0, number } => format!("{version:x}-{number:x}").into(),
+            Revision { era, number } => format!("{version:x}-{era:x}-{number:x}").into(),
+        }
     }
 
     fn members(&self) -> Vec<Member> {
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::HashMap,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -11,7 +11,7 @@
     admin::Cursor,
     cookie::{
         ApplyOutcome, Delta, Directory, Entry, Listing, ListingUpdate, OperatorState, Position,
-        Presence, Revision, Tuning, View,
+        Presence, Revision, Tuning, Version, View,
     },
     gateway::{
         Changes, MAXIMUM_CHANGE_LINES, ReadOutcome, RejectedItem, follow_response::FollowResponse,
@@ -72,6 +72,8 @@
     shared: Arc<Shared>,
     /// The keys of the rejected items that were logged, with the logged revision.
     logged_rejections: HashMap<String, Revision>,
+    /// The lower version of the configuration in the store that was logged.
+    withheld_version: Option<Version>,
 }
 
 /// The arguments of the actor.
@@ -92,7 +94,13 @@
     ) -> Result<State, ActorProcessingErr> {
         let Arguments { tuning, shared } = arguments;
         let (directory, incarnation) = (Directory::new(tuning), rand::random());
-        Ok(State { directory, incarnation, shared, logged_rejections: HashMap::new() })
+        Ok(State {
+            directory,
+            incarnation,
+            shared,
+            logged_rejections: HashMap::new(),
+            withheld_version: None,
+        })
     }
 
     async fn handle(
@@ -111,11 +119,18 @@
         match request {
             Request::OperatorStateRead(read) => {
                 self.log_rejected(&read.rejected);
-                self.directory.confirm_config(now);
+                // A late response of an earlier era shows what is no longer in the store.
+                if read.value.revision.era >= self.directory.operator_revision().era {
+                    self.directory.confirm_config(now);
+                }
                 self.directory.apply_operator_state(now, &read.value);
             }
             Request::OperatorChangesRead(read) => {
                 self.log_rejected(&read.rejected);
+                // Another daemon may have passed on the operators' items of a later era meanwhile.
+                if read.value.revision.era != self.directory.operator_revision().era {
+                    return;
+                }
                 self.directory.confirm_config(now);
                 for (revision, change) in read.value.changes {
                     self.directory.apply_change(now, revision, change);
@@ -136,12 +151,14 @@
             }
             Request::PeerStateFetched(state) => {
                 let age = Duration::from_millis(state.age_ms.unwrap_or(u64::MAX));
-                self.directory.apply_peer(now, age, &state.operator, state.listing);
+                let PeerState { operator, listing, lapsed, .. } = state;
+                self.directory.apply_peer(now, age, &operator, listing, &lapsed);
             }
             Request::GetState(reply) => {
                 let state = PeerState {
                     operator: self.directory.operator_state(now),
                     listing: self.directory.listing(),
+                    lapsed: self.directory.lapsed(),
                     age_ms: self.directory.age(now).map(|age| age.as_millis() as u64),
                 };
                 if reply.send(state).is_err() {
@@ -177,16 +194,47 @@
             }
         }
         let view = self.directory.view(now);
+        self.log_era(&self.shared.view.load(), &view);
         log_changes(now, &self.shared.view.load(), &view);
         self.shared.publish_view(view);
     }
 
+    /// Logs and counts a return of the store from a copy, and logs a version of the configuration that
+    /// is not put in force.
+    fn log_era(&mut self, previous: &View, view: &View) {
+        if previous.read_at.is_some() && previous.revision.era < view.revision.era {
+            self.shared.era_changes.fetch_add(1, Ordering::Relaxed);
+            warn!(
+                era = view.revision.era, former_era = previous.revision.era,
+                read = view.revision.number, former_read = previous.revision.number;
+                "store has returned from a copy of an earlier state; what it has lost stays in force \
+                 until it is written again or the grace is over"
+            );
+        }
+        let withheld = self.directory.withheld_version();
+        if self.withheld_version == withheld {
+            return;
+        }
+        self.withheld_version = withheld;
+        match withheld {
+            Some(stored) => warn!(
+                version = view.version().unwrap_or(0), stored = stored;
+                "configuration in force stays, since the store has returned with a lower version"
+            ),
+            None => info!(
+                version = view.version().unwrap_or(0);
+                "store holds the version of the configuration in force or a later one again"
+            ),
+        }
+    }
+
     /// Logs that a read of the targets at `revision` was ignored, if it was.
     fn log_ignored(&self, applied: ApplyOutcome, revision: Revision) {
         if applied == ApplyOutcome::Ignored {
             info!(
-                read = revision, known = self.directory.revision();
-                "read of the targets is ignored: its revision is older than the known one"
+                read:% = revision, known:% = self.directory.revision();
+                "read of the targets is ignored: its revision is older than the known one or does not \
+                 continue it"
             );
         }
     }
@@ -203,7 +251,7 @@
             let source = error.source().map(ToString::to_string).unwrap_or_default();
             let excerpt = |text: String| text.chars().take(MAXIMUM_ERROR_CHARS).collect::<String>();
             let (error, cause) = (excerpt(error.to_string()), excerpt(source));
-            warn!(key = key, revision = revision, cause = cause;
+            warn!(key = key, revision:% = revision, cause = cause;
                 "item of the store is ignored: {error}");
         }
     }
@@ -222,7 +270,7 @@
     if previous.version() != view.version() {
         info!(
             version = view.version().unwrap_or(0), former = previous.version().unwrap_or(0),
-            revision = view.config_revision(), unconfirmed_ms = age_ms(previous.confirmed_at);
+            revision:% = view.config_revision(), unconfirmed_ms = age_ms(previous.confirmed_at);
             "configuration is in force"
         );
     }
@@ -256,7 +304,7 @@
         count = changed.len(), present = count(Presence::Present),
         lapsed = count(Presence::Lapsed), gone = count(Presence::Gone),
         usable = changed.iter().filter(|entry| entry.is_usable).count(),
-        first = first.join(" "), read = view.revision, former_read = former.read,
+        first = first.join(" "), read:% = view.revision, former_read:% = former.read,
         unconfirmed_ms = former.unconfirmed_ms,
         operators_unconfirmed_ms = former.operators_unconfirmed_ms;
         "targets have changed"
@@ -283,8 +331,8 @@
     info!(
         target_id = &*target.name, service = &*target.service, zone = &*target.zone,
         availability:? = target.availability, standing = presence, usable = entry.is_usable,
-        cookie = entry.cookie, revision = target.revision, read = read,
-        former_read = former.read, unconfirmed_ms = former.unconfirmed_ms,
+        cookie = entry.cookie, revision:% = target.revision, read:% = read,
+        former_read:% = former.read, unconfirmed_ms = former.unconfirmed_ms,
         operators_unconfirmed_ms = former.operators_unconfirmed_ms;
         "target has changed"
     );
--- a/src/gateway/event_logger.rs
+++ b/src/gateway/event_logger.rs
@@ -66,35 +66,35 @@
     match event {
         Event::Placed { flow, target, zone, attempt, open, choices } => info!(
             flow:% = flow, target_id = &**target, zone = &**zone, attempt = attempt, open = open,
-            choices = choices, version = version, revision = revision, age_ms = age_ms;
+            choices = choices, version = version, revision:% = revision, age_ms = age_ms;
             "flow is placed"
         ),
         Event::Repeated { flow, target, attempt, after_ms } => info!(
             flow:% = flow, target_id = &**target, attempt = attempt, after_ms = after_ms,
-            version = version, revision = revision, age_ms = age_ms;
+            version = version, revision:% = revision, age_ms = age_ms;
             "opening packet is forwarded to the target of the previous copy"
         ),
         Event::Moved { flow, previous_target, target } => info!(
             flow:% = flow, from = &**previous_target, target_id = &**target, version = version,
-            revision = revision, age_ms = age_ms;
+            revision:% = revision, age_ms = age_ms;
             "flow is placed again, since its target does not answer"
         ),
         Event::Reset { flow, target, reason } => info!(
             flow:% = flow, target_id = target.as_deref().unwrap_or("unknown"), reason:? = reason,
-            version = version, revision = revision, age_ms = age_ms;
+            version = version, revision:% = revision, age_ms = age_ms;
             "flow is reset"
         ),
         Event::Dropped { flow, cause } => debug!(
-            flow:% = flow, cause:? = cause, version = version, revision = revision,
+            flow:% = flow, cause:? = cause, version = version, revision:% = revision,
             age_ms = age_ms;
             "packet is dropped"
         ),
         Event::TargetFellSilent { target, flows, for_ms } => warn!(
-            target_id = &**target, flows = flows, for_ms = for_ms, revision = revision;
+            target_id = &**target, flows = flows, for_ms = for_ms, revision:% = revision;
             "target does not answer and gets no new flows"
         ),
         Event::TargetUnreachable { target, outcome } => warn!(
-            target_id = &**target, outcome:? = outcome, revision = revision;
+            target_id = &**target, outcome:? = outcome, revision:% = revision;
             "target cannot be connected to"
         ),
         Event::TargetAnswered { target, after_ms } => info!(
@@ -102,7 +102,7 @@
             "target answers again"
         ),
         Event::ZoneFellSilent { zone, targets, for_ms } => warn!(
-            zone = &**zone, targets = targets, for_ms = for_ms, revision = revision;
+            zone = &**zone, targets = targets, for_ms = for_ms, revision:% = revision;
             "no target of the zone answers, and it gets no new flows"
         ),
         Event::ZoneAnswered { zone, after_ms } => info!(
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -196,9 +196,7 @@
             if lagging_since.elapsed() > MAXIMUM_OPERATOR_LAG {
                 return Err(Error::Lagging);
             }
-            self.shared
-                .announced_operator_revision
-                .fetch_max(operator_change_revision, Ordering::Relaxed);
+            self.shared.announce_operator_change(operator_change_revision);
             self.shared.reader_wakeup.notify_waiters();
         } else {
             zone_reader.lagging_since = None;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,6 +34,14 @@
     Instrument::gauge("gateway_configuration_version", "Version of the configuration.");
 const REVISION: Instrument =
     Instrument::gauge("gateway_revision", "Revision of the store at the last read of targets.");
+const STORE_ERA: Instrument = Instrument::gauge(
+    "gateway_store_era",
+    "Era of the store at the last read of targets: how often it has returned from a copy.",
+);
+const STORE_ERA_CHANGES: Instrument = Instrument::counter(
+    "gateway_store_era_changes",
+    "Times that the store returned from a copy while the daemon ran.",
+);
 const VIEW_AGE: Instrument =
     Instrument::gauge("gateway_view_age_ms", "Time since the last read of targets in ms.");
 const READS_STORE: Instrument =
@@ -77,7 +85,9 @@
     snapshot.set_unlabeled(FLOWS, stats.flows);
     snapshot.set_unlabeled(SUPPRESSED_LINES, stats.suppressed_lines);
     snapshot.set_unlabeled(CONFIGURATION_VERSION, view.version().unwrap_or(0));
-    snapshot.set_unlabeled(REVISION, view.revision);
+    snapshot.set_unlabeled(REVISION, view.revision.number);
+    snapshot.set_unlabeled(STORE_ERA, view.revision.era);
+    snapshot.set_unlabeled(STORE_ERA_CHANGES, shared.era_changes.load(Ordering::Relaxed));
     let age = view.read_at.map_or(Duration::ZERO, |read| read.elapsed());
     snapshot.set_unlabeled(VIEW_AGE, age.as_millis() as u64);
     let is_following = shared.is_following.load(Ordering::Relaxed);
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -163,11 +163,11 @@
         if is_unconfirmed && !was_unconfirmed {
             warn!(
                 targets_ms = targets.as_millis() as u64, config_ms = config.as_millis() as u64,
-                revision = view.revision, version = view.version().unwrap_or(0);
+                revision:% = view.revision, version = view.version().unwrap_or(0);
                 "view is not confirmed; packets are still forwarded by it"
             );
         } else if was_unconfirmed && !is_unconfirmed {
-            info!(revision = view.revision; "view is confirmed again");
+            info!(revision:% = view.revision; "view is confirmed again");
         }
         is_unconfirmed
     }
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -95,8 +95,8 @@
                         if !is_peer_state_in_use {
                             info!(
                                 peer:% = peer, age_ms = state.age_ms,
-                                revision = state.listing.revision,
-                                operator_revision = state.operator.revision;
+                                revision:% = state.listing.revision,
+                                operator_revision:% = state.operator.revision;
                                 "state is fetched from a peer, since the store does not answer"
                             );
                             is_peer_state_in_use = true;
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::cookie::{Listing, OperatorState};
@@ -11,6 +13,9 @@
     pub(super) operator: OperatorState,
     /// The entries of all targets.
     pub(super) listing: Listing,
+    /// The ids of the targets whose entries the store no longer contains, but which may still run.
+    #[serde(default)]
+    pub(super) lapsed: Vec<Arc<str>>,
     /// The milliseconds since the targets were read; `None` if they have never been read.
     pub(super) age_ms: Option<u64>,
 }
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -113,7 +113,7 @@
                 })
             }
         };
-        shared.read_operator_revision.store(known.unwrap_or(0), Ordering::Relaxed);
+        shared.read_operator_revision.store(Arc::new(known.unwrap_or_default()));
         if directory_actor.cast(request.unwrap_or(Request::StoreCallFailed)).is_err() {
             return;
         }
@@ -141,10 +141,17 @@
         let after = if is_history_lost { None } else { known.max(known_revision(&shared)) };
         let request = match after {
             None => {
-                tracker.record_result("targets", read_all_targets(&*source).await).map(|read| {
+                // A stale read may be from before the return of the store from a copy.
+                let consistency = match known_revision(&shared) {
+                    None => Consistency::Stale,
+                    Some(_) => Consistency::Linearizable,
+                };
+                let result = read_all_targets(&*source, consistency).await;
+                tracker.record_result("targets", result).map(|read| {
                     if is_history_lost {
                         // The changes that the list includes are not counted.
-                        request_operator_check(&shared, 0, read.value.revision, &[]);
+                        let lowest = Revision::default();
+                        request_operator_check(&shared, lowest, read.value.revision, &[]);
                     }
                     known = Some(read.value.revision);
                     is_history_lost = false;
@@ -193,16 +200,21 @@
 /// watch may have stopped carrying data, which only its timeout would show.
 ///
 /// The store counts one revision for each change. If it counted more, there would be one needless call
-/// for each update of the targets.
+/// for each update of the targets. Numbers of different eras cannot be compared: in a later era than
+/// the one that the reader has read, the watch is always woken.
 fn request_operator_check(
     shared: &Shared,
     after: Revision,
     revision: Revision,
     changes: &[EntryChange],
 ) {
-    let known = after.max(shared.read_operator_revision.load(Ordering::Relaxed));
+    let read: Revision = **shared.read_operator_revision.load();
+    let known = after.max(read);
     let explained = changes.iter().filter(|change| change.revision() > known).count();
-    if revision.saturating_sub(known) > explained as u64 {
+    let is_change_missing = known.era == revision.era
+        && revision.number.saturating_sub(known.number) > explained as u64;
+    let is_era_missing = read.era < revision.era && read != Revision::default();
+    if is_change_missing || is_era_missing {
         shared.operator_check.notify_one();
     }
 }
@@ -214,10 +226,24 @@
 }
 
 /// Reads all targets. A stale read is cheap, and the changes since its revision bring it up to date,
-/// however old it is.
-async fn read_all_targets(source: &impl Source) -> Result<ReadOutcome<Listing>, Error> {
-    let mut read = source.read_targets(Consistency::Stale).await?;
+/// however old it is, unless it is from another era.
+async fn read_all_targets(
+    source: &impl Source,
+    consistency: Consistency,
+) -> Result<ReadOutcome<Listing>, Error> {
+    let mut read = match source.read_targets(consistency).await {
+        Err(Error::EraChanged { .. }) if consistency == Consistency::Stale => {
+            return source.read_targets(Consistency::Linearizable).await;
+        }
+        result => result?,
+    };
+    if consistency == Consistency::Linearizable {
+        return Ok(read);
+    }
     match source.watch_targets(read.value.revision, Duration::ZERO).await {
+        Ok(update) if update.value.revision < read.value.revision => {
+            source.read_targets(Consistency::Linearizable).await
+        }
         Ok(update) => {
             read.value.apply(update.value);
             read.rejected.extend(update.rejected);
@@ -233,9 +259,15 @@
 }
 
 /// Returns whether a watch from the same revision would fail again: the store no longer holds the
-/// history since then, or its response is too long or malformed.
+/// history since then or has returned from a copy, or its response is too long or malformed.
 fn is_history_unusable(error: &Error) -> bool {
-    matches!(error, Error::Gone { .. } | Error::TooLong { .. } | Error::Malformed { .. })
+    matches!(
+        error,
+        Error::Gone { .. }
+            | Error::EraChanged { .. }
+            | Error::TooLong { .. }
+            | Error::Malformed { .. }
+    )
 }
 
 /// Waits while this daemon follows a zone reader. Ends early if `is_unread` returns true for the
@@ -244,7 +276,7 @@
 async fn wait_while_following(shared: &Shared, is_unread: impl Fn(Revision) -> bool) -> bool {
     let was_following = shared.is_following.load(Ordering::Relaxed);
     while shared.is_following.load(Ordering::Relaxed)
-        && !is_unread(shared.announced_operator_revision.load(Ordering::Relaxed))
+        && !is_unread(**shared.announced_operator_revision.load())
     {
         // The condition is checked again both after a wake-up and after the timeout.
         let _ = timeout(FOLLOWING_CHECK_PERIOD, shared.reader_wakeup.notified()).await;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    cookie::{Counters, Forwarder, View},
+    cookie::{Counters, Forwarder, Revision, View},
     member,
 };
 
@@ -39,10 +39,12 @@
     pub(super) is_following: AtomicBool,
     /// The highest revision of an operators' change that the zone reader has announced. This daemon
     /// reads the change from the store.
-    pub(super) announced_operator_revision: AtomicU64,
-    /// The revision up to which this daemon has read the operators' changes from the store; 0 if the
-    /// last call failed, since changes may have been missed.
-    pub(super) read_operator_revision: AtomicU64,
+    pub(super) announced_operator_revision: ArcSwap<Revision>,
+    /// The revision up to which this daemon has read the operators' changes from the store; the lowest
+    /// one if the last call failed, since changes may have been missed.
+    pub(super) read_operator_revision: ArcSwap<Revision>,
+    /// The number of times that the store has returned from a copy while this daemon ran.
+    pub(super) era_changes: AtomicU64,
     /// Wakes the reader of the operators' items, since the store may hold a change that its watch has
     /// not reported.
     pub(super) operator_check: Notify,
@@ -100,6 +102,11 @@
         kinds.into_iter().map(|kind| u32::from(kind.load(Ordering::Relaxed))).sum()
     }
 
+    /// Publishes the revision of an operators' change that the zone reader has announced.
+    pub(super) fn announce_operator_change(&self, revision: Revision) {
+        self.announced_operator_revision.rcu(|announced| Revision::max(**announced, revision));
+    }
+
     /// Publishes the view by which packets are forwarded from now on.
     pub(super) fn publish_view(&self, view: View) {
         self.view.store(Arc::new(view));
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -74,6 +74,25 @@
         /// The URL.
         url: String,
     },
+    /// The response shows the store in another era than the revision that it should continue, so
+    /// that the two cannot be combined.
+    #[error("response from {url} is of era {found} of the store instead of {expected}")]
+    EraChanged {
+        /// The URL.
+        url: String,
+        /// The era of the response.
+        found: u64,
+        /// The era of the revision that the response should continue.
+        expected: u64,
+    },
+    /// A header of the response has an invalid value.
+    #[error("header {name} of the response from {url} is not an integer")]
+    Header {
+        /// The URL.
+        url: String,
+        /// The name of the header.
+        name: &'static str,
+    },
     /// The response could not be decoded.
     #[error("response from {url} could not be decoded")]
     Malformed {
--- a/src/platform/fetcher.rs
+++ b/src/platform/fetcher.rs
@@ -55,14 +55,8 @@
 
     /// Returns the status and body of `url`, whose server may wait up to `wait` before it responds.
     pub(crate) async fn get(&self, url: &str, wait: Duration) -> Result<(StatusCode, Bytes)> {
-        let call = async {
-            let response = self.send_request(url).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), self.max_body_bytes).collect();
-            let body = body.await.map_err(|source| self.body_error(url, source))?;
-            Ok((status, body.to_bytes()))
-        };
-        self.with_timeout(url, wait, call).await
+        let (head, body) = self.get_response(url, wait).await?.into_parts();
+        Ok((head.status, body))
     }
 
     /// Returns the decoded JSON value of `url`. `index` is the index of the call, which the error
@@ -71,10 +65,30 @@
     where
         T: for<'de> Deserialize<'de>,
     {
-        let (status, body) = self.get(&url, wait).await?;
-        match status {
+        let (value, _) = self.get_json_with_header(url, "", index, wait).await?;
+        Ok(value)
+    }
+
+    /// Returns the decoded JSON value of `url` and the value of the response's header `header`, if
+    /// there is one that is text. `index` is the index of the call, which the error
+    /// [`Error::Gone`] contains.
+    pub(crate) async fn get_json_with_header<T>(
+        &self,
+        url: String,
+        header: &str,
+        index: Index,
+        wait: Duration,
+    ) -> Result<(T, Option<String>)>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        let response = self.get_response(&url, wait).await?;
+        match response.status() {
             StatusCode::OK => {
-                serde_json::from_slice(&body).map_err(|source| Error::Malformed { url, source })
+                let text = response.headers().get(header).and_then(|value| value.to_str().ok());
+                let text = text.map(str::to_owned);
+                let value = serde_json::from_slice(response.body());
+                Ok((value.map_err(|source| Error::Malformed { url, source })?, text))
             }
             StatusCode::GONE => Err(Error::Gone { index }),
             StatusCode::TOO_MANY_REQUESTS => Err(Error::RateLimited),
@@ -89,6 +103,16 @@
         self.with_timeout(url, Duration::ZERO, call).await
     }
 
+    async fn get_response(&self, url: &str, wait: Duration) -> Result<Response<Bytes>> {
+        let call = async {
+            let (head, body) = self.send_request(url).await?.into_parts();
+            let body = Limited::new(body, self.max_body_bytes).collect().await;
+            let body = body.map_err(|source| self.body_error(url, source))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        self.with_timeout(url, wait, call).await
+    }
+
     async fn with_timeout<T>(
         &self,
         url: &str,
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -14,7 +14,7 @@
     },
     cookie::{
         Availability, Change, Destination, Directory, EntryChange, Flow, Kind, Listing,
-        ListingUpdate, OperatorState, Packet, Position, Target, Tuning,
+        ListingUpdate, OperatorState, Packet, Position, Revision, Target, Tuning,
     },
     gateway::{Codec as _, Consistency, DecodeError, Source as _},
     platform::Timeouts,
@@ -33,7 +33,7 @@
 
 fn item(key: &str, content: &str) -> Item {
     let value = BASE64_STANDARD.encode(content);
-    Item { key: key.to_owned(), value, rev: 7, created: 5, deleted: false }
+    Item { key: key.to_owned(), value, rev: 7, created: 5, ..Item::default() }
 }
 
 fn entry() -> Value {
@@ -206,25 +206,25 @@
     let listing = |revision| Listing { revision, targets: targets.to_vec() };
     let mut reader = Directory::new(Tuning::default());
     // The zones return after the entries were written, so the service's time applies to the targets.
-    reader.apply_operator_state(now, &operators(10, zones));
-    reader.apply_operator_state(now, &operators(11, Vec::new()));
+    reader.apply_operator_state(now, &operators(10.into(), zones));
+    reader.apply_operator_state(now, &operators(11.into(), Vec::new()));
     if let Some(config) = &operator.config {
-        reader.apply_change(now, 12, Change::Config(config.clone()));
+        reader.apply_change(now, 12.into(), Change::Config(config.clone()));
     }
-    reader.apply_listing(now, listing(7));
+    reader.apply_listing(now, listing(7.into()));
     let changes = targets.iter().cloned().map(EntryChange::Written).collect();
-    reader.apply_update(now, ListingUpdate { revision: 8, changes });
+    reader.apply_update(now, ListingUpdate { revision: 8.into(), changes });
     let mut follower = Directory::new(Tuning::default());
     follower.confirm_config(now);
     reader.confirm_config(now);
-    follower.apply_delta(now, reader.delta(now, Position::Read(0)));
+    follower.apply_delta(now, reader.delta(now, Position::Read(0.into())));
     let mut peer = Directory::new(Tuning::default());
     for age in [Duration::ZERO, Duration::MAX] {
-        peer.apply_peer(now, age, &reader.operator_state(now), reader.listing());
+        peer.apply_peer(now, age, &reader.operator_state(now), reader.listing(), &reader.lapsed());
     }
     let later = now + Duration::from_secs(100);
     for directory in [&mut reader, &mut follower, &mut peer] {
-        directory.apply_listing(later, Listing { revision: 9, targets: Vec::new() });
+        directory.apply_listing(later, Listing { revision: 9.into(), targets: Vec::new() });
         directory.view(later);
     }
 }
@@ -293,14 +293,15 @@
             let duration = json!({ "secs": secs, "nanos": nanos % 1_000_000_000 }).to_string();
             let duration: Duration = serde_json::from_str(&duration).expect("a duration");
             let mut target = decode(&entry()).expect("a target");
-            (target.cold_for, target.revision, target.born) = (duration, *revision, *born);
+            let revision = Revision { era: sequence % 3, number: *revision };
+            (target.cold_for, target.revision, target.born) = (duration, revision, *born);
             let mut config = decode_config(&item("op/config", &configuration().to_string()))
                 .expect("a configuration");
-            config.revision = *revision;
+            config.revision = revision;
             config.idle_timeout = duration;
             config.services.values_mut().for_each(|service| service.cold_for = duration);
             let operator = OperatorState {
-                revision: *revision,
+                revision,
                 config: Some(Arc::new(config)),
                 ..OperatorState::default()
             };
@@ -309,7 +310,7 @@
             let mut directory = Directory::new(Tuning::default());
             let mut delta = directory.delta(now, Position::Followed(*sequence));
             (delta.age, delta.operator_age) = (Some(duration), Some(duration));
-            (delta.sequence, delta.revision) = (*sequence, *revision);
+            (delta.sequence, delta.revision) = (*sequence, revision);
             delta.lapsed = vec![target];
             directory.apply_delta(now, delta);
             directory.view(now);
@@ -333,7 +334,7 @@
 #[test]
 fn entry_is_decoded() {
     let target = decode(&entry()).expect("a target");
-    assert_eq!((target.number, target.born, target.revision), (0xff, 99, 7));
+    assert_eq!((target.number, target.born, target.revision), (0xff, 99, 7.into()));
     assert_eq!(target.cold_for.as_millis(), 250);
     assert_eq!(target.availability, Availability::Ready);
     let mut without_born = entry();
@@ -447,7 +448,7 @@
     let valid = configuration();
     let decode = |value: &Value| decode_config(&item("op/config", &value.to_string()));
     let config = decode(&valid).expect("a configuration");
-    assert_eq!((config.version, config.revision, config.routes.len()), (4, 7, 2));
+    assert_eq!((config.version, config.revision, config.routes.len()), (4, 7.into(), 2));
     assert_eq!(config.services["web"].cold_rate, 8.0);
     for (pointer, value) in [
         ("/routes/0/host", json!("nowhere")),
@@ -475,7 +476,7 @@
     for (revisions, lowest) in [([70, 60], 60), ([55, 70], 55), ([70, 70], 70)] {
         server.set_replicas(&revisions.map(Replica::At));
         let read = client.read_targets(Consistency::Stale).await.expect("the store responds");
-        assert_eq!(read.value.revision, lowest, "pages at {revisions:?}");
+        assert_eq!(read.value.revision, lowest.into(), "pages at {revisions:?}");
         assert_eq!(read.value.targets.len() as u64, revisions[1].max(50), "pages at {revisions:?}");
     }
 }
@@ -522,7 +523,7 @@
         let key = if has_key { "servers/i-0031" } else { "" };
         assert!(!read.rejected.is_empty(), "{frame}");
         assert!(read.rejected.iter().all(|rejected| rejected.key == key), "{frame}");
-        let watch = client.watch_targets(known, Duration::ZERO).await.expect("changes");
+        let watch = client.watch_targets(known.into(), Duration::ZERO).await.expect("changes");
         let names: Vec<&str> = watch.value.changes.iter().map(EntryChange::name).collect();
         let expected: &[&str] = if has_key { &["i-0031", "i-0032"] } else { &["i-0032"] };
         assert_eq!(names, expected, "{frame}");
@@ -547,7 +548,8 @@
         let zones: Vec<&str> = read.zones_out.iter().map(|zone| &**zone).collect();
         let expected: &[&str] = if has_key { &["zone-a", "zone-b"] } else { &["zone-b"] };
         assert_eq!(zones, expected, "{frame}");
-        let watch = client.watch_operator_changes(0, Duration::ZERO).await.expect("changes").value;
+        let watch =
+            client.watch_operator_changes(0.into(), Duration::ZERO).await.expect("changes").value;
         assert_eq!(watch.changes.len(), expected.len() + 1, "{frame}");
     }
 }
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -39,7 +39,7 @@
     }
     let mut restarted = target(1, "web", OWN_ZONE);
     restarted.born += 1;
-    restarted.revision = 2;
+    restarted.revision = 2.into();
     fixture.advance(ms(500)).read_targets(vec![restarted.clone()]);
     assert_ne!(cookie(&restarted), opened.cookie);
     let verdict = fixture.acknowledge(1, opened.cookie, 200);
@@ -72,7 +72,7 @@
     }
     let mut restarted = target(1, "web", OWN_ZONE);
     restarted.born += 1;
-    restarted.revision = 2;
+    restarted.revision = 2.into();
     for _ in 0..8 {
         fixture.advance(ms(500)).read_targets(vec![restarted.clone()]);
         assert_eq!(fixture.forwarder.take_lost_flows(fixture.now), []);
@@ -135,7 +135,7 @@
     let opened: Vec<_> = (0..20).map(|number| (number, fixture.establish(number))).collect();
     let mut drained = all;
     drained[0].availability = Availability::Draining;
-    drained[0].revision = 2;
+    drained[0].revision = 2.into();
     let leaving = cookie(&drained[0]);
     fixture.advance(ms(500)).read_targets(drained);
     for (number, destination) in opened {
@@ -156,15 +156,15 @@
     let mut fixture = DaemonFixture::new(targets("web", 2, 2));
     let opened = fixture.establish(1);
     let change = Change::ZoneOut(OWN_ZONE.into());
-    assert_eq!(fixture.directory.apply_change(fixture.now, 5, change), ApplyOutcome::New);
+    assert_eq!(fixture.directory.apply_change(fixture.now, 5.into(), change), ApplyOutcome::New);
     fixture.publish_view();
     assert_eq!(fixture.acknowledge(1, opened.cookie, 200), Verdict::Forward(opened));
     let other_zone: Vec<_> = targets("web", 2, 2).iter().skip(2).map(cookie).collect();
     for number in 10..30 {
         assert!(other_zone.contains(&fixture.open(number).cookie));
     }
-    let back = Change::ZoneBack(OWN_ZONE.into(), 9);
-    assert_eq!(fixture.directory.apply_change(fixture.now, 9, back), ApplyOutcome::New);
+    let back = Change::ZoneBack(OWN_ZONE.into(), 9.into());
+    assert_eq!(fixture.directory.apply_change(fixture.now, 9.into(), back), ApplyOutcome::New);
     fixture.publish_view();
     assert!(!other_zone.contains(&fixture.open(40).cookie));
 }
@@ -220,7 +220,7 @@
     newer.routes.insert(service_address(77), newer.routes[&service_address(1)].clone());
     fixture.advance(ms(400));
     let operator =
-        OperatorState { revision: 2, config: Some(Arc::new(newer)), ..Default::default() };
+        OperatorState { revision: 2.into(), config: Some(Arc::new(newer)), ..Default::default() };
     fixture.read_operator_state(operator);
     assert!(matches!(fixture.decide(&added), Verdict::Forward(_)));
     assert_eq!(fixture.decide(&removed), Verdict::Reset(Reason::NoRoute));
@@ -289,7 +289,7 @@
     };
     assert_eq!(presence(&mut fixture), Some(Presence::Lapsed));
     fixture.advance(Duration::from_secs(3));
-    let unchanged = ListingUpdate { revision: fixture.revision, changes: Vec::new() };
+    let unchanged = ListingUpdate { revision: fixture.revision.into(), changes: Vec::new() };
     fixture.directory.apply_update(fixture.now, unchanged);
     assert_eq!(presence(&mut fixture), Some(Presence::Gone));
 }
@@ -318,15 +318,15 @@
         config: Some(Arc::new(config(version, 0.0))),
         ..OperatorState::default()
     };
-    assert_eq!(directory.apply_operator_state(now, &operator(7, 7)), ApplyOutcome::New);
-    assert_eq!(directory.apply_operator_state(now, &operator(3, 3)), ApplyOutcome::Ignored);
+    assert_eq!(directory.apply_operator_state(now, &operator(7.into(), 7)), ApplyOutcome::New);
+    assert_eq!(directory.apply_operator_state(now, &operator(3.into(), 3)), ApplyOutcome::Ignored);
     let mut changed = config(9, 0.0);
-    changed.revision = 2;
-    directory.apply_change(now, 8, Change::Config(Arc::new(changed)));
+    changed.revision = 2.into();
+    directory.apply_change(now, 8.into(), Change::Config(Arc::new(changed)));
     assert_eq!(directory.view(now).version(), Some(7));
     let listing = |revision, targets| Listing { revision, targets };
-    directory.apply_listing(now, listing(9, targets("web", 2, 0)));
-    assert_eq!(directory.apply_listing(now, listing(8, Vec::new())), ApplyOutcome::Ignored);
+    directory.apply_listing(now, listing(9.into(), targets("web", 2, 0)));
+    assert_eq!(directory.apply_listing(now, listing(8.into(), Vec::new())), ApplyOutcome::Ignored);
     assert_eq!(directory.view(now).entries().len(), 2);
 }
 
@@ -341,15 +341,15 @@
         fixture.advance(second);
         fixture.directory.apply_update(fixture.now, unchanged(revision))
     };
-    assert_eq!(apply(&mut fixture, read), ApplyOutcome::Same);
+    assert_eq!(apply(&mut fixture, read.into()), ApplyOutcome::Same);
     assert_eq!(fixture.directory.age(fixture.now), Some(Duration::ZERO));
     // Something else has changed in the store.
-    assert_eq!(apply(&mut fixture, read + 1), ApplyOutcome::Same);
+    assert_eq!(apply(&mut fixture, (read + 1).into()), ApplyOutcome::Same);
     assert_eq!(fixture.directory.age(fixture.now), Some(Duration::ZERO));
-    assert_eq!(apply(&mut fixture, read), ApplyOutcome::Ignored);
+    assert_eq!(apply(&mut fixture, read.into()), ApplyOutcome::Ignored);
     assert_eq!(fixture.directory.age(fixture.now), Some(second));
     let mut unread = Directory::new(Tuning::default());
-    assert_eq!(unread.apply_update(fixture.now, unchanged(read)), ApplyOutcome::Ignored);
+    assert_eq!(unread.apply_update(fixture.now, unchanged(read.into())), ApplyOutcome::Ignored);
 }
 
 /// Guards against a removed entry that ends a target which has written its entry again since.
@@ -357,16 +357,16 @@
 fn older_changes_of_an_update_are_not_applied() {
     let mut fixture = DaemonFixture::new(targets("web", 2, 0));
     let mut renewed = target(1, "web", OWN_ZONE);
-    renewed.revision = 7;
+    renewed.revision = 7.into();
     fixture.revision = 6;
     fixture.read_targets(vec![renewed.clone(), target(2, "web", OWN_ZONE)]);
     let name = renewed.name.clone();
     let removed = |revision| EntryChange::Removed { name: name.clone(), revision };
-    let changes = vec![removed(5), EntryChange::Written(renewed.clone())];
+    let changes = vec![removed(5.into()), EntryChange::Written(renewed.clone())];
     let outcome =
-        fixture.directory.apply_update(fixture.now, ListingUpdate { revision: 9, changes });
+        fixture.directory.apply_update(fixture.now, ListingUpdate { revision: 9.into(), changes });
     assert_eq!(outcome, ApplyOutcome::Same);
-    let update = ListingUpdate { revision: 10, changes: vec![removed(10)] };
+    let update = ListingUpdate { revision: 10.into(), changes: vec![removed(10.into())] };
     fixture.directory.apply_update(fixture.now, update);
     let view = fixture.directory.view(fixture.now);
     assert_eq!(view.target(cookie(&renewed)).map(|entry| entry.presence), Some(Presence::Gone));
@@ -401,7 +401,7 @@
         assert!(matches!(fixture.decide(&closing), Verdict::Forward(_)));
     }
     all[0].availability = Availability::Draining;
-    all[0].revision = 2;
+    all[0].revision = 2.into();
     fixture.advance(ms(500)).read_targets(all.clone());
     fixture.advance(Duration::from_secs(4));
     let retransmission =
@@ -412,7 +412,7 @@
     let mut moved = config(2, 0.0);
     moved.routes.insert(service_address(1), moved.routes[&service_address(2)].clone());
     let operator =
-        OperatorState { revision: 2, config: Some(Arc::new(moved)), ..Default::default() };
+        OperatorState { revision: 2.into(), config: Some(Arc::new(moved)), ..Default::default() };
     fixture.read_operator_state(operator);
     for number in 10..20 {
         assert_eq!(destination(fixture.decide(&retransmission(number))).cookie, cookie(&all[2]));
@@ -440,7 +440,7 @@
         fixture.decide(&closing);
     }
     all[0].availability = Availability::Draining;
-    all[0].revision = 2;
+    all[0].revision = 2.into();
     fixture.advance(ms(500)).read_targets(all.clone());
     fixture.advance(ms(1500)).read_targets(all.clone());
     for (number, _) in opened {
@@ -920,12 +920,12 @@
     let mut fixture = DaemonFixture::new(all.clone());
     let opened: Vec<_> = (0..8).map(|number| (number, fixture.establish(number))).collect();
     let mut later = target(9, "unknown", OWN_ZONE);
-    (later.address, later.revision) = (all[0].address, 2);
+    (later.address, later.revision) = (all[0].address, 2.into());
     let with = |later: &Target| [all.clone(), vec![later.clone()]].concat();
     fixture.advance(ms(500)).read_targets(with(&later));
     assert!(fixture.forwarder.take_lost_flows(fixture.now).is_empty());
     later.service = "files".into();
-    later.revision = 3;
+    later.revision = 3.into();
     fixture.advance(ms(500)).read_targets(with(&later));
     let lost = fixture.forwarder.take_lost_flows(fixture.now);
     let expected = opened.iter().filter(|(_, to)| to.cookie == cookie(&all[0])).count();
@@ -1195,8 +1195,8 @@
         zones_out,
         ..OperatorState::default()
     };
-    fixture.read_operator_state(operator(2, vec![OWN_ZONE.into()]));
-    fixture.read_operator_state(operator(3, Vec::new()));
+    fixture.read_operator_state(operator(2.into(), vec![OWN_ZONE.into()]));
+    fixture.read_operator_state(operator(3.into(), Vec::new()));
     fixture.advance(ms(500)).read_targets(all);
     assert!(fixture.directory.view(fixture.now).entries()[0].is_cold(fixture.now));
 }
@@ -1209,14 +1209,14 @@
     let mut fixture = DaemonFixture::with_cold_rate(targets("web", 2, 0), 4.0);
     let read = fixture.directory.listing();
     let out = Change::ZoneOut(OWN_ZONE.into());
-    let back = Change::ZoneBack(OWN_ZONE.into(), 9);
-    fixture.directory.apply_change(fixture.now, 7, out);
+    let back = Change::ZoneBack(OWN_ZONE.into(), 9.into());
+    fixture.directory.apply_change(fixture.now, 7.into(), out);
     fixture.advance(Duration::from_secs(8));
-    fixture.directory.apply_change(fixture.now, 9, back);
+    fixture.directory.apply_change(fixture.now, 9.into(), back);
     fixture.advance(ms(500));
     let operator = fixture.directory.operator_state(fixture.now);
     let mut new_directory = Directory::new(Tuning::default());
-    new_directory.apply_peer(fixture.now, ms(900), &operator, read);
+    new_directory.apply_peer(fixture.now, ms(900), &operator, read, &[]);
     let view = new_directory.view(fixture.now);
     assert!(view.entries().iter().all(|entry| entry.is_cold(fixture.now)));
     fixture.advance(Duration::from_secs(3));
@@ -1244,15 +1244,15 @@
     let mut fixture = DaemonFixture::new(all.clone());
     fixture.advance(Duration::from_secs(5)).fail_read();
     let operator = fixture.directory.operator_state(fixture.now);
-    let older = Listing { revision: fixture.revision - 1, targets: Vec::new() };
+    let older = Listing { revision: (fixture.revision - 1).into(), targets: Vec::new() };
     let second = Duration::from_secs(1);
-    fixture.directory.apply_peer(fixture.now, second, &operator, older);
+    fixture.directory.apply_peer(fixture.now, second, &operator, older, &[]);
     assert_eq!(fixture.directory.listing().targets.len(), 2);
     let mut drained = all;
     drained[0].availability = Availability::Draining;
-    drained[0].revision = 9;
-    let newer = Listing { revision: 9, targets: drained };
-    fixture.directory.apply_peer(fixture.now, second, &operator, newer);
+    drained[0].revision = 9.into();
+    let newer = Listing { revision: 9.into(), targets: drained };
+    fixture.directory.apply_peer(fixture.now, second, &operator, newer, &[]);
     assert_eq!(fixture.directory.age(fixture.now), Some(second));
     fixture.publish_view();
     assert_eq!(fixture.open(1).number, 2);
--- a/tests/cookies/mod.rs
+++ b/tests/cookies/mod.rs
@@ -52,7 +52,7 @@
         slots: 4,
         availability: Availability::Ready,
         cold_for: Duration::ZERO,
-        revision: 1,
+        revision: 1.into(),
     }
 }
 
@@ -71,7 +71,7 @@
     let service = Service { cold_rate, cold_for: Duration::from_secs(2) };
     Config {
         version,
-        revision: version,
+        revision: version.into(),
         routes: [(service_address(1), route("web")), (service_address(2), route("files"))].into(),
         services: [("web".into(), service.clone()), ("files".into(), service)].into(),
         idle_timeout: Duration::from_secs(15),
@@ -119,7 +119,7 @@
         };
         let config = Some(Arc::new(config(1, cold_rate)));
         fixture.read_operator_state(OperatorState {
-            revision: 1,
+            revision: 1.into(),
             config,
             ..OperatorState::default()
         });
@@ -137,7 +137,7 @@
     /// Applies a read of the targets at a new store revision and publishes the view.
     pub(crate) fn read_targets(&mut self, targets: Vec<Target>) {
         self.revision += 1;
-        self.directory.apply_listing(self.now, Listing { revision: self.revision, targets });
+        self.directory.apply_listing(self.now, Listing { revision: self.revision.into(), targets });
         self.publish_view();
     }
 
--- /dev/null
+++ b/tests/era/mod.rs
@@ -0,0 +1,3 @@
+pub(crate) mod fleet;
+pub(crate) mod store;
+pub(crate) mod world;
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -41,7 +41,7 @@
             now: Instant::now(),
             reader: Directory::new(tuning.clone()),
             follower: Directory::new(tuning),
-            position: Position::Read(0),
+            position: Position::Read(0.into()),
             revision: 1,
             stored_targets: Vec::new(),
         };
@@ -52,10 +52,10 @@
     fn reader_reads_operator_state(&mut self, version: u64, zones_out: Vec<Arc<str>>) {
         self.revision += 1;
         let mut config = config(version, 0.0);
-        config.revision = self.revision;
+        config.revision = self.revision.into();
         let config = Some(Arc::new(config));
         let operator = OperatorState {
-            revision: self.revision,
+            revision: self.revision.into(),
             config,
             zones_out,
             ..OperatorState::default()
@@ -67,14 +67,15 @@
     fn reader_reads_targets(&mut self, targets: Vec<Target>) {
         self.revision += 1;
         self.stored_targets = targets.clone();
-        self.reader.apply_listing(self.now, Listing { revision: self.revision, targets });
+        self.reader.apply_listing(self.now, Listing { revision: self.revision.into(), targets });
     }
 
     /// Lets the follower read the store, as it does before it follows.
     fn follower_reads_store(&mut self) {
-        let listing = Listing { revision: self.revision, targets: self.stored_targets.clone() };
+        let listing =
+            Listing { revision: self.revision.into(), targets: self.stored_targets.clone() };
         self.follower.apply_listing(self.now, listing);
-        self.position = Position::Read(self.revision);
+        self.position = Position::Read(self.revision.into());
     }
 
     /// Sends the changes to the follower, encoded as JSON as between daemons.
@@ -118,14 +119,14 @@
             match random.random_range(0..10) {
                 0..=2 => {
                     let mut new = target(number, "web", OWN_ZONE);
-                    new.revision = pair.revision + 1;
+                    new.revision = (pair.revision + 1).into();
                     new.born = 1000 + step;
                     all.insert(number, new);
                 }
                 3 => {
                     if let Some(target) = all.get_mut(&number) {
                         target.availability = Availability::Draining;
-                        target.revision = pair.revision + 1;
+                        target.revision = (pair.revision + 1).into();
                     }
                 }
                 4 => drop(all.remove(&number)),
@@ -181,7 +182,7 @@
     assert_eq!(pair.follow(), ApplyOutcome::Same);
     let mut changed = targets("web", 50, 50);
     changed[7].availability = Availability::Draining;
-    changed[7].revision = 9;
+    changed[7].revision = 9.into();
     pair.reader_reads_targets(changed);
     assert_eq!(pair.reader.delta(pair.now, pair.position).written.len(), 1);
 }
@@ -199,12 +200,15 @@
     let route = large.routes.values().next().expect("a route").clone();
     large.routes.extend((100..1500).map(|port| (service_address(port), route.clone())));
     pair.revision += 1;
-    large.revision = pair.revision;
+    large.revision = pair.revision.into();
     let config_revision = pair.revision;
     let change = Change::Config(Arc::new(large));
-    assert_eq!(pair.reader.apply_change(pair.now, config_revision, change), ApplyOutcome::New);
+    assert_eq!(
+        pair.reader.apply_change(pair.now, config_revision.into(), change),
+        ApplyOutcome::New
+    );
     let delta = pair.reader.delta(pair.now, pair.position);
-    assert_eq!(delta.operator_change_revision, config_revision);
+    assert_eq!(delta.operator_change_revision, config_revision.into());
     let bytes = serde_json::to_vec(&delta).expect("a delta can be encoded").len();
     assert!(bytes < 1000, "{bytes} bytes");
 }
@@ -256,7 +260,7 @@
     pair.reader_reads_targets(targets("web", 3, 0));
     // The follower claims a read of the store that it has not made, so the delta contains none of
     // the targets. `Old` means that the delta does not suffice and was ignored.
-    pair.position = Position::Read(pair.revision);
+    pair.position = Position::Read(pair.revision.into());
     assert_eq!(pair.follow(), ApplyOutcome::Ignored);
     pair.follower_reads_store();
     assert_ne!(pair.follow(), ApplyOutcome::Ignored);
@@ -267,7 +271,7 @@
 fn older_delta_is_not_applied() {
     let mut pair = Pair::new();
     pair.reader_reads_targets(targets("web", 3, 0));
-    let own = Listing { revision: pair.revision + 5, targets: targets("web", 4, 0) };
+    let own = Listing { revision: (pair.revision + 5).into(), targets: targets("web", 4, 0) };
     pair.follower.apply_listing(pair.now, own);
     assert_eq!(pair.follow(), ApplyOutcome::Ignored);
     let (_, follower) = pair.views();
--- a/tests/listings.rs
+++ b/tests/listings.rs
@@ -48,7 +48,10 @@
             state.remove(&number);
         } else {
             let born = state.get(&number).map_or(revision, |target| target.born);
-            state.insert(number, Target { revision, born, ..target(number, "web", OWN_ZONE) });
+            state.insert(
+                number,
+                Target { revision: revision.into(), born, ..target(number, "web", OWN_ZONE) },
+            );
         }
         self.states.push(state);
     }
@@ -62,25 +65,27 @@
                 self.states[revision as usize].range(numbers).map(|(_, target)| target.clone())
             })
             .collect();
-        Listing { revision: pages[0].min(pages[1]), targets }
+        Listing { revision: pages[0].min(pages[1]).into(), targets }
     }
 
     /// Returns the changes after a revision.
     fn update(&self, after: u64) -> ListingUpdate {
         let changes = (after + 1..=self.revision()).map(|revision| {
             let [former, state] = [revision - 1, revision].map(|at| &self.states[at as usize]);
-            let written = state.values().find(|target| target.revision == revision);
+            let written = state.values().find(|target| target.revision == revision.into());
             let removed = former.values().find(|target| !state.contains_key(&target.number));
             match (written, removed) {
                 (Some(target), _) => EntryChange::Written(target.clone()),
                 (None, Some(target)) => {
-                    EntryChange::Removed { name: target.name.clone(), revision }
+                    EntryChange::Removed { name: target.name.clone(), revision: revision.into() }
                 }
                 // A target without an entry was removed.
-                (None, None) => EntryChange::Removed { name: "none".into(), revision },
+                (None, None) => {
+                    EntryChange::Removed { name: "none".into(), revision: revision.into() }
+                }
             }
         });
-        ListingUpdate { revision: self.revision(), changes: changes.collect() }
+        ListingUpdate { revision: self.revision().into(), changes: changes.collect() }
     }
 }
 
@@ -102,10 +107,10 @@
     let view = directory.view(now);
     let present = view.entries().iter().filter(|entry| entry.presence == Presence::Present);
     let mut present: Vec<(u64, u64)> =
-        present.map(|entry| (entry.target.number, entry.target.revision)).collect();
+        present.map(|entry| (entry.target.number, entry.target.revision.number)).collect();
     present.sort_unstable();
     let stored: Vec<(u64, u64)> =
-        history.latest().iter().map(|(number, target)| (*number, target.revision)).collect();
+        history.latest().iter().map(|(number, target)| (*number, target.revision.number)).collect();
     assert_eq!(present, stored, "{what}: the latest state is not in force");
 }
 
@@ -164,12 +169,13 @@
                 }
                 1 => {
                     let mut listing = history.list(pages);
-                    listing.apply(history.update(listing.revision));
+                    listing.apply(history.update(listing.revision.number));
                     directory.apply_listing(now, listing);
                 }
                 _ if directory.age(now).is_none() => continue,
                 _ => {
-                    let after = directory.revision().saturating_sub(random.random_range(0..3));
+                    let after =
+                        directory.revision().number.saturating_sub(random.random_range(0..3));
                     directory.apply_update(now, history.update(after));
                 }
             }
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -175,7 +175,7 @@
         }
         real.writes_at = now + ms(self.random.random_range(0..HEARTBEAT_MS));
         real.target.born = 10_000 + self.next_number;
-        real.target.revision = self.fixture.revision + 1;
+        real.target.revision = (self.fixture.revision + 1).into();
         real.ended_at = None;
         self.targets.push(real);
     }
@@ -193,7 +193,7 @@
         let mut later = target(self.next_number, "files", OWN_ZONE);
         later.address = address;
         later.born = 10_000 + self.next_number;
-        later.revision = self.fixture.revision + 1;
+        later.revision = (self.fixture.revision + 1).into();
         self.targets.push(RealTarget {
             target: later,
             ended_at: None,
@@ -234,7 +234,7 @@
             if real.former.is_some() && now >= real.writes_at {
                 real.former = None;
                 real.has_lapsed = false;
-                real.target.revision = revision;
+                real.target.revision = revision.into();
             }
             let is_shown = match (&real.former, real.ended_at) {
                 (Some((_, expires_at)), _) => now < *expires_at && !real.has_lapsed,
