Place new flows by expected work

Balanced by the open flows that one daemon sees, a slow target gets as many flows as a fast one and rejects them as full while others have room.

With the setting placement = expected_work, a new flow goes to the candidate with the lowest expected time until the answer: work::Estimator learns the cost of routes, the delay factors of targets and the round-trip times between zones from answers, and Flows lists the pending requests of each target.

The effect under load is not measured yet.

--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -1,12 +1,20 @@
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
 
 use hashbrown::HashMap;
 
-use crate::cookie::{Cookie, Flow, Packet, Tuning, work::Answer};
+use crate::cookie::{
+    Cookie, Flow, Packet, Tuning,
+    work::{Answer, Pending, Stage},
+};
 
 /// The state of one flow, derived from the packets that this daemon saw.
 #[derive(Debug, Clone)]
 pub(super) struct FlowState {
+    /// The service address of the flow.
+    service: SocketAddrV4,
     /// The cookie of the flow's target.
     pub(super) cookie: Cookie,
     /// The sequence number of the opening packet, if this daemon saw it. A later flow between the
@@ -17,6 +25,8 @@
     /// Whether the caller has closed its side. The flow then no longer adds to the load of its
     /// target.
     is_closing: bool,
+    /// Whether the caller has sent a request.
+    has_sent: bool,
     /// Whether the caller waits for an answer.
     is_waiting: bool,
     /// When the first packet to this target arrived.
@@ -81,6 +91,13 @@
     pub(super) waiting: u32,
 }
 
+/// The load of one target and its pending requests.
+#[derive(Debug, Clone, Default)]
+struct TargetLoad {
+    load: Load,
+    pending: Vec<Pending>,
+}
+
 /// A bounded table of the flows that passed through this daemon, with the load of each target.
 ///
 /// The loss of the table only makes the loads less accurate; packets are still forwarded by their
@@ -88,7 +105,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Flows {
     states: HashMap<Flow, FlowState>,
-    loads: HashMap<Cookie, Load>,
+    loads: HashMap<Cookie, TargetLoad>,
     maximum: usize,
 }
 
@@ -131,7 +148,12 @@
 
     /// Returns the load of a target.
     pub(super) fn load(&self, cookie: Cookie) -> Load {
-        self.loads.get(&cookie).copied().unwrap_or_default()
+        self.loads.get(&cookie).map(|target| target.load).unwrap_or_default()
+    }
+
+    /// Returns the pending requests of a target.
+    pub(super) fn pending(&self, cookie: Cookie) -> &[Pending] {
+        self.loads.get(&cookie).map(|target| target.pending.as_slice()).unwrap_or_default()
     }
 
     /// Returns the cookies of the targets that have flows that their callers have not closed.
@@ -200,9 +222,11 @@
     /// `now` does not count as time without an answer.
     pub(super) fn restart_timers(&mut self, now: Instant) {
         for state in self.states.values_mut() {
+            let before = state.load_share();
             state.unanswered_since = now;
             state.is_retransmitting = false;
             state.request = None;
+            replace_share(&mut self.loads, before, state.load_share());
         }
     }
 
@@ -253,24 +277,29 @@
 }
 
 /// The share of a flow in the load of its target; `None` if the flow is closing.
-type LoadShare = Option<(Cookie, Load)>;
+type LoadShare = Option<(Cookie, Load, Option<Pending>)>;
 
 /// Replaces the share `before` of a flow in the load of its target by `after`.
-fn replace_share(loads: &mut HashMap<Cookie, Load>, before: LoadShare, after: LoadShare) {
+fn replace_share(loads: &mut HashMap<Cookie, TargetLoad>, before: LoadShare, after: LoadShare) {
     if before == after {
         return;
     }
-    if let Some((cookie, share)) = after {
-        let load = loads.entry(cookie).or_default();
-        load.open += share.open;
-        load.waiting += share.waiting;
+    if let Some((cookie, share, pending)) = after {
+        let target = loads.entry(cookie).or_default();
+        target.load.open += share.open;
+        target.load.waiting += share.waiting;
+        target.pending.extend(pending);
     }
-    if let Some((cookie, share)) = before
-        && let Some(load) = loads.get_mut(&cookie)
+    if let Some((cookie, share, pending)) = before
+        && let Some(target) = loads.get_mut(&cookie)
     {
-        load.open -= share.open;
-        load.waiting -= share.waiting;
-        if load.open == 0 {
+        target.load.open -= share.open;
+        target.load.waiting -= share.waiting;
+        let index = pending.and_then(|request| target.pending.iter().position(|p| *p == request));
+        if let Some(index) = index {
+            target.pending.swap_remove(index);
+        }
+        if target.load.open == 0 {
             loads.remove(&cookie);
         }
     }
@@ -279,10 +308,12 @@
 impl FlowState {
     fn new(now: Instant, packet: &Packet, cookie: Cookie, is_established: bool) -> FlowState {
         FlowState {
+            service: packet.flow.service,
             cookie,
             opening_sequence: (!is_established).then_some(packet.sequence),
             is_established,
             is_closing: false,
+            has_sent: is_established,
             is_waiting: !is_established || packet.length > 0,
             first_packet_at: now,
             last_packet_at: now,
@@ -322,6 +353,7 @@
                 request.is_retransmitted |= matches!(signal, Signal::Retransmitted(_));
             }
             None if has_new_data => {
+                self.has_sent = true;
                 self.request = Some(Request { sent_at: now, is_retransmitted: false });
             }
             None => {}
@@ -338,7 +370,25 @@
 
     fn load_share(&self) -> LoadShare {
         let load = Load { open: 1, waiting: u32::from(self.is_waiting) };
-        (!self.is_closing).then_some((self.cookie, load))
+        (!self.is_closing).then(|| (self.cookie, load, self.pending()))
+    }
+
+    /// Returns the request that the target has not answered, or that the new flow is about to send.
+    fn pending(&self) -> Option<Pending> {
+        let service = self.service;
+        match self.request {
+            Some(Request { sent_at, is_retransmitted }) => {
+                let stage = match is_retransmitted {
+                    true => Stage::Retransmitted,
+                    false => Stage::Sent(self.round_trip),
+                };
+                Some(Pending { service, since: sent_at, stage })
+            }
+            None if self.opening_sequence.is_some() && !self.has_sent => {
+                Some(Pending { service, since: self.first_packet_at, stage: Stage::Opening })
+            }
+            None => None,
+        }
     }
 
     fn record_packet(&mut self, now: Instant, packet: &Packet, tuning: &Tuning) -> Signal {
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -10,9 +10,10 @@
     cookie::{
         Cause, Check, CheckOutcome, Cookie, Counters, Entry, Event, Flow, Kind, Packet, Presence,
         Reason, Successor, Tuning, Verdict, View,
-        flows::{Flows, Signal},
+        flows::{Flows, SentBy, Signal},
         observer::Observer,
         selector::Selector,
+        work::Estimator,
     },
     util,
 };
@@ -29,6 +30,7 @@
     view: Arc<View>,
     flows: Flows,
     observer: Observer,
+    estimator: Estimator,
     /// The established flows whose route or cookie this daemon does not know, each with the cookie
     /// and the arrival time of the first such packet. Another daemon knew both when it forwarded the
     /// opening packet.
@@ -56,6 +58,7 @@
             observer: Observer::new(tuning.clone()),
             tuning,
             zone,
+            estimator: Estimator::default(),
             view: Arc::default(),
             flows,
             unresolved_flows: HashMap::new(),
@@ -199,6 +202,7 @@
         self.unresolved_flows
             .retain(|_, (_, since)| now.saturating_duration_since(*since) < retention);
         self.observer.retain(&self.view);
+        self.estimator.retain(&self.view);
     }
 
     /// Removes lost flows from the flow table, and returns them so that the caller of this method
@@ -369,6 +373,7 @@
             tuning: &self.tuning,
             zone: &self.zone,
             zone_daemons: self.zone_daemons,
+            estimator: &self.estimator,
         };
         let choice =
             selector.choose(&mut self.observer, &self.flows, service, &flow, previous_target);
@@ -433,7 +438,13 @@
         if entry.presence == Presence::Gone && self.proves_target_end(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let (signal, _answer) = self.flows.record_packet(now, packet, &self.tuning);
+        let (signal, answer) = self.flows.record_packet(now, packet, &self.tuning);
+        if let Some(answer) = answer {
+            self.estimator.record_answer(now, entry, &answer);
+        }
+        if let Signal::OpenAnswered(round_trip, SentBy::ThisDaemon) = signal {
+            self.estimator.record_opening(&entry.target.zone, round_trip);
+        }
         self.apply_signal(now, flow, packet.cookie, signal);
         if self.observer.is_silent(entry) {
             self.observer.request_check(now, entry);
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::cookie::Placement;
+
 /// Timeouts, thresholds and limits of the forwarder and the directory.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tuning {
@@ -97,6 +99,8 @@
     /// The penalty for targets of other zones when a target is selected, added to their load, in
     /// requests per slot.
     pub other_zone_penalty: f64,
+    /// How the target of a new flow is selected.
+    pub placement: Placement,
     /// How long opening packets are dropped after a pause of the process, unless the targets are
     /// read again first.
     pub pause_drop_time: Duration,
@@ -134,6 +138,7 @@
             assumed_zone_daemons: 12,
             cold_load_factor: 2.0,
             other_zone_penalty: 0.25,
+            placement: Placement::OpenFlows,
             pause_drop_time: Duration::from_millis(300),
         }
     }
--- a/src/cookie/view.rs
+++ b/src/cookie/view.rs
@@ -51,7 +51,30 @@
     entries: Vec<Entry>,
     by_cookie: HashMap<Cookie, usize>,
     /// The usable targets of each service, as indices into `entries`.
-    pools: HashMap<Arc<str>, Vec<usize>>,
+    pools: HashMap<Arc<str>, Pool>,
+}
+
+/// The usable targets of one service, as indices into the entries of an [`Index`].
+#[derive(Debug, Clone, Default)]
+struct Pool {
+    all: Vec<usize>,
+    zones: Vec<ZonePool>,
+}
+
+/// The usable targets of one service in one zone.
+#[derive(Debug, Clone)]
+pub(super) struct ZonePool {
+    pub(super) zone: Arc<str>,
+    indices: Vec<usize>,
+    /// The slots of all these targets.
+    pub(super) slots: u64,
+}
+
+impl ZonePool {
+    /// Returns the number of targets.
+    pub(super) fn len(&self) -> usize {
+        self.indices.len()
+    }
 }
 
 impl Index {
@@ -63,12 +86,32 @@
         }
         self.by_cookie.insert(entry.cookie, index);
         if entry.is_usable {
-            self.pools.entry(entry.target.service.clone()).or_default().push(index);
+            self.pools.entry(entry.target.service.clone()).or_default().push(index, &entry.target);
         }
         self.entries.push(entry);
     }
 }
 
+impl Pool {
+    fn push(&mut self, index: usize, target: &Target) {
+        self.all.push(index);
+        let slots = u64::from(target.slots.max(1));
+        match self.zones.iter_mut().find(|pool| pool.zone == target.zone) {
+            Some(pool) => {
+                pool.indices.push(index);
+                pool.slots += slots;
+            }
+            None => {
+                self.zones.push(ZonePool {
+                    zone: target.zone.clone(),
+                    indices: vec![index],
+                    slots,
+                });
+            }
+        }
+    }
+}
+
 /// An immutable snapshot of the [`Directory`](crate::cookie::Directory), indexed for the decisions
 /// on packets.
 #[derive(Debug, Clone, Default)]
@@ -128,10 +171,21 @@
 
     /// Returns the usable targets of a service.
     pub(super) fn pool(&self, service: &str) -> impl Iterator<Item = &Entry> {
-        let pool = self.index.pools.get(service).map(Vec::as_slice).unwrap_or_default();
+        let pool =
+            self.index.pools.get(service).map(|pool| pool.all.as_slice()).unwrap_or_default();
         pool.iter().filter_map(|index| self.index.entries.get(*index))
     }
 
+    /// Returns the usable targets of a service by zone.
+    pub(super) fn zone_pools(&self, service: &str) -> &[ZonePool] {
+        self.index.pools.get(service).map(|pool| pool.zones.as_slice()).unwrap_or_default()
+    }
+
+    /// Returns the target at `position` in a pool.
+    pub(super) fn pool_entry(&self, pool: &ZonePool, position: usize) -> Option<&Entry> {
+        self.index.entries.get(*pool.indices.get(position)?)
+    }
+
     /// Returns whether an open flow of the service address `address` may be on a target of
     /// `service`.
     ///
--- a/src/cookie/work/mod.rs
+++ b/src/cookie/work/mod.rs
@@ -3,7 +3,14 @@
 //! `docs/design/expected-work.md` gives the reasons.
 
 mod answer;
+mod average;
+mod estimator;
+mod pending;
 mod report;
+mod route_cost;
+mod zone_load;
 
 pub use answer::Answer;
+pub use estimator::Estimator;
+pub use pending::{Pending, Stage};
 pub use report::Report;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -245,6 +245,7 @@
     Tuning {
         cold_factor: settings.cold_factor,
         cold_slack: settings.cold_slack,
+        placement: settings.placement,
         ended_target_retention: Duration::from_secs(u64::from(settings.flow_ttl_seconds)),
         ..Tuning::default()
     }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use url::Url;
 
+use crate::cookie::Placement;
 use crate::settings::{Key, Log, Mode, Result, check, locate, parse_text, strict::strict};
 
 /// The settings of one daemon in gateway mode.
@@ -58,6 +59,9 @@
     /// The new flows per second that a cold target may get in addition to that rate.
     #[serde(default, deserialize_with = "strict")]
     pub cold_slack: f64,
+    /// How the target of a new flow is selected.
+    #[serde(default)]
+    pub placement: Placement,
     /// The settings of the log.
     #[serde(default)]
     pub log: Log,
