--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -10,9 +10,10 @@
     cookie::{
         Cause, Check, CheckOutcome, Cookie, Counters, Entry, Event, Flow, Kind, Packet, Presence,
         Reason, Successor, Tuning, Verdict, View,
-        flows::{Flows, Signal},
+        flows::{Flows, SentBy, Signal},
         observer::Observer,
         selector::Selector,
+        work::Estimator,
     },
     util,
 };
@@ -25,10 +26,14 @@
 pub struct Forwarder {
     tuning: Tuning,
     zone: Arc<str>,
+    /// The number of daemons among which the limit of a cold target is divided.
     cold_sharers: usize,
+    /// The number of daemons in the own zone, including this one.
+    zone_daemons: usize,
     view: Arc<View>,
     flows: Flows,
     observer: Observer,
+    estimator: Estimator,
     /// The established flows whose route or cookie this daemon does not know, each with the cookie
     /// and the arrival time of the first such packet. Another daemon knew both when it forwarded the
     /// opening packet.
@@ -53,9 +58,11 @@
         let flows = Flows::new(tuning.maximum_flows);
         Forwarder {
             cold_sharers: tuning.assumed_zone_daemons,
+            zone_daemons: tuning.assumed_zone_daemons,
             observer: Observer::new(tuning.clone()),
             tuning,
             zone,
+            estimator: Estimator::default(),
             view: Arc::default(),
             flows,
             unresolved_flows: HashMap::new(),
@@ -82,6 +89,12 @@
         self.cold_sharers = if count == 0 { self.tuning.assumed_zone_daemons } else { count };
     }
 
+    /// Sets the number of daemons in the own zone, including this one; 0 if the number is not
+    /// known.
+    pub fn set_zone_daemons(&mut self, count: usize) {
+        self.zone_daemons = if count == 0 { self.tuning.assumed_zone_daemons } else { count };
+    }
+
     /// Records that the process was paused. Opening packets, which may have waited during the
     /// pause, are dropped until the targets are read again or
     /// [`pause_drop_time`](Tuning::pause_drop_time) has passed. Retransmissions during the pause
@@ -199,6 +212,7 @@
         self.unresolved_flows
             .retain(|_, (_, since)| now.saturating_duration_since(*since) < retention);
         self.observer.retain(&self.view);
+        self.estimator.retain(&self.view);
     }
 
     /// Removes lost flows from the flow table, and returns them so that the caller of this method
@@ -369,6 +383,8 @@
             tuning: &self.tuning,
             zone: &self.zone,
             cold_sharers: self.cold_sharers,
+            zone_daemons: self.zone_daemons,
+            estimator: &self.estimator,
         };
         let choice =
             selector.choose(&mut self.observer, &self.flows, service, &flow, previous_target);
@@ -433,7 +449,13 @@
         if entry.presence == Presence::Gone && self.proves_target_end(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let (signal, _answer) = self.flows.record_packet(now, packet, &self.tuning);
+        let (signal, answer) = self.flows.record_packet(now, packet, &self.tuning);
+        if let Some(answer) = answer {
+            self.estimator.record_answer(now, entry, &answer);
+        }
+        if let Signal::OpenAnswered(round_trip, SentBy::ThisDaemon) = signal {
+            self.estimator.record_opening(&entry.target.zone, round_trip);
+        }
         self.apply_signal(now, flow, packet.cookie, signal);
         if self.observer.is_silent(entry) {
             self.observer.request_check(now, entry);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -118,7 +118,9 @@
 
     /// Publishes the number of daemons among which the limit of a cold target is divided.
     fn publish_sharers(&mut self, now: Instant) {
-        self.census.record(now, self.zone_daemons());
+        let zone_daemons = self.zone_daemons();
+        self.shared.zone_daemons.store(zone_daemons.unwrap_or(0), Ordering::Relaxed);
+        self.census.record(now, zone_daemons);
         let sharers = self.census.sharers(now);
         let previous = self.shared.cold_sharers.swap(sharers, Ordering::Relaxed);
         if previous != sharers {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -26,6 +26,9 @@
     /// The number of daemons among which the limit of a cold target is divided, published by the
     /// actor `Members`; 0 before the first time.
     pub(super) cold_sharers: AtomicUsize,
+    /// The number of daemons in the own zone, including this one, published by the actor `Members`;
+    /// 0 if it is not known.
+    pub(super) zone_daemons: AtomicUsize,
     /// The number of queries of contacts for their member view that were answered, and that failed.
     pub(super) contact_answers: AtomicU64,
     pub(super) contact_failures: AtomicU64,
