Recognise rejections by full targets and refuse low priority classes

Flows went to full targets while others had spare capacity, and callers used up their retries there. work::Room classifies the answers of a route by size and work time. A target that has rejected a request gets no new flows for up to 1 s, a caller's retry avoids it, and a part of the flows leaves a zone that rejects. If all usable zones reject, flows of lower priority classes are admitted by a decreasing share and reset with Reason::NoRoom otherwise. The setting load_shedding enables it.

The existing tests of cookie, settings and gateway pass; the effect under load is not measured yet.

--- a/src/cookie/counters.rs
+++ b/src/cookie/counters.rs
@@ -23,6 +23,8 @@
     pub silences: u64,
     /// Times that an availability zone became silent.
     pub zone_silences: u64,
+    /// Answers that are regarded as rejections by full targets.
+    pub rejections: u64,
     /// Packets that callers retransmitted.
     pub retransmissions: u64,
 }
--- a/src/cookie/event.rs
+++ b/src/cookie/event.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::cookie::{Cause, CheckOutcome, Flow, Reason};
+use crate::cookie::{Cause, CheckOutcome, Flow, Reason, work::Refusal};
 
 /// A decision about a flow, or a change in the health of a target or zone, for the operator's log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,6 +52,23 @@
         /// The reason of the reset.
         reason: Reason,
     },
+    /// A new flow was reset because no zone has room for it. It takes the place of
+    /// [`Event::Reset`].
+    Refused {
+        /// The flow.
+        flow: Flow,
+        /// The service.
+        service: Arc<str>,
+        /// The evidence.
+        refusal: Refusal,
+    },
+    /// A copy of the opening packet of a refused flow was reset too.
+    RefusedAgain {
+        /// The flow.
+        flow: Flow,
+        /// How many copies of the opening packet the caller had already sent.
+        attempt: u32,
+    },
     /// A packet was dropped.
     Dropped {
         /// The flow.
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -13,6 +13,7 @@
         flows::{Flows, Signal},
         observer::Observer,
         selector::Selector,
+        work::{Answer, Room},
     },
     util,
 };
@@ -29,6 +30,8 @@
     view: Arc<View>,
     flows: Flows,
     observer: Observer,
+    /// Which targets are full; `None` if load shedding is disabled.
+    room: Option<Room>,
     /// The established flows whose route or cookie this daemon does not know, each with the cookie
     /// and the arrival time of the first such packet. Another daemon knew both when it forwarded the
     /// opening packet.
@@ -54,6 +57,7 @@
         Forwarder {
             zone_daemons: tuning.assumed_zone_daemons,
             observer: Observer::new(tuning.clone()),
+            room: tuning.sheds_load.then(Room::default),
             tuning,
             zone,
             view: Arc::default(),
@@ -89,6 +93,9 @@
     pub fn record_pause(&mut self, now: Instant) {
         self.flows.restart_timers(now);
         self.observer.record_pause();
+        if let Some(room) = &mut self.room {
+            room.record_pause();
+        }
         self.opened_flows.clear();
         // A response of the store that arrives now may be from before the pause.
         self.unresolved_flows.clear();
@@ -199,6 +206,9 @@
         self.unresolved_flows
             .retain(|_, (_, since)| now.saturating_duration_since(*since) < retention);
         self.observer.retain(&self.view);
+        if let Some(room) = &mut self.room {
+            room.sweep(now, self.view.config.as_deref(), self.tuning.opening_copy_lifetime);
+        }
     }
 
     /// Removes lost flows from the flow table, and returns them so that the caller of this method
@@ -260,9 +270,12 @@
                 *self.counters.resets.entry(reason).or_default() += 1;
                 self.flows.remove(&packet.flow);
                 self.unresolved_flows.remove(&packet.flow);
-                let target = self.view.target(packet.cookie);
-                let target = target.map(|entry| entry.target.name.clone());
-                self.events.push(Event::Reset { flow: packet.flow, target, reason });
+                // A refusal has an event of its own, with the evidence.
+                if reason != Reason::NoRoom {
+                    let target = self.view.target(packet.cookie);
+                    let target = target.map(|entry| entry.target.name.clone());
+                    self.events.push(Event::Reset { flow: packet.flow, target, reason });
+                }
             }
             Verdict::Drop(cause) => {
                 *self.counters.drops.entry(cause).or_default() += 1;
@@ -325,9 +338,56 @@
             });
             return Verdict::Forward(entry.destination());
         }
+        if previous_target.is_none() && !self.is_admitted(now, packet, attempt, &service) {
+            return Verdict::Reset(Reason::NoRoom);
+        }
         self.place(now, packet, attempt, &service, previous_target)
     }
 
+    /// Decides whether a new flow is admitted, and records an event if not.
+    fn is_admitted(
+        &mut self,
+        now: Instant,
+        packet: &Packet,
+        attempt: u32,
+        service: &Arc<str>,
+    ) -> bool {
+        let Packet { flow, sequence, .. } = *packet;
+        let (Some(room), Some(config)) = (&mut self.room, &self.view.config) else {
+            return true;
+        };
+        let lifetime = self.tuning.opening_copy_lifetime;
+        if room.has_refused(now, &flow, sequence, lifetime) {
+            self.events.push(Event::RefusedAgain { flow, attempt });
+            return false;
+        }
+        // Another daemon may have forwarded an earlier copy, or the network may have duplicated
+        // this one, so that a target may have opened the flow.
+        if attempt > 0 || self.flows.opening_cookie(now, packet, &self.tuning).is_some() {
+            return true;
+        }
+        // The other zones matter only if the own zone is full.
+        let zones = match room.is_zone_full(now, service, &self.zone) {
+            true => Selector {
+                now,
+                view: &self.view,
+                tuning: &self.tuning,
+                zone: &self.zone,
+                zone_daemons: self.zone_daemons,
+                room: None,
+            }
+            .usable_zones(&mut self.observer, service),
+            false => Vec::new(),
+        };
+        match room.admit(now, config, service, &flow, sequence, &zones) {
+            Ok(()) => true,
+            Err(refusal) => {
+                self.events.push(Event::Refused { flow, service: service.clone(), refusal });
+                false
+            }
+        }
+    }
+
     /// Records a retransmitted opening packet, and returns the cookie of the target that got the
     /// previous copy. If that copy did not pass through this daemon, there is none.
     fn record_open_retransmission(
@@ -369,6 +429,7 @@
             tuning: &self.tuning,
             zone: &self.zone,
             zone_daemons: self.zone_daemons,
+            room: self.room.as_ref(),
         };
         let choice =
             selector.choose(&mut self.observer, &self.flows, service, &flow, previous_target);
@@ -433,7 +494,10 @@
         if entry.presence == Presence::Gone && self.proves_target_end(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let (signal, _answer) = self.flows.record_packet(now, packet, &self.tuning);
+        let (signal, answer) = self.flows.record_packet(now, packet, &self.tuning);
+        if let Some(answer) = answer {
+            self.record_answer(now, &flow, &answer, entry);
+        }
         self.apply_signal(now, flow, packet.cookie, signal);
         if self.observer.is_silent(entry) {
             self.observer.request_check(now, entry);
@@ -447,6 +511,14 @@
         Verdict::Forward(entry.destination())
     }
 
+    fn record_answer(&mut self, now: Instant, flow: &Flow, answer: &Answer, entry: &Entry) {
+        let Some(room) = &mut self.room else {
+            return;
+        };
+        let is_rejection = room.record(now, flow, answer, entry, self.zone_daemons);
+        self.counters.rejections += u64::from(is_rejection);
+    }
+
     /// Returns the start of a target that may hold a flow with the cookie of `entry`. If the target
     /// was started again under its id, this is the present start, unless the flow is older. The
     /// target resets a flow that it does not hold.
--- a/src/cookie/selector.rs
+++ b/src/cookie/selector.rs
@@ -4,12 +4,15 @@
     Cookie, Entry, Flow, Tuning, View,
     flows::{Flows, Load},
     observer::Observer,
+    work::{Room, Standing},
 };
 
 /// The sort key of a candidate target for a new flow; the lowest rank wins.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
     is_silent: bool,
+    /// Whether the target is full.
+    standing: Standing,
     /// The preference by zone and free slots.
     tier: Tier,
     load: f64,
@@ -45,6 +48,8 @@
     pub(super) zone: &'a str,
     /// The number of daemons in the own zone, including this one.
     pub(super) zone_daemons: usize,
+    /// Which targets are full; `None` if load shedding is disabled.
+    pub(super) room: Option<&'a Room>,
 }
 
 impl Selector<'_> {
@@ -59,6 +64,7 @@
         avoid: Option<Cookie>,
     ) -> Option<Choice> {
         let cold_limit = self.cold_limit(service);
+        let avoidance = self.room.map(|room| room.avoidance(self.now, service, flow));
         let mut choices = 0;
         let mut best: Option<(Rank, Choice)> = None;
         for entry in self.view.pool(service) {
@@ -71,7 +77,12 @@
             choices += 1;
             let is_half_open_probe = observer.may_start_half_open_probe(self.now, entry);
             let is_silent = observer.is_silent(entry) && !is_half_open_probe;
-            let rank = Rank { is_silent, ..self.rank(entry, flows, flow, is_half_open_probe) };
+            let standing = match &avoidance {
+                Some(avoidance) if !is_half_open_probe => avoidance.standing(entry),
+                _ => Standing::Usable,
+            };
+            let rank = self.rank(entry, flows, flow, is_half_open_probe);
+            let rank = Rank { is_silent, standing, ..rank };
             if best.as_ref().is_none_or(|(found, _)| rank < *found) {
                 let (cookie, is_other_zone) = (entry.cookie, *entry.target.zone != *self.zone);
                 best =
@@ -81,6 +92,21 @@
         best.map(|(_, choice)| Choice { choices, ..choice })
     }
 
+    /// Returns the zones with a target of `service` that may get a new flow and is not silent.
+    pub(super) fn usable_zones(&self, observer: &mut Observer, service: &str) -> Vec<Arc<str>> {
+        let cold_limit = self.cold_limit(service);
+        let mut zones: Vec<Arc<str>> = Vec::new();
+        for entry in self.view.pool(service) {
+            if !zones.contains(&entry.target.zone)
+                && !observer.is_silent(entry)
+                && self.is_allowed(entry, observer, cold_limit)
+            {
+                zones.push(entry.target.zone.clone());
+            }
+        }
+        zones
+    }
+
     /// Returns the number of new flows that this daemon may send to one cold target per second, or
     /// `None` if the service has no configured rate.
     fn cold_limit(&self, service: &str) -> Option<usize> {
@@ -118,6 +144,7 @@
         let load = f64::from(count + 1) * factor / f64::from(slots) + zone_penalty;
         Rank {
             is_silent: false,
+            standing: Standing::Usable,
             tier: if is_half_open_probe { Tier::OwnZoneFree } else { tier },
             load: if is_half_open_probe { 0.0 } else { load },
             tie_breaker: tie_breaker(entry.cookie, flow),
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -100,6 +100,9 @@
     /// How long opening packets are dropped after a pause of the process, unless the targets are
     /// read again first.
     pub pause_drop_time: Duration,
+    /// Whether full targets are avoided, and new flows of lower priority classes are refused while
+    /// no zone has room.
+    pub sheds_load: bool,
 }
 
 impl Default for Tuning {
@@ -135,6 +138,7 @@
             cold_load_factor: 2.0,
             other_zone_penalty: 0.25,
             pause_drop_time: Duration::from_millis(300),
+            sheds_load: false,
         }
     }
 }
--- a/src/cookie/verdict.rs
+++ b/src/cookie/verdict.rs
@@ -29,6 +29,9 @@
     UnknownCookie,
     /// The flow's target does not answer.
     TargetSilent,
+    /// The targets of all zones reject requests as full, and the route's priority class is not the
+    /// highest of its service. Nothing was sent to a target.
+    NoRoom,
 }
 
 /// Why a packet is dropped.
--- /dev/null
+++ b/src/cookie/work/room.rs
@@ -0,0 +1,345 @@
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hashbrown::HashMap;
+
+use crate::{
+    cookie::{
+        Config, Cookie, Entry, Flow,
+        work::{
+            Answer, Evidence, Refusal,
+            admission::Admission,
+            exclusion::Exclusion,
+            profile::{Outcome, Profile},
+            window::Window,
+        },
+    },
+    util,
+};
+
+/// The maximum number of routes, targets, callers, zones of a service and refused flows that are
+/// remembered.
+const MAXIMUM_RECORDS: usize = 10_000;
+
+/// How long a caller's next flows avoid the targets that rejected it.
+const CALLER_MEMORY: Duration = Duration::from_secs(1);
+
+/// The number of targets that a caller's next flows avoid. Callers try again twice.
+const AVOIDED_TARGETS: usize = 4;
+
+/// The number of requests of a full queue that a target serves before it gets new flows again: half
+/// of the eight that targets queue.
+const DRAINED_REQUESTS: u32 = 4;
+
+/// The share of rejections of a zone from which on a part of the flows goes to other zones.
+const SPILL_SHARE: f64 = 0.25;
+
+/// Separates the draw for admission from the draw of a service, which uses the same hash.
+const ADMISSION_SALT: u64 = 0x61_646d_6974;
+const SPILL_SALT: u64 = 0x73_7069_6c6c;
+
+/// How much a target is to be avoided for a new flow; the lowest standing is preferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Nothing shows that the target is full.
+    Usable,
+    /// Many targets of its zone are full, and this flow is among the part that avoids the zone.
+    FullZone,
+    /// The target has rejected a request and not had the time to work off part of its queue.
+    Full,
+    /// The target has just rejected a request of this caller.
+    RejectedCaller,
+}
+
+/// Which targets and zones are full, learned from the rejections among the answers.
+///
+/// Evidence older than 1 s does not count. Without evidence, every target has room and every flow is
+/// admitted.
+#[derive(Debug, Clone, Default)]
+pub struct Room {
+    profiles: HashMap<SocketAddrV4, Profile>,
+    exclusions: HashMap<Cookie, Exclusion>,
+    /// The targets that have rejected requests of a caller, newest last.
+    rejected_callers: HashMap<(Ipv4Addr, SocketAddrV4), Vec<(Instant, Cookie)>>,
+    /// The answers of each service by zone.
+    windows: HashMap<Arc<str>, HashMap<Arc<str>, Window>>,
+    admissions: HashMap<Arc<str>, Admission>,
+    /// The refused flows with the sequence numbers of their opening packets.
+    refused_flows: HashMap<Flow, (u32, Instant)>,
+}
+
+/// Which targets a new flow avoids.
+pub(in crate::cookie) struct Avoidance<'a> {
+    now: Instant,
+    room: &'a Room,
+    rejecting_targets: Vec<Cookie>,
+    full_zones: Vec<Arc<str>>,
+}
+
+impl Avoidance<'_> {
+    /// Returns the standing of a target.
+    pub(in crate::cookie) fn standing(&self, entry: &Entry) -> Standing {
+        if self.rejecting_targets.contains(&entry.cookie) {
+            return Standing::RejectedCaller;
+        }
+        if self.room.is_full(self.now, entry.cookie) {
+            return Standing::Full;
+        }
+        match self.full_zones.contains(&entry.target.zone) {
+            true => Standing::FullZone,
+            false => Standing::Usable,
+        }
+    }
+}
+
+impl Room {
+    /// Records the answer of the target `entry` to a request of `flow`, and returns whether it is a
+    /// rejection. `zone_daemons` is the number of daemons in the own zone.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        flow: &Flow,
+        answer: &Answer,
+        entry: &Entry,
+        zone_daemons: usize,
+    ) -> bool {
+        let Some(profile) = entry_within_limit(&mut self.profiles, answer.service) else {
+            return false;
+        };
+        let Some(outcome) = profile.record(answer) else {
+            return false;
+        };
+        let work = profile.unloaded_work().unwrap_or_default();
+        if let Some(zones) = entry_within_limit(&mut self.windows, entry.target.service.clone())
+            && let Some(window) = entry_within_limit(zones, entry.target.zone.clone())
+        {
+            window.record(now, outcome);
+        }
+        match outcome {
+            Outcome::Rejected => {
+                // The daemons of a zone notice the full target one after the other, and each stops
+                // only its own part of the flows.
+                let requests = DRAINED_REQUESTS * zone_daemons.clamp(1, 1_000) as u32;
+                self.exclude(now, entry.cookie, work * requests / entry.target.slots.max(1));
+                self.record_rejected_caller(now, flow, entry.cookie);
+                return true;
+            }
+            Outcome::Prompt => {
+                let sent_at = now.checked_sub(answer.elapsed).unwrap_or(now);
+                let exclusion = self.exclusions.get(&entry.cookie);
+                if exclusion.is_some_and(|exclusion| exclusion.is_before(sent_at)) {
+                    self.exclusions.remove(&entry.cookie);
+                }
+            }
+            Outcome::Queued => {}
+        }
+        false
+    }
+
+    /// Returns whether a target is full.
+    pub fn is_full(&self, now: Instant, cookie: Cookie) -> bool {
+        self.exclusions.get(&cookie).is_some_and(|exclusion| exclusion.is_active(now))
+    }
+
+    /// Returns which targets the new flow `flow` to `service` avoids.
+    pub(in crate::cookie) fn avoidance(
+        &self,
+        now: Instant,
+        service: &str,
+        flow: &Flow,
+    ) -> Avoidance<'_> {
+        let rejections = self.rejected_callers.get(&(*flow.caller.ip(), flow.service));
+        let rejecting_targets = rejections
+            .into_iter()
+            .flatten()
+            .filter(|(at, _)| now.saturating_duration_since(*at) < CALLER_MEMORY)
+            .map(|(_, cookie)| *cookie)
+            .collect();
+        // Only a part of the flows avoids a zone, so that it is not left idle.
+        let spill_draw = draw(flow, SPILL_SALT);
+        let full_zones = self
+            .windows
+            .get(service)
+            .into_iter()
+            .flatten()
+            .filter(|(_, window)| {
+                let share = window.tally(now).rejected_share();
+                share >= SPILL_SHARE && spill_draw < share
+            })
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        Avoidance { now, room: self, rejecting_targets, full_zones }
+    }
+
+    /// Returns whether the evidence of `zone` shows that it has no room for flows to `service`.
+    pub fn is_zone_full(&self, now: Instant, service: &str, zone: &str) -> bool {
+        let window = self.windows.get(service).and_then(|zones| zones.get(zone));
+        window.is_some_and(|window| window.tally(now).is_full())
+    }
+
+    /// Decides whether the new flow `flow` to `service` is admitted.
+    /// `zones` are all zones that the service may use, `sequence` is the sequence number of the
+    /// opening packet.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] with the evidence if the flow is not admitted.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        config: &Config,
+        service: &Arc<str>,
+        flow: &Flow,
+        sequence: u32,
+        zones: &[Arc<str>],
+    ) -> Result<(), Refusal> {
+        let is_full = !zones.is_empty()
+            && zones.iter().all(|zone| self.is_zone_full(now, service, zone))
+            && self.is_rejecting(now, service, zones);
+        let Some(admission) = self.update_admission(now, service, is_full) else {
+            return Ok(());
+        };
+        let share = admission.share(class_rank(config, service, flow.service));
+        if !is_full || draw(flow, ADMISSION_SALT) < share {
+            return Ok(());
+        }
+        if self.refused_flows.len() < MAXIMUM_RECORDS {
+            self.refused_flows.insert(*flow, (sequence, now));
+        }
+        Err(self.refusal(now, service, zones, share))
+    }
+
+    /// Returns whether an earlier copy of an opening packet was refused within `lifetime`.
+    pub fn has_refused(
+        &self,
+        now: Instant,
+        flow: &Flow,
+        sequence: u32,
+        lifetime: Duration,
+    ) -> bool {
+        self.refused_flows.get(flow).is_some_and(|(refused, at)| {
+            *refused == sequence && now.saturating_duration_since(*at) < lifetime
+        })
+    }
+
+    /// Discards all evidence about targets and zones after a pause of the process. What is usual for
+    /// the routes remains known.
+    pub fn record_pause(&mut self) {
+        self.exclusions.clear();
+        self.rejected_callers.clear();
+        self.windows.clear();
+        self.admissions.clear();
+    }
+
+    /// Removes evidence that no longer counts, and the profiles of routes that `config` does not
+    /// contain. `lifetime` is how long copies of an opening packet may arrive.
+    pub fn sweep(&mut self, now: Instant, config: Option<&Config>, lifetime: Duration) {
+        self.exclusions.retain(|_, exclusion| exclusion.is_recent(now));
+        self.rejected_callers.retain(|_, rejections| {
+            rejections.retain(|(at, _)| now.saturating_duration_since(*at) < CALLER_MEMORY);
+            !rejections.is_empty()
+        });
+        self.windows.retain(|_, zones| {
+            zones.retain(|_, window| !window.is_empty(now));
+            !zones.is_empty()
+        });
+        self.admissions.retain(|service, _| self.windows.contains_key(service));
+        self.refused_flows.retain(|_, (_, at)| now.saturating_duration_since(*at) < lifetime);
+        if let Some(config) = config {
+            self.profiles.retain(|service, _| config.routes.contains_key(service));
+        }
+    }
+
+    fn exclude(&mut self, now: Instant, cookie: Cookie, drain_time: Duration) {
+        let previous = self.exclusions.get(&cookie).copied();
+        if previous.is_some() || self.exclusions.len() < MAXIMUM_RECORDS {
+            self.exclusions.insert(cookie, Exclusion::new(now, drain_time, previous));
+        }
+    }
+
+    fn record_rejected_caller(&mut self, now: Instant, flow: &Flow, cookie: Cookie) {
+        let key = (*flow.caller.ip(), flow.service);
+        let Some(rejections) = entry_within_limit(&mut self.rejected_callers, key) else {
+            return;
+        };
+        rejections.retain(|(_, rejecting)| *rejecting != cookie);
+        if rejections.len() >= AVOIDED_TARGETS {
+            rejections.remove(0);
+        }
+        rejections.push((now, cookie));
+    }
+
+    fn is_rejecting(&self, now: Instant, service: &str, zones: &[Arc<str>]) -> bool {
+        self.windows.get(service).is_some_and(|windows| {
+            zones.iter().filter_map(|zone| windows.get(zone)).any(|window| window.is_rejecting(now))
+        })
+    }
+
+    /// Returns the admission of a service with the present share; `None` if all flows have been
+    /// admitted so far.
+    fn update_admission(
+        &mut self,
+        now: Instant,
+        service: &Arc<str>,
+        is_full: bool,
+    ) -> Option<&Admission> {
+        if is_full && !self.admissions.contains_key(service) {
+            self.admissions.insert(service.clone(), Admission::new(now));
+        }
+        let admission = self.admissions.get_mut(service)?;
+        admission.update(now, is_full);
+        Some(admission)
+    }
+
+    fn refusal(&self, now: Instant, service: &str, zones: &[Arc<str>], share: f64) -> Refusal {
+        let evidence = |zone: &Arc<str>| {
+            let window = self.windows.get(service).and_then(|windows| windows.get(zone));
+            let tally = window.map(|window| window.tally(now)).unwrap_or_default();
+            Evidence { zone: zone.clone(), answers: tally.answers, rejections: tally.rejections }
+        };
+        Refusal {
+            admitted_percent: (share * 100.0).round() as u32,
+            zones: zones.iter().map(evidence).collect(),
+        }
+    }
+}
+
+/// Returns the value of `key`, inserted if the map is not full.
+fn entry_within_limit<K: Eq + std::hash::Hash, V: Default>(
+    map: &mut HashMap<K, V>,
+    key: K,
+) -> Option<&mut V> {
+    if map.len() >= MAXIMUM_RECORDS {
+        return map.get_mut(&key);
+    }
+    Some(map.entry(key).or_default())
+}
+
+/// Returns the number of priority classes of `service` that are higher than that of the route
+/// `address`.
+fn class_rank(config: &Config, service: &str, address: SocketAddrV4) -> u32 {
+    let Some(own) = config.routes.get(&address).map(|route| route.priority) else {
+        return 0;
+    };
+    let mut higher: Vec<u32> = config
+        .routes
+        .values()
+        .filter(|route| route.priority < own && route.includes_service(service))
+        .map(|route| route.priority)
+        .collect();
+    higher.sort_unstable();
+    higher.dedup();
+    higher.len() as u32
+}
+
+/// Returns a number from 0 to 1 that is the same for all copies of a flow's opening packet.
+fn draw(flow: &Flow, salt: u64) -> f64 {
+    let ends = [flow.caller, flow.service];
+    let [caller, service] =
+        ends.map(|end| u64::from(end.ip().to_bits()) << 16 | u64::from(end.port()));
+    // 53 bits are the precision of the result.
+    (util::score(caller ^ salt, service) >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -192,6 +192,7 @@
             ("flow_ttl_seconds", previous.flow_ttl_seconds != settings.flow_ttl_seconds),
             ("cold_factor", previous.cold_factor != settings.cold_factor),
             ("cold_slack", previous.cold_slack != settings.cold_slack),
+            ("load_shedding", previous.load_shedding != settings.load_shedding),
         ];
         self.settings.drain_seconds = settings.drain_seconds;
         self.shared.contacts.store(Arc::new(settings.contacts));
@@ -245,6 +246,7 @@
     Tuning {
         cold_factor: settings.cold_factor,
         cold_slack: settings.cold_slack,
+        sheds_load: settings.load_shedding,
         ended_target_retention: Duration::from_secs(u64::from(settings.flow_ttl_seconds)),
         ..Tuning::default()
     }
--- a/src/gateway/event_logger.rs
+++ b/src/gateway/event_logger.rs
@@ -3,7 +3,7 @@
 use log::{Level, debug, info, log_enabled, warn};
 
 use crate::{
-    cookie::{Event, View},
+    cookie::{Event, Reason, View, work::Refusal},
     util::TokenBucket,
 };
 
@@ -84,6 +84,18 @@
             version = version, revision = revision, age_ms = age_ms;
             "flow is reset"
         ),
+        Event::Refused { flow, service, refusal } => info!(
+            flow:% = flow, service = &**service, reason:? = Reason::NoRoom,
+            admitted_percent = refusal.admitted_percent,
+            rejections = rejections_by_zone(refusal).as_str(), version = version,
+            revision = revision;
+            "flow is refused for lack of capacity"
+        ),
+        Event::RefusedAgain { flow, attempt } => info!(
+            flow:% = flow, reason:? = Reason::NoRoom, attempt = attempt, version = version,
+            revision = revision;
+            "copy of the opening packet of a refused flow is refused"
+        ),
         Event::Dropped { flow, cause } => debug!(
             flow:% = flow, cause:? = cause, version = version, revision = revision,
             age_ms = age_ms;
@@ -111,3 +123,11 @@
         ),
     }
 }
+
+/// Returns the rejections and the answers of the last second by zone, for example
+/// `zone-a 9/12, zone-b 8/8`.
+fn rejections_by_zone(refusal: &Refusal) -> String {
+    let zones = refusal.zones.iter();
+    let text = zones.map(|zone| format!("{} {}/{}", zone.zone, zone.rejections, zone.answers));
+    text.collect::<Vec<_>>().join(", ")
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,8 @@
     "gateway_zone_silences",
     "Times that all targets of a zone were found silent.",
 );
+const REJECTIONS: Instrument =
+    Instrument::counter("gateway_rejections", "Answers regarded as rejections by full targets.");
 const FLOWS: Instrument = Instrument::gauge("gateway_flows", "Flows observed.");
 const TARGETS: Instrument = Instrument::gauge("gateway_targets", "Targets, by standing.");
 const CONFIGURATION_VERSION: Instrument =
@@ -74,6 +76,7 @@
     snapshot.set_unlabeled(REPEATED_OPENS, counters.repeated);
     snapshot.set_unlabeled(SILENCES, counters.silences);
     snapshot.set_unlabeled(ZONE_SILENCES, counters.zone_silences);
+    snapshot.set_unlabeled(REJECTIONS, counters.rejections);
     snapshot.set_unlabeled(FLOWS, stats.flows);
     snapshot.set_unlabeled(SUPPRESSED_LINES, stats.suppressed_lines);
     snapshot.set_unlabeled(CONFIGURATION_VERSION, view.version().unwrap_or(0));
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -58,6 +58,10 @@
     /// The new flows per second that a cold target may get in addition to that rate.
     #[serde(default, deserialize_with = "strict")]
     pub cold_slack: f64,
+    /// Whether full targets are avoided, and new flows of lower priority classes are refused while
+    /// no zone has room.
+    #[serde(default)]
+    pub load_shedding: bool,
     /// The settings of the log.
     #[serde(default)]
     pub log: Log,
