--- a/src/cookie/work/room.rs
+++ b/src/cookie/work/room.rs
@@ -118,6 +118,9 @@
         {
             window.record(now, outcome);
         }
+        if let Some(admission) = self.admissions.get_mut(&entry.target.service) {
+            admission.record(outcome);
+        }
         match outcome {
             Outcome::Rejected => {
                 // The daemons of a zone notice the full target one after the other, and each stops
@@ -176,8 +179,10 @@
 
     /// Returns whether the evidence of `zone` shows that it has no room for flows to `service`.
     pub fn is_zone_full(&self, now: Instant, service: &str, zone: &str) -> bool {
+        let is_refusing = self.admissions.contains_key(service);
         let window = self.windows.get(service).and_then(|zones| zones.get(zone));
-        window.is_some_and(|window| window.tally(now).is_full())
+        let tally = window.map(|window| window.tally(now)).unwrap_or_default();
+        if is_refusing { tally.has_rejections() } else { tally.is_full() }
     }
 
     /// Decides whether the new flow `flow` to `service` is admitted.
@@ -196,14 +201,29 @@
         sequence: u32,
         zones: &[Arc<str>],
     ) -> Result<(), Refusal> {
-        let is_full = !zones.is_empty()
-            && zones.iter().all(|zone| self.is_zone_full(now, service, zone))
-            && self.is_rejecting(now, service, zones);
-        let Some(admission) = self.update_admission(now, service, is_full) else {
+        if let Some(admission) = self.admissions.get_mut(service) {
+            admission.update(now);
+            if admission.is_complete() {
+                self.admissions.remove(service);
+            }
+        }
+        if zones.is_empty() || !zones.iter().all(|zone| self.is_zone_full(now, service, zone)) {
             return Ok(());
+        }
+        let rank = class_rank(config, service, flow.service);
+        if rank == 0 {
+            return Ok(());
+        }
+        let share = match self.admissions.get(service) {
+            Some(admission) => admission.share(rank),
+            None => {
+                let admission = Admission::new(now, self.rejected_share(now, service));
+                let share = admission.share(rank);
+                self.admissions.insert(service.clone(), admission);
+                share
+            }
         };
-        let share = admission.share(class_rank(config, service, flow.service));
-        if !is_full || draw(flow, ADMISSION_SALT) < share {
+        if draw(flow, ADMISSION_SALT) < share {
             return Ok(());
         }
         if self.refused_flows.len() < MAXIMUM_RECORDS {
@@ -272,26 +292,14 @@
         rejections.push((now, cookie));
     }
 
-    fn is_rejecting(&self, now: Instant, service: &str, zones: &[Arc<str>]) -> bool {
-        self.windows.get(service).is_some_and(|windows| {
-            zones.iter().filter_map(|zone| windows.get(zone)).any(|window| window.is_rejecting(now))
-        })
-    }
-
-    /// Returns the admission of a service with the present share; `None` if all flows have been
-    /// admitted so far.
-    fn update_admission(
-        &mut self,
-        now: Instant,
-        service: &Arc<str>,
-        is_full: bool,
-    ) -> Option<&Admission> {
-        if is_full && !self.admissions.contains_key(service) {
-            self.admissions.insert(service.clone(), Admission::new(now));
-        }
-        let admission = self.admissions.get_mut(service)?;
-        admission.update(now, is_full);
-        Some(admission)
+    /// Returns the share of rejections among the answers of all zones.
+    fn rejected_share(&self, now: Instant, service: &str) -> f64 {
+        let windows = self.windows.get(service).into_iter().flat_map(HashMap::values);
+        let (answers, rejections) =
+            windows.map(|window| window.tally(now)).fold((0, 0), |(answers, rejections), tally| {
+                (answers + tally.answers, rejections + tally.rejections)
+            });
+        f64::from(rejections) / f64::from(answers.max(1))
     }
 
     fn refusal(&self, now: Instant, service: &str, zones: &[Arc<str>], share: f64) -> Refusal {
--- a/src/cookie/work/window.rs
+++ b/src/cookie/work/window.rs
@@ -11,12 +11,17 @@
 /// The time for which answers are counted together.
 const BUCKET: Duration = Duration::from_millis(50);
 
-/// How recent the last rejection must be for rejections to be going on.
-const ONGOING: Duration = Duration::from_millis(200);
-
 /// The minimum number of answers from which the share of rejections counts.
 const MINIMUM_ANSWERS: u32 = 8;
 
+/// The rejections from which on a zone has no room, and their share of the answers. A caller that
+/// tries three times is then rejected each time in one of a hundred cases.
+const MINIMUM_REJECTIONS: u32 = 4;
+const FULL_SHARE: f64 = 0.2;
+
+/// The share of answers without a queue from which on a zone has spare capacity.
+const PROMPT_SHARE: f64 = 0.1;
+
 /// The answers of a zone's targets within the last second, by what they show.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Tally {
@@ -30,7 +35,6 @@
 pub(super) struct Window {
     /// The counts by the time of their first answer, oldest first.
     buckets: VecDeque<(Instant, Tally)>,
-    last_rejection_at: Option<Instant>,
 }
 
 impl Tally {
@@ -42,10 +46,19 @@
         f64::from(self.rejections) / f64::from(self.answers)
     }
 
-    /// Returns whether the zone has no room: at least half of the answers are rejections, and at most
-    /// a tenth came without a queue, which only a target with spare capacity gives.
+    /// Returns whether the zone has no room: many answers are rejections, and few came without a
+    /// queue, which only a target with spare capacity gives.
     pub(super) fn is_full(&self) -> bool {
-        self.rejected_share() >= 0.5 && 10 * self.prompt <= self.answers
+        let prompt_share = f64::from(self.prompt) / f64::from(self.answers.max(1));
+        self.rejections >= MINIMUM_REJECTIONS
+            && self.rejected_share() >= FULL_SHARE
+            && prompt_share < PROMPT_SHARE
+    }
+
+    /// Returns whether any answer is a rejection. While flows are refused, this suffices for a zone to
+    /// count as full: the refusals keep the share of rejections low.
+    pub(super) fn has_rejections(&self) -> bool {
+        self.rejections > 0
     }
 }
 
@@ -69,9 +82,6 @@
                 Outcome::Queued => {}
             }
         }
-        if outcome == Outcome::Rejected {
-            self.last_rejection_at = Some(now);
-        }
     }
 
     /// Returns the answers of the last second.
@@ -87,11 +97,6 @@
         total
     }
 
-    /// Returns whether targets have rejected requests until now.
-    pub(super) fn is_rejecting(&self, now: Instant) -> bool {
-        self.last_rejection_at.is_some_and(|at| now.saturating_duration_since(at) < ONGOING)
-    }
-
     /// Returns whether no answer is recent enough to count.
     pub(super) fn is_empty(&self, now: Instant) -> bool {
         self.tally(now).answers == 0
