--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -62,6 +62,10 @@
     /// How the target of a new flow is selected.
     #[serde(default)]
     pub placement: Placement,
+    /// Whether full targets are avoided, and new flows of lower priority classes are refused while
+    /// no zone has room.
+    #[serde(default)]
+    pub load_shedding: bool,
     /// The settings of the log.
     #[serde(default)]
     pub log: Log,
