Add reports about targets between daemons of a zone: decisions and frames

With 85 daemons a zone, one daemon sees an answer of a target in seven seconds, so most daemons notice a slow target too late.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -13,8 +13,9 @@
         flows::{Flows, Signal},
         observer::Observer,
         selector::Selector,
+        work::{Report, ReportTable},
     },
-    util,
+    member, util,
 };
 
 /// The maximum number of unresolved flows that are remembered.
@@ -29,6 +30,8 @@
     view: Arc<View>,
     flows: Flows,
     observer: Observer,
+    /// The reports of other daemons of the zone.
+    report_table: ReportTable,
     /// The established flows whose route or cookie this daemon does not know, each with the cookie
     /// and the arrival time of the first such packet. Another daemon knew both when it forwarded the
     /// opening packet.
@@ -58,6 +61,7 @@
             zone,
             view: Arc::default(),
             flows,
+            report_table: ReportTable::new(),
             unresolved_flows: HashMap::new(),
             opened_flows: VecDeque::new(),
             last_placement_by_service: HashMap::new(),
@@ -89,12 +93,23 @@
     pub fn record_pause(&mut self, now: Instant) {
         self.flows.restart_timers(now);
         self.observer.record_pause();
+        self.report_table.record_pause(now);
         self.opened_flows.clear();
         // A response of the store that arrives now may be from before the pause.
         self.unresolved_flows.clear();
         self.drop_opens_until = Some(now + self.tuning.pause_drop_time);
     }
 
+    /// Returns this daemon's own reports about targets that differ from the others.
+    pub fn own_reports(&self, _now: Instant) -> Vec<Report> {
+        Vec::new()
+    }
+
+    /// Records reports of the daemon `from` that arrived at `now`, and returns how many are used.
+    pub fn record_reports(&mut self, now: Instant, from: member::Id, reports: &[Report]) -> usize {
+        self.report_table.record(now, from, reports)
+    }
+
     /// Returns the current view.
     pub fn view(&self) -> &Arc<View> {
         &self.view
@@ -199,6 +214,12 @@
         self.unresolved_flows
             .retain(|_, (_, since)| now.saturating_duration_since(*since) < retention);
         self.observer.retain(&self.view);
+        if self.tuning.shares_reports {
+            let entries = self.view.entries().iter();
+            let own_zone =
+                entries.filter(|entry| entry.is_usable && entry.target.zone == self.zone);
+            self.report_table.set_targets(now, own_zone.map(|entry| entry.cookie));
+        }
     }
 
     /// Removes lost flows from the flow table, and returns them so that the caller of this method
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -100,6 +100,8 @@
     /// How long opening packets are dropped after a pause of the process, unless the targets are
     /// read again first.
     pub pause_drop_time: Duration,
+    /// Whether the daemon exchanges reports about targets with other daemons of its zone.
+    pub shares_reports: bool,
 }
 
 impl Default for Tuning {
@@ -135,6 +137,7 @@
             cold_load_factor: 2.0,
             other_zone_penalty: 0.25,
             pause_drop_time: Duration::from_millis(300),
+            shares_reports: false,
         }
     }
 }
--- a/src/forward/frames.rs
+++ b/src/forward/frames.rs
@@ -31,7 +31,7 @@
                 self.on_copy(now, sender, *sequence, records, actions);
             }
             Body::CopyAck { sequence } => self.on_copy_acknowledged(sender, *sequence),
-            Body::Member(_) | Body::Spread(_) | Body::Load(_) => {}
+            Body::Member(_) | Body::Spread(_) | Body::Load(_) | Body::TargetReports(_) => {}
         }
     }
 
--- a/src/node/packets.rs
+++ b/src/node/packets.rs
@@ -240,7 +240,7 @@
             let end = bytes.len() - TAG_BYTES;
             let range = end - frame.packet.len()..end;
             match frame.body {
-                Body::Member(_) | Body::Spread(_) | Body::Load(_) => {
+                Body::Member(_) | Body::Spread(_) | Body::Load(_) | Body::TargetReports(_) => {
                     let event = Event::Frame { from: frame.sender, address, body: frame.body };
                     // Control messages are retransmitted, so losing one while the channel is full
                     // is acceptable.
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -1,6 +1,11 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{flow::Fingerprint, load, member, spread, ticket::TargetId, wire::TraceContext};
+use crate::{
+    flow::Fingerprint,
+    load, member, spread,
+    ticket::TargetId,
+    wire::{TargetReport, TraceContext},
+};
 
 /// What a daemon does with a data packet that another daemon forwarded to it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -121,4 +126,6 @@
     Spread(spread::Message),
     /// Reports of changed target classes.
     Load(Vec<load::Report>),
+    /// What the sender has observed of targets of its zone, in gateway mode.
+    TargetReports(Vec<TargetReport>),
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod keyring;
 mod sender;
+mod target_report;
 mod trace_context;
 
 pub use body::{Body, Hop, Record, RecordState, Stage};
@@ -15,4 +16,5 @@
 pub use frame::{Frame, MAX_FRAME_BYTES};
 pub use keyring::{KeyNumber, Keyring, TAG_BYTES};
 pub(crate) use sender::Sender;
+pub use target_report::TargetReport;
 pub use trace_context::TraceContext;
