Exchange reports about targets in the gateway

The packet loop publishes its own reports in its tick of 100 ms, a task sends them to random alive daemons of the zone, and the receiver of frames queues those of known daemons of the zone. Both queues hold 64 frames and drop further ones. The setting `target_reports`, false by default, enables it.

--- a/src/gateway/component.rs
+++ b/src/gateway/component.rs
@@ -9,6 +9,7 @@
     OperatorReader,
     MembersActor,
     FrameReceiver,
+    ReportSender,
     JoinTask,
     FollowTask,
     StateFallback,
@@ -26,6 +27,7 @@
             Component::OperatorReader => "reader of the operators' items",
             Component::MembersActor => "member actor",
             Component::FrameReceiver => "receiver of frames",
+            Component::ReportSender => "sender of reports",
             Component::JoinTask => "search for members",
             Component::FollowTask => "follower of the zone reader",
             Component::StateFallback => "fetch of the state of peers",
@@ -47,7 +49,7 @@
             | Component::JoinTask
             | Component::FollowTask
             | Component::StateFallback => true,
-            Component::AdminHandler | Component::MetricsTask => false,
+            Component::ReportSender | Component::AdminHandler | Component::MetricsTask => false,
         }
     }
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     admin,
-    cookie::{Forwarder, Tuning},
+    cookie::{Forwarder, Tuning, work::Batch},
     gateway::{
         Codec, Error, Result, Source,
         admin_handler::AdminHandler,
@@ -27,6 +27,9 @@
         packets::PacketLoop,
         peer_client::PeerClient,
         reader, readiness,
+        report_exchange::{ReceivedReports, ReportExchange},
+        report_receiver::ReportReceiver,
+        report_sender::ReportSender,
         shared::Shared,
     },
     member::{self, Detector, Info},
@@ -43,6 +46,10 @@
 /// The number of queries that may be queued for the packet loop.
 const COMMAND_QUEUE_CAPACITY: usize = 64;
 
+/// The number of frames with reports that may be queued in each direction. The packet loop takes
+/// the received ones ten times a second.
+const REPORT_QUEUE_CAPACITY: usize = 64;
+
 /// A running daemon in gateway mode.
 pub struct Gateway {
     settings: settings::Gateway,
@@ -86,6 +93,7 @@
         let mut tasks = vec![watch_actor(&watcher, Component::DirectoryActor, actor_task)];
         let (commands, command_receiver) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
         shared.contacts.store(Arc::new(settings.contacts.clone()));
+        let (report_exchange, report_ends) = report_queues(&tuning, &settings, &shared).unzip();
         let packet_loop = PacketLoop {
             commands: command_receiver,
             opening_times: metrics::opening_times(&metrics),
@@ -96,6 +104,7 @@
             caller_port: settings.data.port(),
             zone: settings.zone.clone(),
             socket,
+            report_exchange,
         };
         let source = Arc::new(source);
         let mut random = rand::rng();
@@ -126,7 +135,8 @@
         let mut members = None;
         if let Some(peer) = settings.peer {
             let started =
-                start_members(&settings, peer, &own, incarnation, &shared, &watcher).await?;
+                start_members(&settings, peer, &own, incarnation, &shared, report_ends, &watcher)
+                    .await?;
             let (actor, member_tasks) = started;
             let peer_client = PeerClient {
                 info: own.clone(),
@@ -192,6 +202,7 @@
             ("flow_ttl_seconds", previous.flow_ttl_seconds != settings.flow_ttl_seconds),
             ("cold_factor", previous.cold_factor != settings.cold_factor),
             ("cold_slack", previous.cold_slack != settings.cold_slack),
+            ("target_reports", previous.target_reports != settings.target_reports),
         ];
         self.settings.drain_seconds = settings.drain_seconds;
         self.shared.contacts.store(Arc::new(settings.contacts));
@@ -245,6 +256,7 @@
     Tuning {
         cold_factor: settings.cold_factor,
         cold_slack: settings.cold_slack,
+        shares_reports: settings.target_reports,
         ended_target_retention: Duration::from_secs(u64::from(settings.flow_ttl_seconds)),
         ..Tuning::default()
     }
@@ -271,6 +283,23 @@
     })
 }
 
+/// The ends of the report queues outside the packet loop.
+type ReportEnds = (mpsc::Receiver<Batch>, mpsc::Sender<ReceivedReports>);
+
+/// Returns both ends of the queues of reports, or `None` if the daemon exchanges none.
+fn report_queues(
+    tuning: &Tuning,
+    settings: &settings::Gateway,
+    shared: &Arc<Shared>,
+) -> Option<(ReportExchange, ReportEnds)> {
+    if !tuning.shares_reports || settings.peer.is_none() {
+        return None;
+    }
+    let (outgoing, batches) = mpsc::channel(REPORT_QUEUE_CAPACITY);
+    let (queue, received) = mpsc::channel(REPORT_QUEUE_CAPACITY);
+    Some((ReportExchange::new(outgoing, received, shared.clone()), (batches, queue)))
+}
+
 /// Starts the actor that detects the other daemons, and the task that receives their frames at
 /// `address`. Returns the actor and the handles of the tasks.
 async fn start_members(
@@ -279,8 +308,9 @@
     own: &Info,
     incarnation: member::Incarnation,
     shared: &Arc<Shared>,
+    report_ends: Option<ReportEnds>,
     watcher: &Watcher,
-) -> Result<(ActorRef<members::Request>, [AbortHandle; 2])> {
+) -> Result<(ActorRef<members::Request>, Vec<AbortHandle>)> {
     let bind_error = |source| BindError { name: "peer", address, source };
     let keys = settings.keys.iter().map(|key| (key.number, *key.key.bytes()));
     let keyring = Arc::new(Keyring::new(keys)?);
@@ -291,16 +321,25 @@
     let seed = rand::rng().random();
     let config = member::Config::default();
     let detector = Detector::new(config, own.clone(), incarnation, seed, Instant::now());
+    let sender = Sender::new(Arc::new(outgoing), keyring.clone(), own.id());
     let arguments = members::Arguments {
         detector,
         info: own.clone(),
-        sender: Sender::new(Arc::new(outgoing), keyring.clone(), own.id()),
+        sender: sender.clone(),
         shared: shared.clone(),
         started_at: Instant::now(),
     };
     let (actor, actor_task) = Actor::spawn(None, Members, arguments).await?;
     let actor_task = watch_actor(watcher, Component::MembersActor, actor_task);
-    let receiver = members::receive(socket, keyring, actor.clone());
+    let (batches, queue) = report_ends.unzip();
+    let report_receiver = ReportReceiver { info: own.clone(), shared: shared.clone(), queue };
+    let receiver = members::receive(socket, keyring, actor.clone(), report_receiver);
     let receiver = watcher.spawn(Component::FrameReceiver, receiver);
-    Ok((actor, [actor_task, receiver]))
+    let mut tasks = vec![actor_task, receiver];
+    if let Some(batches) = batches {
+        let report_sender =
+            ReportSender { info: own.clone(), sender, shared: shared.clone(), batches };
+        tasks.push(watcher.spawn(Component::ReportSender, report_sender.run()));
+    }
+    Ok((actor, tasks))
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    gateway::{MAXIMUM_CHANGE_LINES, shared::Shared},
+    gateway::{MAXIMUM_CHANGE_LINES, report_receiver::ReportReceiver, shared::Shared},
     member::{self, Detector, Id, Info, Member, Message, Output, Snapshot, Status},
     wire::{Body, Frame, Keyring, MAX_FRAME_BYTES, Sender},
 };
@@ -157,7 +157,12 @@
 }
 
 /// Receives frames from members until the actor has stopped.
-pub(super) async fn receive(socket: UdpSocket, keyring: Arc<Keyring>, actor: ActorRef<Request>) {
+pub(super) async fn receive(
+    socket: UdpSocket,
+    keyring: Arc<Keyring>,
+    actor: ActorRef<Request>,
+    report_receiver: ReportReceiver,
+) {
     let mut buffer = vec![0; MAX_FRAME_BYTES];
     let mut has_warned = false;
     loop {
@@ -176,6 +181,9 @@
                     return;
                 }
             }
+            Ok(Frame { sender, body: Body::TargetReports(reports), .. }) => {
+                report_receiver.receive(sender, reports);
+            }
             Ok(_) => {}
             Err(error) => {
                 if !has_warned {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     cookie::Presence,
-    gateway::shared::Shared,
+    gateway::{report_counters::ReportCounters, shared::Shared},
     telemetry::{Histogram, Instrument, Metrics, Snapshot},
 };
 
@@ -41,6 +41,13 @@
 const SUPPRESSED_LINES: Instrument =
     Instrument::gauge("gateway_suppressed_lines", "Log lines left out since the last line.");
 
+const REPORT_FRAMES: Instrument =
+    Instrument::counter("gateway_report_frames", "Frames with reports about targets, by outcome.");
+const REPORTS: Instrument =
+    Instrument::counter("gateway_reports", "Reports about targets, by outcome.");
+const REPORT_BYTES: Instrument =
+    Instrument::counter("gateway_report_bytes", "Bytes of the frames with reports sent.");
+
 /// Returns the histogram of the time that callers wait for the response to an opening packet.
 pub(super) fn opening_times(metrics: &Metrics) -> Histogram {
     metrics.histogram(
@@ -100,6 +107,22 @@
     let malformed = shared.malformed.load(Ordering::Relaxed);
     snapshot.set(DROPS, [("cause", "Malformed")], malformed);
     snapshot.set(DROPS, [("cause", "Unsent")], shared.unsent.load(Ordering::Relaxed));
+    let reports = &shared.report_counters;
+    for (outcome, counter) in [
+        ("sent", &reports.frames_sent),
+        ("received", &reports.frames_received),
+        ("dropped", &reports.frames_dropped),
+    ] {
+        snapshot.set(REPORT_FRAMES, [("outcome", outcome)], ReportCounters::get(counter));
+    }
+    for (outcome, counter) in [
+        ("sent", &reports.reports_sent),
+        ("received", &reports.reports_received),
+        ("ignored", &reports.reports_ignored),
+    ] {
+        snapshot.set(REPORTS, [("outcome", outcome)], ReportCounters::get(counter));
+    }
+    snapshot.set_unlabeled(REPORT_BYTES, ReportCounters::get(&reports.bytes_sent));
     for presence in [Presence::Present, Presence::Lapsed, Presence::Gone] {
         let count = view.entries().iter().filter(|entry| entry.presence == presence).count();
         snapshot.set(TARGETS, [("standing", format!("{presence:?}"))], count as u64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,10 @@
 mod peer_state;
 mod reader;
 mod readiness;
+mod report_counters;
+mod report_exchange;
+mod report_receiver;
+mod report_sender;
 mod shared;
 mod source;
 
--- a/src/gateway/packets.rs
+++ b/src/gateway/packets.rs
@@ -20,7 +20,8 @@
     cookie::{Flow, Forwarder, Verdict},
     gateway::{
         Codec, checker::Checker, command::Command, component::Guard, directory_actor::Request,
-        event_logger::EventLogger, pause_detector::PauseDetector, shared::Shared,
+        event_logger::EventLogger, pause_detector::PauseDetector, report_exchange::ReportExchange,
+        shared::Shared,
     },
     telemetry::Histogram,
     util::{ReceiveBatch, SendBatch},
@@ -51,6 +52,8 @@
     pub(super) commands: mpsc::Receiver<Command>,
     /// The time that callers waited for the response to an opening packet.
     pub(super) opening_times: Histogram,
+    /// The exchange of reports with other daemons, if the settings enable it.
+    pub(super) report_exchange: Option<ReportExchange>,
 }
 
 impl<C: Codec> PacketLoop<C> {
@@ -101,6 +104,9 @@
                         self.log_view_age(Instant::now(), started_at, is_view_outdated);
                     self.forwarder.check_unanswered_opens(Instant::now());
                     self.reset_lost_flows(&receive_batch, &mut send_batch);
+                    if let Some(exchange) = &mut self.report_exchange {
+                        exchange.tick(Instant::now(), &mut self.forwarder);
+                    }
                     tick = tick.wrapping_add(1);
                     if tick.is_multiple_of(SWEEP_TICKS) {
                         self.forwarder.sweep(Instant::now());
@@ -143,6 +149,9 @@
         };
         warn!(gap_ms = gap.as_millis() as u64; "process was paused");
         self.forwarder.record_pause(Instant::now());
+        if let Some(exchange) = &mut self.report_exchange {
+            exchange.record_pause(Instant::now());
+        }
         self.shared.reader_wakeup.notify_waiters();
         if self.directory_actor.cast(Request::ProcessPaused).is_err() {
             warn!("directory actor has stopped; it is not told of the pause");
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     cookie::{Counters, Forwarder, View},
+    gateway::report_counters::ReportCounters,
     member,
 };
 
@@ -54,6 +55,8 @@
     pub(super) malformed: AtomicU64,
     /// The number of datagrams that the operating system did not send.
     pub(super) unsent: AtomicU64,
+    /// The counters of the reports that the daemons of the zone exchange.
+    pub(super) report_counters: ReportCounters,
 }
 
 /// The statistics of the packet loop.
@@ -75,6 +78,11 @@
             && !self.is_cut_off.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of other daemons in the own zone; 0 if it is not known yet.
+    pub(super) fn zone_peer_count(&self) -> usize {
+        self.zone_daemon_count.load(Ordering::Relaxed).saturating_sub(1)
+    }
+
     /// Returns whether calls to the store fail or a daemon of another zone is suspected. `zone` is
     /// the zone of this daemon.
     pub(super) fn has_remote_failure(&self, zone: &str) -> bool {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -58,6 +58,9 @@
     /// The new flows per second that a cold target may get in addition to that rate.
     #[serde(default, deserialize_with = "strict")]
     pub cold_slack: f64,
+    /// Whether the daemon exchanges reports about targets with other daemons of its zone.
+    #[serde(default)]
+    pub target_reports: bool,
     /// The settings of the log.
     #[serde(default)]
     pub log: Log,
