Test the exchange of reports with daemon processes

A daemon gets garbage, frames of unknown daemons and of its own id, and 2,000 frames of 1,000 reports each. It counts and drops them and serves requests. The daemons of the gateway tests now run with `target_reports`, as on the platform. A benchmark of the decisions is added; it has not been run.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -11,10 +11,17 @@
 #[path = "../tests/cookies/mod.rs"]
 mod cookies;
 
-use std::{collections::HashMap, hint::black_box, time::Duration};
+use std::{
+    collections::HashMap,
+    hint::black_box,
+    time::{Duration, Instant},
+};
 
 use banyanwharf::{
-    cookie::{ApplyOutcome, Delta, Kind, Packet, Position},
+    cookie::{
+        ApplyOutcome, Delta, Kind, Packet, Position,
+        work::{Publisher, Report, ReportTable},
+    },
     flow::Key,
 };
 use criterion::{Criterion, criterion_group, criterion_main};
@@ -23,6 +30,9 @@
 const FLOW_COUNTS: [usize; 4] = [1_000, 30_000, 300_000, 1_000_000];
 const MAP_ENTRIES: usize = 300_000;
 
+/// The number of targets of one zone at the maximum that the design supports.
+const ZONE_TARGETS: u32 = 723;
+
 /// The numbers of targets in the current deployments, after their expected growth, and at the
 /// maximum that the design supports.
 const TARGET_COUNTS: [u64; 3] = [18, 150, 9_400];
@@ -118,12 +128,48 @@
     }
 }
 
+/// Measures the reports about targets with the targets of one zone: recording a frame of 24 reports
+/// in a full table, the factor of a target, and the decision on 100 own reports.
+fn reports(criterion: &mut Criterion) {
+    let start = Instant::now();
+    let report = |cookie| Report {
+        cookie,
+        delay_factor: 3.0,
+        is_rejecting: cookie % 2 == 0,
+        age: Duration::from_millis(100),
+    };
+    let mut table = ReportTable::new();
+    table.set_targets(start, 0..ZONE_TARGETS);
+    for from in 0..8 {
+        for first in (0..ZONE_TARGETS).step_by(24) {
+            let frame: Vec<Report> = (first..first + 24).map(report).collect();
+            table.record(start, from, &frame);
+        }
+    }
+    let frame: Vec<Report> = (0..24).map(report).collect();
+    criterion.bench_function("reports/record", |bencher| {
+        bencher.iter(|| table.record(start, 1, black_box(&frame)));
+    });
+    criterion.bench_function("reports/factor", |bencher| {
+        bencher.iter(|| table.factor(start, black_box(7), 1.0));
+    });
+    let own: Vec<Report> = (0..100).map(report).collect();
+    let mut publisher = Publisher::new(start);
+    let mut now = start;
+    criterion.bench_function("reports/publish", |bencher| {
+        bencher.iter(|| {
+            now += Duration::from_millis(100);
+            publisher.publish(now, black_box(&own), 84)
+        });
+    });
+}
+
 criterion_group! {
     name = benches;
     config = Criterion::default()
         .sample_size(20)
         .warm_up_time(Duration::from_millis(200))
         .measurement_time(Duration::from_secs(1));
-    targets = lookup, decision, cookie
+    targets = lookup, decision, cookie, reports
 }
 criterion_main!(benches);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,9 +14,12 @@
 
 use banyanwharf::{
     adapter::{PacketCodec, READY_PATH},
+    cookie::work::Report,
     cookie::{Destination, Flow, Listing, ListingUpdate, OperatorState, Packet, Revision},
     gateway::{Changes, Codec, Consistency, DecodeError, Gateway, ReadOutcome, Source},
+    member,
     platform::Error,
+    wire::{Body, Frame, Keyring, TargetReport},
 };
 use banyanwharf_testkit::{Proxy, ProxyMode, Replica, Store, StoreMode};
 use gateways::{
@@ -236,6 +239,60 @@
     assert_eq!(caller.open_and_request(second.data).await, Outcome::Served(2));
 }
 
+/// Guards against reports of unknown daemons, garbage and floods of frames that harm a daemon: they
+/// are counted and dropped, and requests are served.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_reports_are_dropped_and_requests_are_served() {
+    const FLOOD: u64 = 2_000;
+    let port = allocate_ports();
+    let (store, _targets, first) = start_ready_daemon(port).await;
+    let second = Daemon::start(2, "zone-a", port, &store, 1);
+    second.wait_until_ready().await;
+    first.wait_until_logged("\"member\":\"entry-2\"").await;
+    let keyring = Keyring::new([(1, [0xa5; 32])]).expect("the keyring has a key");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("the socket is bound");
+    let peer = first.settings()["peer"].as_str().expect("an address").to_owned();
+    let report = TargetReport::from(Report {
+        cookie: 1,
+        delay_factor: 100.0,
+        is_rejecting: true,
+        age: Duration::ZERO,
+    });
+    let frame = |sender: &str, reports: usize| {
+        let body = Body::TargetReports(vec![report; reports]);
+        let mut buffer = Vec::new();
+        Frame { sender: member::id(sender), body, packet: &[] }
+            .encode(&keyring, &mut buffer)
+            .expect("the frame is short");
+        buffer
+    };
+    let garbage = [&frame("entry-2", 1)[..20], &[0xff; 40]].concat();
+    for datagram in [garbage, frame("entry-9", 1), frame("entry-1", 1)] {
+        socket.send_to(&datagram, &*peer).await.expect("the datagram is sent");
+    }
+    let frames = async |outcome: &str| first.metric("gateway_report_frames", outcome).await;
+    // The senders are not known, or the daemon itself.
+    wait_until("2 frames are dropped", async || frames("\"dropped\"").await == 2).await;
+    assert_eq!(frames("\"received\"").await, 2);
+    let long = frame("entry-2", 1_000);
+    for _ in 0..FLOOD {
+        socket.send_to(&long, &*peer).await.expect("the datagram is sent");
+    }
+    wait_until("the queue is full", async || frames("\"dropped\"").await > 2).await;
+    let mut caller = Caller::new(1, port, WEB).await;
+    let outcome = caller.open_and_request(first.data).await;
+    assert!(matches!(outcome, Outcome::Served(1 | 2)), "{outcome:?}");
+    // No target has the cookie, so all reports are ignored.
+    let reports = async |outcome: &str| first.metric("gateway_reports", outcome).await;
+    wait_until("all reports received are ignored", async || {
+        let received = reports("\"received\"").await;
+        received > 0 && received == reports("\"ignored\"").await
+    })
+    .await;
+    assert_eq!(frames("\"sent\"").await, 0);
+    first.wait_until_logged("reports about targets were exchanged").await;
+}
+
 /// Guards against calls to the store that grow with the daemons of a zone, and against a follower
 /// that keeps an old view after its zone reader has failed.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/gateways/daemon.rs
+++ b/tests/gateways/daemon.rs
@@ -12,6 +12,8 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
     process::{Child, Command as AsyncCommand},
     time::{sleep, timeout},
 };
@@ -58,6 +60,7 @@
         "metrics": at(METRICS_PORT), "platform": store,
         "keys": [{ "number": 1, "key": "a5".repeat(32) }],
         "contacts": [contact],
+        "target_reports": true,
         "log": { "format": "json", "stream": "stdout", "level": "debug" },
     })
 }
@@ -109,6 +112,22 @@
         format!("http://{}:{}/metrics", self.data.ip(), self.data.port() + METRICS_PORT)
     }
 
+    /// Returns the value of the first metric whose name begins with `name` and whose line contains
+    /// `label`; 0 if there is none.
+    pub(crate) async fn metric(&self, name: &str, label: &str) -> u64 {
+        let address = (self.data.ip(), self.data.port() + METRICS_PORT);
+        let mut stream = TcpStream::connect(address).await.expect("the endpoint accepts");
+        let request = b"GET /metrics HTTP/1.1\r\nHost: daemon\r\nConnection: close\r\n\r\n";
+        stream.write_all(request).await.expect("the request is sent");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.expect("the response is text");
+        let mut lines = text.lines();
+        let name = format!("banyanwharf_{name}");
+        let line = lines.find(|line| line.starts_with(&name) && line.contains(label));
+        let value = line.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+        value.unwrap_or_default()
+    }
+
     pub(crate) fn settings_file(&self) -> PathBuf {
         self.folder.path().join("settings.jsonc")
     }
