--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -13,9 +13,9 @@
         flows::{Flows, SentBy, Signal},
         observer::Observer,
         selector::Selector,
-        work::{Answer, Estimator, Room},
+        work::{Answer, Estimator, Report, ReportTable, Room},
     },
-    util,
+    member, util,
 };
 
 /// The maximum number of unresolved flows that are remembered.
@@ -36,6 +36,8 @@
     estimator: Estimator,
     /// Which targets are full; `None` if load shedding is disabled.
     room: Option<Room>,
+    /// The reports of other daemons of the zone.
+    report_table: ReportTable,
     /// The established flows whose route or cookie this daemon does not know, each with the cookie
     /// and the arrival time of the first such packet. Another daemon knew both when it forwarded the
     /// opening packet.
@@ -68,6 +70,7 @@
             estimator: Estimator::default(),
             view: Arc::default(),
             flows,
+            report_table: ReportTable::new(),
             unresolved_flows: HashMap::new(),
             opened_flows: VecDeque::new(),
             last_placement_by_service: HashMap::new(),
@@ -108,12 +111,29 @@
         if let Some(room) = &mut self.room {
             room.record_pause();
         }
+        self.report_table.record_pause(now);
         self.opened_flows.clear();
         // A response of the store that arrives now may be from before the pause.
         self.unresolved_flows.clear();
         self.drop_opens_until = Some(now + self.tuning.pause_drop_time);
     }
 
+    /// Returns this daemon's own reports about targets that differ from the others.
+    pub fn own_reports(&self, now: Instant) -> Vec<Report> {
+        let mut reports = self.estimator.reports(now);
+        if let Some(room) = &self.room {
+            reports.iter_mut().for_each(|report| {
+                report.is_rejecting = room.is_full(now, report.cookie);
+            });
+        }
+        reports
+    }
+
+    /// Records reports of the daemon `from` that arrived at `now`, and returns how many are used.
+    pub fn record_reports(&mut self, now: Instant, from: member::Id, reports: &[Report]) -> usize {
+        self.report_table.record(now, from, reports)
+    }
+
     /// Returns the current view.
     pub fn view(&self) -> &Arc<View> {
         &self.view
@@ -222,6 +242,12 @@
         if let Some(room) = &mut self.room {
             room.sweep(now, self.view.config.as_deref(), self.tuning.opening_copy_lifetime);
         }
+        if self.tuning.shares_reports {
+            let entries = self.view.entries().iter();
+            let own_zone =
+                entries.filter(|entry| entry.is_usable && entry.target.zone == self.zone);
+            self.report_table.set_targets(now, own_zone.map(|entry| entry.cookie));
+        }
     }
 
     /// Removes lost flows from the flow table, and returns them so that the caller of this method
@@ -389,6 +415,7 @@
                 cold_sharers: self.cold_sharers,
                 zone_daemons: self.zone_daemons,
                 estimator: &self.estimator,
+                report_table: &self.report_table,
                 room: None,
             }
             .usable_zones(&mut self.observer, service),
@@ -446,6 +473,7 @@
             cold_sharers: self.cold_sharers,
             zone_daemons: self.zone_daemons,
             estimator: &self.estimator,
+            report_table: &self.report_table,
             room: self.room.as_ref(),
         };
         let choice =
--- a/src/cookie/selector.rs
+++ b/src/cookie/selector.rs
@@ -5,7 +5,7 @@
     flows::{Flows, Load},
     observer::Observer,
     view::ZonePool,
-    work::{Estimator, Room, Standing},
+    work::{Estimator, ReportTable, Room, Standing},
 };
 
 /// The maximum number of candidates in the own zone. Up to this number of targets all are
@@ -68,6 +68,8 @@
     /// The number of daemons in the own zone, including this one.
     pub(super) zone_daemons: usize,
     pub(super) estimator: &'a Estimator,
+    /// The reports of other daemons of the zone.
+    pub(super) report_table: &'a ReportTable,
     /// Which targets are full; `None` if load shedding is disabled.
     pub(super) room: Option<&'a Room>,
 }
@@ -232,7 +234,9 @@
         let pending = flows.pending(entry.cookie);
         let backlog = self.estimator.backlog(self.now, pending);
         let cost = self.estimator.cost(flow.service);
-        let factor = self.estimator.delay_factor(self.now, entry, pending);
+        let own_answers = self.estimator.recent_answers(self.now, entry.cookie);
+        let factor = self.estimator.delay_factor(self.now, entry, pending)
+            * self.report_table.factor(self.now, entry.cookie, own_answers);
         let slots = f64::from(entry.target.slots.max(1));
         factor * (cost * (1.0 + occupation) + backlog / slots)
     }
--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -121,6 +121,8 @@
     /// Whether full targets are avoided, and new flows of lower priority classes are refused while
     /// no zone has room.
     pub sheds_load: bool,
+    /// Whether the daemon exchanges reports about targets with other daemons of its zone.
+    pub shares_reports: bool,
 }
 
 impl Default for Tuning {
@@ -162,6 +164,7 @@
             placement: Placement::OpenFlows,
             pause_drop_time: Duration::from_millis(300),
             sheds_load: false,
+            shares_reports: false,
         }
     }
 }
--- a/src/cookie/work/estimator.rs
+++ b/src/cookie/work/estimator.rs
@@ -169,6 +169,13 @@
         if overdue > OVERDUE_FACTOR * observed { overdue.min(MAXIMUM_FACTOR) } else { observed }
     }
 
+    /// Returns the weight of this daemon's own answers of a target within the last seconds: 1 if the
+    /// last one has just arrived, and less the older it is.
+    pub fn recent_answers(&self, now: Instant, cookie: Cookie) -> f64 {
+        let age = self.targets.get(&cookie).map(|target| target.factor.age(now));
+        age.map_or(0.0, |age| (-age.as_secs_f64() / DELAY_DECAY.as_secs_f64()).exp())
+    }
+
     /// Returns the work of the pending requests of a target, in seconds at usual speed.
     pub fn backlog(&self, now: Instant, pending: &[Pending]) -> f64 {
         let is_counted = |request: &&Pending| {
--- a/src/gateway/event_logger.rs
+++ b/src/gateway/event_logger.rs
@@ -88,12 +88,12 @@
             flow:% = flow, service = &**service, reason:? = Reason::NoRoom,
             admitted_percent = refusal.admitted_percent,
             rejections = rejections_by_zone(refusal).as_str(), version = version,
-            revision = revision;
+            revision:% = revision;
             "flow is refused for lack of capacity"
         ),
         Event::RefusedAgain { flow, attempt } => info!(
             flow:% = flow, reason:? = Reason::NoRoom, attempt = attempt, version = version,
-            revision = revision;
+            revision:% = revision;
             "copy of the opening packet of a refused flow is refused"
         ),
         Event::Dropped { flow, cause } => debug!(
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -66,6 +66,9 @@
     /// no zone has room.
     #[serde(default)]
     pub load_shedding: bool,
+    /// Whether the daemon exchanges reports about targets with other daemons of its zone.
+    #[serde(default)]
+    pub target_reports: bool,
     /// The settings of the log.
     #[serde(default)]
     pub log: Log,
