--- a/src/cookie/directory/era.rs
+++ b/src/cookie/directory/era.rs
@@ -26,6 +26,12 @@
         self.era_start = Some(EraStart { at: now, revision });
     }
 
+    /// Returns whether the entry of `target` was certainly written in the present era, which has begun
+    /// while this daemon ran.
+    pub(super) fn is_written_in_era(&self, target: &Target) -> bool {
+        self.era_start.is_some_and(|start| target.revision.follows(start.revision))
+    }
+
     /// Returns whether the entry of `target` may be one that was removed before the store returned
     /// from a copy: the same or a later start of the target is known, it has not been seen in the
     /// present era, and the entry was not certainly written in this era.
@@ -39,12 +45,10 @@
         } else {
             known.target.born > target.born
         };
-        let is_written_in_era =
-            target.revision.era == self.revision.era && number > start.revision.number;
         let lasted = now.saturating_duration_since(start.at);
         is_former
             && known.era < self.revision.era
-            && !is_written_in_era
+            && !self.is_written_in_era(target)
             && lasted < self.tuning.restored_entry_lifetime
     }
 
@@ -61,8 +65,8 @@
         }
     }
 
-    /// Returns the zones out of service whose items the store does not show since it has returned
-    /// from a copy to zones with the items `listed`.
+    /// Keeps the zones out of service that are not among `listed`, the zones with an item in the copy
+    /// from which the store has returned, until operators have had time to write their items again.
     pub(super) fn restart_zone_grace(&mut self, now: Instant, listed: &[Arc<str>]) {
         let until = now.checked_add(self.tuning.zone_grace).unwrap_or(now);
         let missing = self.zones_out.iter().filter(|zone| !listed.contains(zone));
--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -556,6 +556,7 @@
     fn insert_target(&mut self, now: Instant, mut target: Target) {
         let warm_at = self.warm_after(now, target.cold_for);
         let present_ran_until = self.present_ran_until();
+        let is_written_in_era = self.is_written_in_era(&target);
         match self.targets.get_mut(&target.name) {
             Some(known) if known.target.born == target.born => {
                 if target.revision < known.target.revision {
@@ -573,9 +574,8 @@
                 if is_unchanged {
                     return;
                 }
-                if is_new_era {
-                    known.warm_at = known.warm_at.min(warm_at);
-                } else if target.revision > known.target.revision {
+                // An older entry of the copy says nothing about how long the target is cold now.
+                if is_written_in_era || target.revision.number > known.target.revision.number {
                     known.warm_at = warm_at;
                 }
                 known.ended_at = None;
--- a/testkit/src/http.rs
+++ b/testkit/src/http.rs
@@ -21,6 +21,8 @@
 pub(crate) enum Reply {
     /// Sends a response with this status and JSON body.
     Json(u16, serde_json::Value),
+    /// Sends a response with this status, JSON body, and a header with this name and value.
+    JsonWithHeader(u16, serde_json::Value, &'static str, u64),
     /// Closes the connection without a response.
     Close,
 }
@@ -72,10 +74,17 @@
 }
 
 fn respond(reply: Reply) -> io::Result<Response<Full<Bytes>>> {
-    let Reply::Json(status, value) = reply else {
-        return Err(io::ErrorKind::ConnectionAborted.into());
+    let (status, value, header) = match reply {
+        Reply::Json(status, value) => (status, value, None),
+        Reply::JsonWithHeader(status, value, name, content) => {
+            (status, value, Some((name, content)))
+        }
+        Reply::Close => return Err(io::ErrorKind::ConnectionAborted.into()),
     };
     let mut response = Response::new(Full::from(value.to_string()));
+    if let Some((name, content)) = header {
+        response.headers_mut().insert(name, content.into());
+    }
     *response.status_mut() =
         StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     Ok(response)
@@ -97,6 +106,16 @@
 ///
 /// Returns the error of the connection, or `InvalidData` if the URL or the response is invalid.
 pub async fn get(url: &str) -> io::Result<(u16, serde_json::Value)> {
+    let (status, body) = get_bytes(url).await?;
+    Ok((status, serde_json::from_slice(&body)?))
+}
+
+/// Sends a GET request and returns the status and the body of the response.
+///
+/// # Errors
+///
+/// Returns the error of the connection, or `InvalidData` if the URL or the response is invalid.
+pub async fn get_bytes(url: &str) -> io::Result<(u16, Vec<u8>)> {
     let invalid = || io::Error::from(io::ErrorKind::InvalidData);
     let rest = url.strip_prefix("http://").ok_or_else(invalid)?;
     let (address, path) = rest.split_once('/').ok_or_else(invalid)?;
@@ -109,7 +128,7 @@
     let mut response = httparse::Response::new(&mut headers);
     match response.parse(&bytes) {
         Ok(httparse::Status::Complete(start)) => {
-            Ok((response.code.ok_or_else(invalid)?, serde_json::from_slice(&bytes[start..])?))
+            Ok((response.code.ok_or_else(invalid)?, bytes[start..].to_vec()))
         }
         _ => Err(invalid()),
     }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -30,7 +30,7 @@
 pub use caller::{BreakCause, BrokenFlow, Caller, CallerConfig, CallerRecord};
 pub use daemons::Daemons;
 pub use fabric::{Fabric, FabricRecord, Impairment, LoadSharing};
-pub use http::get;
+pub use http::{get, get_bytes};
 pub use initiator::{Initiator, InitiatorConfig, InitiatorRecord};
 pub use platform::{Mode, Platform, Vm};
 pub use proxy::{Proxy, ProxyMode};
--- a/testkit/src/store.rs
+++ b/testkit/src/store.rs
@@ -21,6 +21,9 @@
 /// The size of the items in bytes of JSON after which a page ends.
 const PAGE_BYTES: usize = 1_000_000;
 
+/// The header with the number of times that the store has returned from a copy.
+const ERA_HEADER: &str = "store-era";
+
 /// How a [`Store`] responds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreMode {
@@ -40,6 +43,8 @@
 #[derive(Debug, Default)]
 struct State {
     mode: StoreMode,
+    /// The number of times that the store has returned from a copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Value>,
     /// The keys, revisions and events of the changes since the last compaction, oldest first.
@@ -49,7 +54,9 @@
     calls: u64,
     /// The number of range reads for each prefix.
     range_reads: BTreeMap<String, u64>,
-    /// All changes since the start.
+    /// The era, the revision and the items before the last return from a copy.
+    former: (u64, u64, BTreeMap<String, Value>),
+    /// The changes from which the present state results, one for each revision.
     history: Vec<Change>,
     /// What stale reads show in turn; if empty, they show the latest state.
     replicas: Vec<Replica>,
@@ -79,6 +86,8 @@
     At(u64),
     /// The state this long ago.
     Behind(Duration),
+    /// The state before the last return from a copy, in its era.
+    Former,
 }
 
 impl State {
@@ -94,19 +103,38 @@
         items
     }
 
-    /// Returns the revision that the next stale read shows.
-    fn next_stale_revision(&mut self) -> u64 {
+    /// Returns the era, the revision and the items that the next stale read shows.
+    fn next_stale_state(&mut self) -> (u64, u64, BTreeMap<String, Value>) {
         if self.replicas.is_empty() {
-            return self.revision;
+            return (self.era, self.revision, self.items_at(self.revision));
         }
         let replica = self.replicas[self.stale_reads % self.replicas.len()];
         self.stale_reads += 1;
-        match replica {
+        let revision = match replica {
             Replica::At(revision) => revision,
             Replica::Behind(age) => {
                 self.history.partition_point(|change| change.at.elapsed() >= age) as u64
             }
-        }
+            Replica::Former => return self.former.clone(),
+        };
+        (self.era, revision, self.items_at(revision))
+    }
+
+    /// Returns a response that shows the present era.
+    fn reply(&self, status: u16, body: Value) -> Reply {
+        reply(self.era, status, body)
+    }
+
+    /// Returns to the state of the time `copied_at`, in the next era.
+    fn return_from_copy(&mut self, copied_at: Instant) {
+        self.former = (self.era, self.revision, self.items.clone());
+        self.history.truncate(self.history.partition_point(|change| change.at <= copied_at));
+        let revision = self.history.len() as u64;
+        self.items = self.items_at(revision);
+        self.events.retain(|(_, changed, _)| *changed <= revision);
+        self.compacted_revision = self.compacted_revision.min(revision);
+        self.revision = revision;
+        self.era += 1;
     }
 
     /// Stores an item as the change at the present revision.
@@ -253,6 +281,32 @@
         self.shared.cuts.send_replace(silence);
     }
 
+    /// Refuses calls for `outage` and returns to the state of `age` before, in the next era. Writes
+    /// since then are lost, also those during the outage.
+    pub async fn return_from_copy(&self, age: Duration, outage: Duration) {
+        let now = Instant::now();
+        let copied_at = now.checked_sub(age).unwrap_or(now);
+        let former = std::mem::replace(&mut lock(&self.shared.state).mode, StoreMode::Unavailable);
+        self.shared.cuts.send_replace(Duration::ZERO);
+        tokio::time::sleep(outage).await;
+        let mut state = lock(&self.shared.state);
+        state.return_from_copy(copied_at);
+        if state.mode == StoreMode::Unavailable {
+            state.mode = former;
+        }
+    }
+
+    /// Returns the number of times that the store has returned from a copy.
+    pub fn era(&self) -> u64 {
+        lock(&self.shared.state).era
+    }
+
+    /// Returns the content of an item.
+    pub fn content(&self, key: &str) -> Option<Vec<u8>> {
+        let value = lock(&self.shared.state).items.get(key)?["value"].as_str()?.to_owned();
+        BASE64_STANDARD.decode(value).ok()
+    }
+
     /// Sets the replicas that answer stale reads in turn, one for each page.
     pub fn set_replicas(&self, replicas: &[Replica]) {
         let mut state = lock(&self.shared.state);
@@ -309,7 +363,9 @@
     };
     match mode {
         StoreMode::Normal | StoreMode::LosesResponses => {}
-        StoreMode::Unavailable => return Reply::Json(503, json!({ "error": "unavailable" })),
+        StoreMode::Unavailable => {
+            return lock(&shared.state).reply(503, json!({ "error": "unavailable" }));
+        }
         StoreMode::Silent => std::future::pending().await,
         StoreMode::Slow(delay) => tokio::time::sleep(delay).await,
     }
@@ -324,23 +380,22 @@
     let prefix = text_parameter(uri, "prefix").unwrap_or_default();
     if uri.starts_with("/banyanwharf/kv-range?") {
         let is_stale = parameter(uri, "allowStale") == Some(1);
-        Reply::Json(200, range(shared, &prefix, text_parameter(uri, "after").as_deref(), is_stale))
+        range(shared, &prefix, text_parameter(uri, "after").as_deref(), is_stale)
     } else if uri.starts_with("/banyanwharf/kv-watch?") {
         watch(shared, &prefix, uri).await
     } else {
-        Reply::Json(404, json!({ "error": "not found" }))
+        lock(&shared.state).reply(404, json!({ "error": "not found" }))
     }
 }
 
-fn range(shared: &Shared, prefix: &str, after: Option<&str>, is_stale: bool) -> Value {
+fn range(shared: &Shared, prefix: &str, after: Option<&str>, is_stale: bool) -> Reply {
     let mut state = lock(&shared.state);
     *state.range_reads.entry(prefix.to_owned()).or_default() += 1;
-    let (items, revision) = if is_stale {
-        let revision = state.next_stale_revision();
-        (state.items_at(revision), revision)
+    let (era, revision, items) = if is_stale {
+        state.next_stale_state()
     } else {
         *state.linearizable_reads.entry(prefix.to_owned()).or_default() += 1;
-        (state.items.clone(), state.revision)
+        (state.era, state.revision, state.items.clone())
     };
     let all: Vec<&Value> = items
         .iter()
@@ -356,7 +411,13 @@
         has_room
     };
     let page: Vec<&Value> = all.iter().take(PAGE_ITEMS).take_while(is_on_page).copied().collect();
-    json!({ "items": page, "hasMore": all.len() > page.len(), "storeRevision": revision })
+    let has_more = all.len() > page.len();
+    reply(era, 200, json!({ "items": page, "hasMore": has_more, "storeRevision": revision }))
+}
+
+/// Returns a response that shows this era.
+fn reply(era: u64, status: u16, body: Value) -> Reply {
+    Reply::JsonWithHeader(status, body, ERA_HEADER, era)
 }
 
 async fn watch(shared: &Shared, prefix: &str, uri: &str) -> Reply {
@@ -376,7 +437,8 @@
         loop {
             changed.mark_unchanged();
             let reply = events(shared, prefix, after);
-            if matches!(&reply, Reply::Json(200, body) if body["events"] == json!([])) {
+            if matches!(&reply, Reply::JsonWithHeader(200, body, ..) if body["events"] == json!([]))
+            {
                 // An error is not possible: the sender lives as long as the server.
                 let _ = changed.changed().await;
             } else {
@@ -399,15 +461,15 @@
 
 fn events(shared: &Shared, prefix: &str, after: u64) -> Reply {
     let state = lock(&shared.state);
-    if after < state.compacted_revision {
-        return Reply::Json(410, json!({ "error": "history is gone" }));
+    if after < state.compacted_revision || after > state.revision {
+        return state.reply(410, json!({ "error": "history is gone" }));
     }
     let wanted = state
         .events
         .iter()
         .filter(|(key, revision, _)| *revision > after && key.starts_with(prefix));
     let events: Vec<&Value> = wanted.map(|(_, _, event)| event).collect();
-    Reply::Json(200, json!({ "events": events, "storeRevision": state.revision }))
+    state.reply(200, json!({ "events": events, "storeRevision": state.revision }))
 }
 
 /// Returns the value of a query parameter. Slashes are the only escaped characters that are
--- a/tests/era/world.rs
+++ b/tests/era/world.rs
@@ -108,7 +108,7 @@
         if let Some(former) = self.running.remove(&number) {
             self.left_at.insert((number, former.entry.born), now);
         }
-        let zone = if number % 2 == 0 { OWN_ZONE } else { OTHER_ZONE };
+        let zone = if number.is_multiple_of(2) { OWN_ZONE } else { OTHER_ZONE };
         let entry = Target { born: self.starts, ..target(number, "web", zone) };
         self.crashed.remove(&number);
         self.store.write(now, entry.clone());
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -208,6 +208,47 @@
     assert_eq!(follower.directory.revision(), at(1, 80));
 }
 
+/// Guards against a cold target that gets more than its limit because the copy shows an older entry
+/// of it, and against a warm one that gets too little.
+#[test]
+fn older_entry_of_the_copy_does_not_change_when_a_target_is_warm() {
+    let entry = |revision, cold| Target { cold_for: ms(cold), ..entry(1, revision, READY) };
+    for (former, copied, cold) in [(9000, 0, true), (0, 9000, false)] {
+        let mut fixture = daemon(vec![entry(at(0, 80), former)]);
+        fixture.advance(ms(1000));
+        read(&mut fixture, at(1, 70), vec![entry(at(1, 60), copied)]);
+        let view = fixture.directory.view(fixture.now);
+        assert_eq!(view.entries()[0].is_cold(fixture.now), cold, "{former} ms, {copied} ms");
+        // What is written in the new era counts, although its number is lower.
+        let changes = vec![EntryChange::Written(entry(at(1, 71), copied))];
+        update(&mut fixture, at(1, 71), changes);
+        let view = fixture.directory.view(fixture.now);
+        assert_ne!(view.entries()[0].is_cold(fixture.now), cold, "{former} ms, {copied} ms");
+    }
+}
+
+/// Guards against an ended target that gets flows again because a peer, to which it is lapsed, passes
+/// it on as present, and then stays since the store has no further event for it.
+#[test]
+fn lapsed_target_of_a_peer_is_not_present() {
+    let mut peer = daemon(vec![entry(1, at(0, 80), READY)]);
+    let mut ended = daemon(vec![entry(1, at(0, 80), READY)]);
+    let mut unread = DaemonFixture::new(Vec::new());
+    peer.directory.record_failure(peer.now);
+    for fixture in [&mut peer, &mut ended] {
+        fixture.advance(ms(500));
+        update(fixture, at(0, 91), vec![removed(1, at(0, 91))]);
+    }
+    assert_eq!(state(&mut peer, 1), Some((Presence::Lapsed, READY)));
+    assert_eq!(state(&mut ended, 1), Some((Presence::Gone, READY)));
+    let (operator, lapsed) = (peer.directory.operator_state(peer.now), peer.directory.lapsed());
+    for (fixture, expected) in [(&mut ended, Presence::Gone), (&mut unread, Presence::Lapsed)] {
+        let (now, listing) = (fixture.now, peer.directory.listing());
+        fixture.directory.apply_peer(now, Duration::ZERO, &operator, listing, &lapsed);
+        assert_eq!(state(fixture, 1), Some((expected, READY)));
+    }
+}
+
 /// Guards against a delta of the former era that replaces the state of the new one.
 #[test]
 fn delta_of_an_earlier_era_is_ignored() {
--- a/tests/gateways/target.rs
+++ b/tests/gateways/target.rs
@@ -82,6 +82,8 @@
     pub(crate) service: String,
     pub(crate) zone: String,
     born: u64,
+    /// The entry that the target wrote last.
+    entry: Mutex<Vec<u8>>,
     task: JoinHandle<()>,
     listener: JoinHandle<()>,
 }
@@ -127,7 +129,8 @@
         let task = tokio::spawn(run(socket, number, caller_port, record.clone()));
         let id = format!("i-{number:08x}");
         let (service, zone) = (service.to_owned(), zone.to_owned());
-        Target { id, number, address, record, service, zone, born, task, listener }
+        let entry = Mutex::default();
+        Target { id, number, address, record, service, zone, born, entry, task, listener }
     }
 
     /// Writes the target's entry to the store.
@@ -143,7 +146,15 @@
             "born": self.born,
         });
         self.record.is_draining.store(state == "draining", Ordering::Relaxed);
-        store.put(&self.store_key(), entry.to_string().as_bytes());
+        let entry = entry.to_string().into_bytes();
+        store.put(&self.store_key(), &entry);
+        *self.entry.lock().expect("the lock is not poisoned") = entry;
+    }
+
+    /// Returns whether the store holds the entry that the target wrote last.
+    pub(crate) fn is_entry_stored(&self, store: &Store) -> bool {
+        let entry = self.entry.lock().expect("the lock is not poisoned");
+        store.content(&self.store_key()).is_some_and(|stored| stored == *entry)
     }
 
     pub(crate) fn deregister(&self, store: &Store) {
@@ -160,10 +171,15 @@
     }
 
     pub(crate) fn store_key(&self) -> String {
-        format!("servers/{}", self.id)
+        store_key(self.number)
     }
 }
 
+/// Returns the key of the entry of target `number`.
+pub(crate) fn store_key(number: u64) -> String {
+    format!("servers/i-{number:08x}")
+}
+
 /// Accepts TCP connections at the target's address, and refuses them while the target is silent, as
 /// after a crash of its process.
 async fn accept(address: SocketAddrV4, mut bound: Option<TcpListener>, record: Arc<Record>) {
--- a/tests/soaks/delays.rs
+++ b/tests/soaks/delays.rs
@@ -38,7 +38,8 @@
 pub(crate) struct Publication {
     at: Instant,
     time_ms: u64,
-    revision: u64,
+    /// The era and the number of the store's revision.
+    revision: (u64, u64),
     change: Change,
 }
 
@@ -50,7 +51,7 @@
 
 impl Publication {
     /// Returns the publication of a change that the store has just acknowledged.
-    pub(crate) fn new(revision: u64, change: Change) -> Publication {
+    pub(crate) fn new(revision: (u64, u64), change: Change) -> Publication {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("after the epoch");
         let time_ms = since_epoch.as_millis() as u64 % DAY_MS;
         Publication { at: Instant::now(), time_ms, revision, change }
@@ -69,7 +70,7 @@
         let is = |key, value: &str| line.attribute(key) == value;
         // Mass changes have one line, which names only the first targets.
         let is_mass_change = line.message() == "targets have changed"
-            && line.number("read").is_some_and(|read| read >= self.revision);
+            && line.revision("read").is_some_and(|read| read >= self.revision);
         let is_target_line = line.message() == "target has changed";
         match &self.change {
             Change::Config(version) => {
@@ -111,6 +112,13 @@
         self.content["attributes"][key].as_str().unwrap_or_default()
     }
 
+    /// Returns the era and the number of a revision, which has no era in the era 0.
+    fn revision(&self, key: &str) -> Option<(u64, u64)> {
+        let (era, number) =
+            self.attribute(key).split_once('/').unwrap_or(("0", self.attribute(key)));
+        Some((era.parse().ok()?, number.parse().ok()?))
+    }
+
     fn number(&self, key: &str) -> Option<u64> {
         self.attribute(key).parse().ok()
     }
--- a/tests/soaks/fleet.rs
+++ b/tests/soaks/fleet.rs
@@ -105,6 +105,8 @@
     /// Whether connections to the store go silent, in plans that follow operators.
     pub(crate) silences_connections: bool,
     pub(crate) faults: Vec<Fault>,
+    /// Whether the store returns from copies of earlier states.
+    pub(crate) returns_from_copy: bool,
 }
 
 impl Default for Habits {
@@ -115,6 +117,7 @@
             stale_reads: [4000, 50].map(Duration::from_millis).to_vec(),
             silences_connections: true,
             faults: FAULTS.map(|(_, fault)| fault).to_vec(),
+            returns_from_copy: true,
         }
     }
 }
@@ -145,6 +148,7 @@
                 "stale-reads" => habits.stale_reads.clear(),
                 "silent-connections" => habits.silences_connections = false,
                 "faults" => habits.faults.clear(),
+                "returns-from-copy" => habits.returns_from_copy = false,
                 _ => panic!("SOAK_WITHOUT names no habit: {name}"),
             }
         }
--- a/tests/soaks/plan.rs
+++ b/tests/soaks/plan.rs
@@ -12,6 +12,9 @@
 /// Unused: after the last action a run waits for the settle time of the testbed.
 pub(crate) const TAIL: Duration = Duration::from_secs(12);
 
+/// Distinguishes the random numbers of the returns of the store from those of the rest of a plan.
+const RETURNS_SEED: u64 = 0x0065_7261;
+
 /// Something that the run does to the system under test.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Action {
@@ -67,6 +70,11 @@
     CompactAndCutWatches,
     /// Stops the daemons one after the other.
     RestartInTurn,
+    /// Lets the store refuse calls for `outage` and return to the state of `age` before.
+    ReturnFromCopy {
+        age: Duration,
+        outage: Duration,
+    },
 }
 
 /// A change of the configuration.
@@ -108,10 +116,29 @@
     } else {
         random_plan(&mut random, &setup.fleet)
     };
+    if setup.habits.returns_from_copy {
+        plan.extend(returns_from_copy(seed));
+    }
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
+/// Returns up to two returns of the store from a copy, for half of the seeds. They have their own
+/// random numbers, so that they do not change the rest of the plan.
+fn returns_from_copy(seed: u64) -> Vec<(Duration, Action)> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ RETURNS_SEED);
+    let count = if random.random_bool(0.5) { random.random_range(1..=2) } else { 0 };
+    let mut at = random_start(&mut random);
+    let mut returns = Vec::new();
+    for _ in 0..count {
+        let age = Duration::from_millis(random.random_range(200..6000));
+        let outage = Duration::from_millis(random.random_range(0..1000));
+        returns.push((at, Action::ReturnFromCopy { age, outage }));
+        at += outage + Duration::from_millis(random.random_range(300..4000));
+    }
+    returns
+}
+
 fn random_plan(random: &mut Pcg64Mcg, fleet: &Fleet) -> Vec<(Duration, Action)> {
     let mut plan = Vec::new();
     // Planned operations go on during failures.
--- a/tests/soaks/shared.rs
+++ b/tests/soaks/shared.rs
@@ -12,11 +12,11 @@
 };
 
 use banyanwharf_testkit::Store;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::gateways::{
     config::config,
-    target::{Event, EventKind, Target},
+    target::{Event, EventKind, Target, store_key},
 };
 
 use super::{
@@ -207,6 +207,15 @@
     }
 
     fn publish(&self, published: &mut Published, mut config: Config) {
+        self.write_config(&config);
+        config.published_at = Instant::now();
+        let (version, routes) = (config.version, &config.routes);
+        self.recorder.record_event(format!("configuration version {version}: {routes:?}"));
+        published.configs.push(config);
+        self.record_publication(Change::Config(version));
+    }
+
+    fn write_config(&self, config: &Config) {
         let routes: Vec<(u16, &str)> =
             config.routes.iter().map(|(port, shares)| (*port, shares[0].0)).collect();
         let mut document = self::config(config.version, &routes, COLD_RATE);
@@ -217,15 +226,54 @@
         }
         document["limits"]["idleTimeoutMs"] = config.idle_timeout_ms.into();
         self.store.put("op/config", document.to_string().as_bytes());
-        config.published_at = Instant::now();
-        let (version, routes) = (config.version, &config.routes);
-        self.recorder.record_event(format!("configuration version {version}: {routes:?}"));
-        published.configs.push(config);
-        self.record_publication(Change::Config(version));
+    }
+
+    /// Writes again what operators and running targets have written and the store does not hold.
+    pub(crate) fn write_lost_again(&self) {
+        let published = self.published.lock().expect("the lock is not poisoned");
+        let stored = self.store.content("op/config").unwrap_or_default();
+        let stored: Value = serde_json::from_slice(&stored).unwrap_or_default();
+        if let Some(config) = published.configs.last()
+            && stored["version"] != config.version
+        {
+            self.write_config(config);
+        }
+        for zone in self.setup.fleet.zones {
+            let key = format!("op/evacuate/{zone}");
+            let is_stored = self.store.content(&key).is_some();
+            match (published.zones_out.contains_key(*zone), is_stored) {
+                (true, false) => self.store.put(&key, b"{}"),
+                (false, true) => self.store.remove(&key),
+                (true, true) | (false, false) => {}
+            }
+        }
+        drop(published);
+        let ready = self.ready_targets();
+        for target in self.running_targets.lock().expect("the lock is not poisoned").iter() {
+            let state = if ready.contains(&target.number) { "ready" } else { "draining" };
+            if target.is_entry_stored(&self.store) {
+                continue;
+            }
+            match state {
+                "ready" => self.renew_entry(target),
+                _ => target.register(&self.store, state),
+            }
+        }
+    }
+
+    /// Removes the entries of targets below the number `end` that do not run.
+    pub(crate) fn remove_expired_entries(&self, end: u64) {
+        let running = self.running_targets.lock().expect("the lock is not poisoned");
+        let running: HashSet<String> = running.iter().map(Target::store_key).collect();
+        for key in (1..end).map(store_key).filter(|key| !running.contains(key)) {
+            if self.store.content(&key).is_some() {
+                self.store.remove(&key);
+            }
+        }
     }
 
     fn record_publication(&self, change: Change) {
-        let publication = Publication::new(self.store.revision(), change);
+        let publication = Publication::new((self.store.era(), self.store.revision()), change);
         self.publications.lock().expect("the lock is not poisoned").push(publication);
     }
 
--- a/tests/soaks/testbed.rs
+++ b/tests/soaks/testbed.rs
@@ -310,6 +310,7 @@
                 sleep(CUT_WATCH_SILENCE).await;
                 self.end_disturbances(disturbances);
             }
+            Action::ReturnFromCopy { age, outage } => self.return_from_copy(age, outage).await,
             Action::RestartInTurn => {
                 for process in &self.processes {
                     process.stop().await;
@@ -344,6 +345,21 @@
         self.end_disturbances(disturbances);
     }
 
+    /// Lets the store return from a copy. Targets and operators then write again what was lost, and
+    /// the entries of ended targets expire.
+    async fn return_from_copy(&self, age: Duration, outage: Duration) {
+        let disturbances = self.disturb([Component::Store]);
+        self.shared.active_outages.fetch_add(1, Ordering::SeqCst);
+        self.shared.store.return_from_copy(age, outage).await;
+        self.shared.active_outages.fetch_sub(1, Ordering::SeqCst);
+        self.shared.recorder.increment("returns of the store");
+        sleep(ENTRY_RETURN_DELAY).await;
+        self.shared.write_lost_again();
+        sleep(ENTRY_LIFETIME - ENTRY_RETURN_DELAY).await;
+        self.shared.remove_expired_entries(self.next_target.load(Ordering::Relaxed));
+        self.end_disturbances(disturbances);
+    }
+
     async fn refuse_daemons(&self, numbers: &[u8], refusal: Refusal, duration: Duration) {
         let daemons = numbers.iter().copied().map(Component::Daemon);
         let disturbances = self.disturb(daemons.chain([Component::Store]));
