Test placement by expected work in a queueing model

The effect of the placement was not measured, and a daemon that does not see the answers to its requests took them for late. A daemon now compares the number of requests with that of their answers: pending requests count by this share, and are overdue only if their flow's opening was seen. Counters by basis, the highest delay factor by service and log attributes show the placement at work.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -14,7 +14,7 @@
 use std::{collections::HashMap, hint::black_box, time::Duration};
 
 use banyanwharf::{
-    cookie::{ApplyOutcome, Delta, Kind, Packet, Position},
+    cookie::{ApplyOutcome, Delta, Kind, Packet, Placement, Position, Tuning},
     flow::Key,
 };
 use criterion::{Criterion, criterion_group, criterion_main};
@@ -92,6 +92,20 @@
         });
         let opening: Vec<Packet> = (0..OPEN_FLOWS).map(cookies::opening_packet).collect();
         let mut opening = opening.iter().cycle();
+        let tuning = Tuning { placement: Placement::ExpectedWork, ..Tuning::default() };
+        let mut by_work = cookies::DaemonFixture::with_tuning(all.clone(), 0.0, tuning);
+        for number in 0..OPEN_FLOWS {
+            by_work.establish(number);
+        }
+        let mut opening_by_work = opening.clone();
+        criterion.bench_function(&format!("cookie/place by work/{count} targets"), |bencher| {
+            bencher.iter(|| {
+                let packet = opening_by_work.next().expect("the cycle does not end");
+                let verdict = by_work.decide(black_box(packet));
+                by_work.forwarder.take_events();
+                verdict
+            });
+        });
         criterion.bench_function(&format!("cookie/place/{count} targets"), |bencher| {
             bencher.iter(|| {
                 let verdict =
--- a/src/cookie/counters.rs
+++ b/src/cookie/counters.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use crate::cookie::{Cause, Reason};
+use crate::cookie::{Basis, Cause, Reason};
 
 /// Counters of a forwarder since its start.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -9,6 +9,8 @@
     pub delivered: u64,
     /// Opening packets for which a target was selected, including those counted in `moved`.
     pub placed: u64,
+    /// The opening packets counted in `placed`, by what the selection was based on.
+    pub placed_by: BTreeMap<Basis, u64>,
     /// The part of `placed` with a target in another zone than this daemon.
     pub placed_in_other_zones: u64,
     /// Retransmitted opening packets that were forwarded to another target than the previous copy.
--- a/src/cookie/event.rs
+++ b/src/cookie/event.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::cookie::{Cause, CheckOutcome, Flow, Reason};
+use crate::cookie::{Basis, Cause, CheckOutcome, Flow, Reason};
 
 /// A decision about a flow, or a change in the health of a target or zone, for the operator's log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,6 +21,10 @@
         open: u32,
         /// The number of targets among which the target was selected.
         choices: usize,
+        /// What the selection was based on.
+        basis: Basis,
+        /// The expected time until the answer in milliseconds, if it was estimated.
+        expected_ms: Option<u64>,
     },
     /// A retransmitted opening packet was forwarded to the target of the previous copy, without a
     /// new selection.
--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -107,12 +107,14 @@
     states: HashMap<Flow, FlowState>,
     loads: HashMap<Cookie, TargetLoad>,
     maximum: usize,
+    /// The number of requests that began.
+    requests: u64,
 }
 
 impl Flows {
     /// Creates an empty table of up to `maximum` flows.
     pub(super) fn new(maximum: usize) -> Flows {
-        Flows { states: HashMap::new(), loads: HashMap::new(), maximum }
+        Flows { states: HashMap::new(), loads: HashMap::new(), maximum, requests: 0 }
     }
 
     /// Returns the cookie of a flow's target.
@@ -146,6 +148,11 @@
         self.states.len()
     }
 
+    /// Returns the number of requests that began since the start.
+    pub(super) fn request_count(&self) -> u64 {
+        self.requests
+    }
+
     /// Returns the load of a target.
     pub(super) fn load(&self, cookie: Cookie) -> Load {
         self.loads.get(&cookie).map(|target| target.load).unwrap_or_default()
@@ -213,7 +220,7 @@
         let (answer, former_sequence) = (state.take_answer(now, packet), state.next_sequence);
         let signal = state.record_packet(now, packet, tuning);
         let has_new_data = packet.length > 0 && state.next_sequence != former_sequence;
-        state.record_request(now, has_new_data, signal);
+        self.requests += u64::from(state.record_request(now, has_new_data, signal));
         replace_share(&mut self.loads, before, state.load_share());
         (signal, answer)
     }
@@ -343,8 +350,8 @@
     }
 
     /// Records what a packet shows about the current request. New data while no request is open
-    /// begins one.
-    fn record_request(&mut self, now: Instant, has_new_data: bool, signal: Signal) {
+    /// begins one. Returns whether it does.
+    fn record_request(&mut self, now: Instant, has_new_data: bool, signal: Signal) -> bool {
         if let Signal::OpenAnswered(waited, SentBy::ThisDaemon) = signal {
             self.round_trip = Some(waited);
         }
@@ -355,9 +362,11 @@
             None if has_new_data => {
                 self.has_sent = true;
                 self.request = Some(Request { sent_at: now, is_retransmitted: false });
+                return true;
             }
             None => {}
         }
+        false
     }
 
     /// Returns whether `packet` is a copy of the opening packet of this flow, and not the opening
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -113,6 +113,11 @@
         self.flows.len()
     }
 
+    /// Returns the highest delay factor among the targets of each service.
+    pub fn highest_delays(&self, now: Instant) -> BTreeMap<Arc<str>, f64> {
+        self.estimator.highest_delays(now)
+    }
+
     /// Returns three values for each target: its cookie, the number of its open flows that passed
     /// through this daemon, and whether the target is regarded as silent.
     pub fn observations(&self) -> Vec<(Cookie, u32, bool)> {
@@ -202,7 +207,7 @@
         self.unresolved_flows
             .retain(|_, (_, since)| now.saturating_duration_since(*since) < retention);
         self.observer.retain(&self.view);
-        self.estimator.retain(&self.view);
+        self.estimator.sweep(&self.view, self.flows.request_count());
     }
 
     /// Removes lost flows from the flow table, and returns them so that the caller of this method
@@ -401,6 +406,7 @@
             self.observer.record_half_open_probe(now, entry);
         }
         self.counters.placed += 1;
+        *self.counters.placed_by.entry(choice.basis()).or_default() += 1;
         self.counters.placed_in_other_zones += u64::from(choice.is_other_zone);
         let name = entry.target.name.clone();
         self.events.push(match previous_target.and_then(|cookie| view.target(cookie)) {
@@ -410,7 +416,18 @@
             }
             None => {
                 let (zone, choices) = (entry.target.zone.clone(), choice.choices);
-                Event::Placed { flow, target: name, zone, attempt, open, choices }
+                let basis = choice.basis();
+                let expected_ms = choice.expected.map(|time| time.as_millis() as u64);
+                Event::Placed {
+                    flow,
+                    target: name,
+                    zone,
+                    attempt,
+                    open,
+                    choices,
+                    basis,
+                    expected_ms,
+                }
             }
         });
         Verdict::Forward(entry.destination())
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -9,12 +9,14 @@
 //! This module does no I/O and reads no clock: functions that need the current time take it as an
 //! argument.
 
+mod basis;
 mod check;
 mod config;
 mod counters;
 mod delta;
 mod directory;
 mod event;
+mod expected_work;
 mod flow;
 mod flows;
 mod forwarder;
@@ -34,6 +36,7 @@
 mod view;
 pub mod work;
 
+pub use basis::Basis;
 pub use check::{Check, CheckOutcome};
 pub use config::{Config, Route, Service, Share};
 pub use counters::Counters;
--- a/src/cookie/selector.rs
+++ b/src/cookie/selector.rs
@@ -1,29 +1,15 @@
-use std::{cmp::Ordering, sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use crate::cookie::{
-    Cookie, Entry, Flow, Placement, Tuning, View,
+    Basis, Cookie, Entry, Flow, Placement, Tuning, View,
     flows::{Flows, Load},
     observer::Observer,
-    view::ZonePool,
     work::Estimator,
 };
 
-/// The maximum number of candidates in the own zone. Up to this number of targets all are
-/// candidates, so that open flows are balanced as by a scan.
-const OWN_CANDIDATES: usize = 24;
-
-/// The maximum number of other zones with candidates, and of candidates in each.
-const OTHER_ZONES: usize = 3;
-const OTHER_CANDIDATES: usize = 2;
-
-/// The minimum utilization by which open flows count, so that they decide between targets that
-/// otherwise look alike.
-const MINIMUM_UTILIZATION: f64 = 0.1;
-
-/// The limits of the factor by which another zone must be better. The factor differs between flows,
-/// so that the share of flows that leave the zone grows gradually with the difference.
-const HYSTERESIS: [f64; 2] = [1.2, 1.8];
-
 /// The sort key of a candidate target for a new flow; the lowest rank wins.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
@@ -53,6 +39,19 @@
     pub(super) is_other_zone: bool,
     /// Whether the flow is a half-open probe of a silent target.
     pub(super) is_half_open_probe: bool,
+    /// The expected time until the answer; `None` if the target was selected by its open flows.
+    pub(super) expected: Option<Duration>,
+}
+
+impl Choice {
+    /// Returns what the selection was based on.
+    pub(super) fn basis(&self) -> Basis {
+        match (self.is_half_open_probe, self.expected) {
+            (true, _) => Basis::HalfOpenProbe,
+            (false, Some(_)) => Basis::ExpectedWork,
+            (false, None) => Basis::OpenFlows,
+        }
+    }
 }
 
 /// Selects targets for new flows from a view.
@@ -112,125 +111,24 @@
             let rank = Rank { is_silent, ..self.rank(entry, flows, flow, is_half_open_probe) };
             if best.as_ref().is_none_or(|(found, _)| rank < *found) {
                 let (cookie, is_other_zone) = (entry.cookie, *entry.target.zone != *self.zone);
-                best =
-                    Some((rank, Choice { cookie, choices: 0, is_other_zone, is_half_open_probe }));
+                best = Some((
+                    rank,
+                    Choice {
+                        cookie,
+                        choices: 0,
+                        is_other_zone,
+                        is_half_open_probe,
+                        expected: None,
+                    },
+                ));
             }
         }
         best.map(|(_, choice)| Choice { choices, ..choice })
     }
 
-    /// Selects the target with the lowest expected time until the answer among some candidates, which
-    /// depend on the flow. Returns `None` if none of them answers.
-    fn choose_by_expected_work(
-        &self,
-        observer: &mut Observer,
-        flows: &Flows,
-        service: &Arc<str>,
-        flow: &Flow,
-        avoid: Option<Cookie>,
-    ) -> Option<Choice> {
-        let cold_limit = self.cold_limit(service);
-        let pools = self.view.zone_pools(service);
-        let (own, others): (Vec<_>, Vec<_>) =
-            pools.iter().partition(|pool| *pool.zone == *self.zone);
-        let mut random = tie_breaker(0, flow);
-        // One mean for all zones: this daemon sends few flows to each other zone.
-        let (mut count, mut open_sum) = (0, 0.0);
-        let mut candidates: Vec<(&Entry, f64)> = Vec::with_capacity(64);
-        let first = random as usize % others.len().max(1);
-        let others = others.iter().cycle().skip(first).take(others.len().min(OTHER_ZONES));
-        for pool in own.iter().chain(others) {
-            let is_own = *pool.zone == *self.zone;
-            let limit = if is_own { OWN_CANDIDATES } else { OTHER_CANDIDATES };
-            let start = random as usize % pool.len().max(1);
-            for draw in 0..pool.len().min(limit) {
-                // Small pools are scanned; from large ones, independent positions are drawn.
-                let position = match pool.len() <= limit {
-                    true => (start + draw) % pool.len(),
-                    false => {
-                        random = crate::util::score(random, draw as u64);
-                        random as usize % pool.len()
-                    }
-                };
-                let Some(entry) = self.view.pool_entry(pool, position) else {
-                    continue;
-                };
-                if Some(entry.cookie) == avoid || !self.is_allowed(entry, observer, cold_limit) {
-                    continue;
-                }
-                if observer.may_start_half_open_probe(self.now, entry) {
-                    return Some(Choice {
-                        cookie: entry.cookie,
-                        choices: candidates.len() + 1,
-                        is_other_zone: !is_own,
-                        is_half_open_probe: true,
-                    });
-                }
-                if observer.is_silent(entry) {
-                    continue;
-                }
-                let open = self.open_share(entry, flows);
-                if is_own {
-                    (count, open_sum) = (count + 1, open_sum + open);
-                }
-                candidates.push((entry, open));
-            }
-        }
-        let mean_open = if count == 0 { 1.0 } else { open_sum / f64::from(count) };
-        let utilization = own
-            .first()
-            .map_or(0.0, |pool| self.utilization(service, pool))
-            .max(MINIMUM_UTILIZATION);
-        let hysteresis = hysteresis(flow);
-        let rank = |(entry, open): &(&Entry, f64)| {
-            let work = self.expected_time(entry, flows, flow, utilization * open / mean_open);
-            let time = match *entry.target.zone == *self.zone {
-                true => work,
-                false => {
-                    let distance = self.estimator.zone_distance(self.zone, &entry.target.zone);
-                    work * hysteresis + distance
-                }
-            };
-            (time, tie_breaker(entry.cookie, flow))
-        };
-        let best = candidates
-            .iter()
-            .map(|candidate| (rank(candidate), candidate.0))
-            .min_by(|(a, _), (b, _)| a.partial_cmp(b).unwrap_or(Ordering::Equal));
-        best.map(|(_, entry)| Choice {
-            cookie: entry.cookie,
-            choices: candidates.len(),
-            is_other_zone: *entry.target.zone != *self.zone,
-            is_half_open_probe: false,
-        })
-    }
-
-    /// Returns the open flows of a target per slot, with the new one.
-    fn open_share(&self, entry: &Entry, flows: &Flows) -> f64 {
-        let factor = if entry.is_cold(self.now) { self.tuning.cold_load_factor } else { 1.0 };
-        f64::from(flows.load(entry.cookie).open + 1) * factor / f64::from(entry.target.slots.max(1))
-    }
-
-    /// Returns the expected time until the answer to the first request of a flow, in seconds.
-    /// `occupation` is the share of time for which the open flows use the target, at usual speed.
-    fn expected_time(&self, entry: &Entry, flows: &Flows, flow: &Flow, occupation: f64) -> f64 {
-        let pending = flows.pending(entry.cookie);
-        let backlog = self.estimator.backlog(self.now, pending);
-        let cost = self.estimator.cost(flow.service);
-        let factor = self.estimator.delay_factor(self.now, entry, pending);
-        let slots = f64::from(entry.target.slots.max(1));
-        factor * (cost * (1.0 + occupation) + backlog / slots)
-    }
-
-    /// Returns the utilization of the slots of the own zone's targets of a service.
-    fn utilization(&self, service: &str, pool: &ZonePool) -> f64 {
-        let requests = self.estimator.mean_requests(self.now, service, &pool.zone);
-        requests * self.zone_daemons as f64 / pool.slots.max(1) as f64
-    }
-
     /// Returns the number of new flows that this daemon may send to one cold target per second, or
     /// `None` if the service has no configured rate.
-    fn cold_limit(&self, service: &str) -> Option<usize> {
+    pub(super) fn cold_limit(&self, service: &str) -> Option<usize> {
         let rate = self.view.service(service)?.cold_rate;
         if rate <= 0.0 {
             return None;
@@ -239,7 +137,12 @@
         Some((total / self.zone_daemons.max(1) as f64) as usize)
     }
 
-    fn is_allowed(&self, entry: &Entry, observer: &mut Observer, limit: Option<usize>) -> bool {
+    pub(super) fn is_allowed(
+        &self,
+        entry: &Entry,
+        observer: &mut Observer,
+        limit: Option<usize>,
+    ) -> bool {
         let (true, Some(limit)) = (entry.is_cold(self.now), limit) else {
             return true;
         };
@@ -272,14 +175,7 @@
     }
 }
 
-/// Returns by which factor another zone must be better for a flow.
-fn hysteresis(flow: &Flow) -> f64 {
-    let share = tie_breaker(1, flow) as f64 / u64::MAX as f64;
-    let [low, high] = HYSTERESIS;
-    low + share * (high - low)
-}
-
-fn tie_breaker(cookie: Cookie, flow: &Flow) -> u64 {
+pub(super) fn tie_breaker(cookie: Cookie, flow: &Flow) -> u64 {
     let caller = u64::from(flow.caller.ip().to_bits()) << 16 | u64::from(flow.caller.port());
     crate::util::score(u64::from(cookie), caller)
 }
--- a/src/cookie/work/estimator.rs
+++ b/src/cookie/work/estimator.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
@@ -45,14 +46,21 @@
 /// The delay factor up to which a pending request is not conspicuous, relative to its target's.
 const OVERDUE_FACTOR: f64 = 2.0;
 
-/// The age from which a pending request does not count. Its later packets may pass through another
+/// The age up to which a pending request may be overdue. Its later packets may pass through another
 /// daemon.
-const MAXIMUM_PENDING_AGE: Duration = Duration::from_secs(3);
+const MAXIMUM_OVERDUE_AGE: Duration = Duration::from_secs(3);
+
+/// The age from which a pending request is not part of the backlog: longer than the queue of a slow
+/// target takes.
+const MAXIMUM_BACKLOG_AGE: Duration = Duration::from_secs(1);
 
 /// How long a flow that is being opened counts as a pending request. Callers that fill a pool send
 /// no request then.
 const OPENING_LIFETIME: Duration = Duration::from_millis(100);
 
+/// The weight of one second in the share of requests whose answers are seen.
+const VISIBILITY_WEIGHT: f64 = 0.5;
+
 /// The factor by which a target must differ from the others of its zone to be reported.
 const REPORTED_FACTOR: f64 = 1.5;
 
@@ -70,7 +78,7 @@
 /// Estimates what requests cost and how long targets take for them.
 ///
 /// Its results only rank targets.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Estimator {
     routes: HashMap<SocketAddrV4, RouteCost>,
     targets: HashMap<Cookie, TargetDelay>,
@@ -80,11 +88,32 @@
     round_trips: HashMap<Arc<str>, f64>,
     /// The usual delay factor of all targets over a longer time.
     base: Option<Average>,
+    /// The share of the requests whose answers pass through this daemon.
+    visibility: f64,
+    /// The requests until the last sweep, and the answers since then.
+    requests: u64,
+    answers: u64,
+}
+
+impl Default for Estimator {
+    fn default() -> Estimator {
+        Estimator {
+            routes: HashMap::new(),
+            targets: HashMap::new(),
+            zones: HashMap::new(),
+            round_trips: HashMap::new(),
+            base: None,
+            visibility: 1.0,
+            requests: 0,
+            answers: 0,
+        }
+    }
 }
 
 impl Estimator {
     /// Records an answer of the target `entry`.
     pub fn record_answer(&mut self, now: Instant, entry: &Entry, answer: &Answer) {
+        self.answers += 1;
         if answer.is_retransmitted {
             return;
         }
@@ -128,8 +157,16 @@
         *known += ROUND_TRIP_WEIGHT * (seconds - *known);
     }
 
-    /// Removes the observations of targets that are no longer in the view.
-    pub fn retain(&mut self, view: &View) {
+    /// Removes the observations of targets that are no longer in the view, and compares the number
+    /// of requests that this daemon has seen since its start with that of their answers. Is to be
+    /// called about once a second.
+    pub fn sweep(&mut self, view: &View, requests: u64) {
+        let begun = requests.saturating_sub(self.requests);
+        if begun > 0 {
+            let share = (self.answers as f64 / begun as f64).min(1.0);
+            self.visibility += VISIBILITY_WEIGHT * (share - self.visibility);
+        }
+        (self.requests, self.answers) = (requests, 0);
         self.targets.retain(|cookie, _| view.target(*cookie).is_some());
         self.routes.retain(|address, _| view.route(*address).is_some());
     }
@@ -156,17 +193,27 @@
     }
 
     /// Returns how many times the cost of its route a request takes at a target.
-    pub fn delay_factor(&self, now: Instant, entry: &Entry, pending: &[Pending]) -> f64 {
-        let usual = self.zone_delay(now, &entry.target.service, &entry.target.zone);
+    ///
+    /// `usual` is the delay factor of its zone, which applies without observations. Delay factors
+    /// that other daemons report belong here too.
+    pub fn delay_factor(
+        &self,
+        now: Instant,
+        cookie: Cookie,
+        usual: f64,
+        pending: &[Pending],
+    ) -> f64 {
         let observed = self
             .targets
-            .get(&entry.cookie)
+            .get(&cookie)
             .map_or(usual, |target| target.factor.value(now, usual, DELAY_HOLD, DELAY_DECAY));
-        let overdue = pending
-            .iter()
-            .filter_map(|request| self.age_factor(now, entry, request))
-            .fold(0.0, f64::max);
-        if overdue > OVERDUE_FACTOR * observed { overdue.min(MAXIMUM_FACTOR) } else { observed }
+        let overdue =
+            pending.iter().filter_map(|request| self.age_factor(now, request)).fold(0.0, f64::max);
+        if self.is_complete() && overdue > OVERDUE_FACTOR * observed {
+            overdue.min(MAXIMUM_FACTOR)
+        } else {
+            observed
+        }
     }
 
     /// Returns the work of the pending requests of a target, in seconds at usual speed.
@@ -174,11 +221,24 @@
         let is_counted = |request: &&Pending| {
             let lifetime = match request.stage {
                 Stage::Opening => OPENING_LIFETIME,
-                Stage::Sent(_) | Stage::Retransmitted => MAXIMUM_PENDING_AGE,
+                Stage::Sent(_) | Stage::Retransmitted => MAXIMUM_BACKLOG_AGE,
             };
             now.saturating_duration_since(request.since) < lifetime
         };
-        pending.iter().filter(is_counted).map(|request| self.cost(request.service)).sum()
+        pending.iter().filter(is_counted).map(|request| self.cost(request.service)).sum::<f64>()
+            * self.visibility
+    }
+
+    /// Returns the highest delay factor among the targets of each service, by service.
+    pub fn highest_delays(&self, now: Instant) -> BTreeMap<Arc<str>, f64> {
+        let mut highest = BTreeMap::new();
+        for target in self.targets.values() {
+            let usual = self.zone_delay(now, &target.service, &target.zone);
+            let factor = target.factor.value(now, usual, DELAY_HOLD, DELAY_DECAY);
+            let known: &mut f64 = highest.entry(target.service.clone()).or_default();
+            *known = known.max(factor);
+        }
+        highest
     }
 
     /// Returns what this daemon itself observed within the last second of targets that differ from
@@ -200,7 +260,7 @@
     }
 
     /// Returns the delay factor of a target without observations.
-    fn zone_delay(&self, now: Instant, service: &str, zone: &str) -> f64 {
+    pub fn zone_delay(&self, now: Instant, service: &str, zone: &str) -> f64 {
         let base = self.base.map_or(1.0, |base| base.value(now, 1.0, Duration::MAX, DELAY_DECAY));
         self.zone(service, zone).map_or(base, |load| load.delay(now, base))
     }
@@ -209,15 +269,19 @@
         self.zones.get(service)?.get(zone)
     }
 
+    /// Returns whether this daemon sees the answers to most requests, so that an old request is late.
+    fn is_complete(&self) -> bool {
+        self.visibility > 0.5
+    }
+
     /// Returns the least delay factor that the age of a pending request shows.
-    fn age_factor(&self, now: Instant, entry: &Entry, request: &Pending) -> Option<f64> {
-        let Stage::Sent(round_trip) = request.stage else {
+    fn age_factor(&self, now: Instant, request: &Pending) -> Option<f64> {
+        // Without the opening, the packets of the flow may pass through several daemons.
+        let Stage::Sent(Some(round_trip)) = request.stage else {
             return None;
         };
         let cost = self.routes.get(&request.service)?.seconds()?;
         let age = now.saturating_duration_since(request.since);
-        let known = || self.round_trips.get(&entry.target.zone).copied();
-        let round_trip = round_trip.map(|time| time.as_secs_f64()).or_else(known)?;
-        (age < MAXIMUM_PENDING_AGE).then_some((age.as_secs_f64() - round_trip) / cost)
+        (age < MAXIMUM_OVERDUE_AGE).then(|| age.saturating_sub(round_trip).as_secs_f64() / cost)
     }
 }
--- a/src/gateway/event_logger.rs
+++ b/src/gateway/event_logger.rs
@@ -64,9 +64,9 @@
     let age = view.read_at.map(|read| now.saturating_duration_since(read));
     let age_ms = age.map_or(0, |age| age.as_millis() as u64);
     match event {
-        Event::Placed { flow, target, zone, attempt, open, choices } => info!(
+        Event::Placed { flow, target, zone, attempt, open, choices, basis, expected_ms } => info!(
             flow:% = flow, target_id = &**target, zone = &**zone, attempt = attempt, open = open,
-            choices = choices, version = version, revision = revision, age_ms = age_ms;
+            choices = choices, basis:? = basis, expected_ms:? = expected_ms, version = version, revision = revision, age_ms = age_ms;
             "flow is placed"
         ),
         Event::Repeated { flow, target, attempt, after_ms } => info!(
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -14,6 +14,14 @@
 
 const PACKETS: Instrument = Instrument::counter("gateway_packets", "Packets sent to targets.");
 const NEW_FLOWS: Instrument = Instrument::counter("gateway_new_flows", "New flows, by placement.");
+const PLACEMENTS: Instrument = Instrument::counter(
+    "gateway_placements",
+    "Selections of targets for new flows, by what they were based on.",
+);
+const HIGHEST_DELAY: Instrument = Instrument::gauge(
+    "gateway_highest_delay_percent",
+    "Highest delay of a target in percent of its route's cost, by service.",
+);
 const RESETS: Instrument = Instrument::counter("gateway_resets", "Flows reset, by reason.");
 const DROPS: Instrument = Instrument::counter("gateway_drops", "Packets dropped, by cause.");
 const REPEATED_PACKETS: Instrument =
@@ -91,6 +99,12 @@
     for (placement, count) in placements {
         snapshot.set(NEW_FLOWS, [("placement", placement)], count);
     }
+    for (basis, count) in &counters.placed_by {
+        snapshot.set(PLACEMENTS, [("basis", format!("{basis:?}"))], *count);
+    }
+    for (service, factor) in &stats.highest_delays {
+        snapshot.set(HIGHEST_DELAY, [("service", service.to_string())], (factor * 100.0) as u64);
+    }
     for (reason, count) in &counters.resets {
         snapshot.set(RESETS, [("reason", format!("{reason:?}"))], *count);
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,9 +1,11 @@
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
+    time::Instant,
 };
 
 use arc_swap::ArcSwap;
@@ -62,6 +64,8 @@
     pub(super) counters: Counters,
     /// The number of flows in the flow table.
     pub(super) flows: u64,
+    /// The highest delay factor among the targets of each service.
+    pub(super) highest_delays: BTreeMap<Arc<str>, f64>,
     /// The number of log lines that were left out since this number was last logged.
     pub(super) suppressed_lines: u64,
 }
@@ -110,6 +114,7 @@
         let stats = PacketLoopStats {
             counters: forwarder.counters().clone(),
             flows: forwarder.flow_count() as u64,
+            highest_delays: forwarder.highest_delays(Instant::now()),
             suppressed_lines,
         };
         self.packet_loop_stats.store(Arc::new(stats));
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,150 @@
+//! Placement by expected work under the load patterns that it addresses, in a small queueing model.
+
+mod cookies;
+mod placements;
+
+use banyanwharf::cookie::Placement;
+use placements::{Fleet, Traffic};
+
+/// One request per flow, 22 ms of work.
+fn short(zone: usize, rate: f64) -> Traffic {
+    Traffic { zone, rate, work: 22.0, requests: 1, pause: 0.0 }
+}
+
+/// Long flows with pauses.
+fn long(zone: usize, rate: f64) -> Traffic {
+    Traffic { zone, rate, work: 22.0, requests: 20, pause: 400.0 }
+}
+
+/// Returns a zone of 24 targets and 12 daemons after 4 s at 35% of the capacity, in which a third
+/// of the targets is `slowness` times as slow as the others for the last 2 s.
+fn with_slow_targets(placement: Placement, slowness: f64) -> Fleet {
+    let mut fleet = Fleet::new(placement, 1, 24, 12);
+    fleet.run(2000.0, &[short(0, 0.76)]);
+    for server in &mut fleet.servers[..8] {
+        server.slowness = slowness;
+    }
+    fleet.run(2000.0, &[short(0, 0.76)]);
+    fleet.reset();
+    fleet
+}
+
+fn served(fleet: &Fleet, range: std::ops::Range<usize>) -> f64 {
+    let count = range.len() as f64;
+    fleet.servers[range].iter().map(|server| server.served).sum::<usize>() as f64 / count
+}
+
+/// Guards against targets that become slow and get as many flows as fast ones, so that their
+/// requests are late although other targets are free.
+#[test]
+fn a_slow_target_gets_fewer_flows() {
+    let late = [Placement::OpenFlows, Placement::ExpectedWork].map(|placement| {
+        let mut fleet = with_slow_targets(placement, 5.0);
+        fleet.run(10_000.0, &[short(0, 0.76)]);
+        let (slow, fast) = (served(&fleet, 0..8), served(&fleet, 8..24));
+        eprintln!("{placement:?}: late {} slow {slow} fast {fast}", fleet.late_share(0, 100.0));
+        (fleet.late_share(0, 100.0), slow / fast)
+    });
+    assert!(late[1].0 < late[0].0 / 3.0, "{late:?}");
+    assert!(late[1].1 < 0.25, "{late:?}");
+}
+
+/// Guards against a target that is avoided for ever after it was slow.
+#[test]
+fn a_recovered_target_gets_flows_again() {
+    let mut fleet = with_slow_targets(Placement::ExpectedWork, 5.0);
+    fleet.run(4000.0, &[short(0, 0.76)]);
+    for server in &mut fleet.servers[..8] {
+        server.slowness = 1.0;
+    }
+    fleet.run(6000.0, &[short(0, 0.76)]);
+    fleet.reset();
+    fleet.run(4000.0, &[short(0, 0.76)]);
+    let share = served(&fleet, 0..8) / served(&fleet, 8..24);
+    assert!(share > 0.7, "{share}");
+}
+
+/// Guards against equal shares for targets of which a third is 2.4 times as fast.
+#[test]
+fn fast_targets_get_more_flows() {
+    let late = [Placement::OpenFlows, Placement::ExpectedWork].map(|placement| {
+        let mut fleet = Fleet::new(placement, 1, 24, 12);
+        for server in &mut fleet.servers[..8] {
+            server.slowness = 1.0 / 2.4;
+        }
+        fleet.run(4000.0, &[short(0, 2.4)]);
+        fleet.reset();
+        fleet.run(8000.0, &[short(0, 2.4)]);
+        let (fast, usual) = (served(&fleet, 0..8), served(&fleet, 8..24));
+        eprintln!("{placement:?}: late {} fast {fast} usual {usual}", fleet.late_share(0, 60.0));
+        (fleet.late_share(0, 60.0), fast / usual)
+    });
+    assert!(late[1].0 < late[0].0 * 0.8, "{late:?}");
+    assert!(late[1].1 > 1.5, "{late:?}");
+}
+
+/// Guards against long flows that are distributed worse than by the number of open flows when all
+/// targets look alike.
+#[test]
+fn equal_targets_get_equal_shares_of_long_flows() {
+    let busiest = [Placement::OpenFlows, Placement::ExpectedWork].map(|placement| {
+        let mut fleet = Fleet::new(placement, 1, 24, 12);
+        fleet.run(20_000.0, &[long(0, 0.05)]);
+        eprintln!("{placement:?}: busiest {}", fleet.busiest_over_mean());
+        (fleet.busiest_over_mean(), fleet.late_share(0, 100.0))
+    });
+    assert!(busiest[1].0 < busiest[0].0 + 0.05, "{busiest:?}");
+}
+
+/// Guards against one overloaded zone beside zones with free slots.
+#[test]
+fn zones_with_unequal_demand_share_capacity() {
+    let late = [Placement::OpenFlows, Placement::ExpectedWork].map(|placement| {
+        let mut fleet = Fleet::new(placement, 3, 16, 12);
+        // 16 targets serve 1.45 requests per ms.
+        let kinds = [short(0, 1.9), short(1, 0.6), short(2, 0.5)];
+        fleet.run(3000.0, &kinds);
+        fleet.reset();
+        fleet.run(8000.0, &kinds);
+        let late = [0, 1, 2].map(|zone| fleet.late_share(zone, 150.0));
+        eprintln!("{placement:?}: late {late:?}");
+        late
+    });
+    assert!(late[1][0] < 0.05 && late[1][1] < 0.05 && late[1][2] < 0.05, "{late:?}");
+}
+
+/// Guards against daemons that all choose the same targets, or change between two groups of them,
+/// since they act on the same delayed observations.
+#[test]
+fn many_daemons_with_one_view_do_not_choose_one_target() {
+    for daemons in [5, 12, 85] {
+        let mut fleet = Fleet::new(Placement::ExpectedWork, 1, 40, daemons);
+        fleet.run(3000.0, &[short(0, 2.0)]);
+        // Windows of 300 ms: an oscillation would load some targets much more than others in each.
+        let mut worst: f64 = 0.0;
+        for _ in 0..10 {
+            fleet.reset();
+            fleet.run(300.0, &[short(0, 2.0)]);
+            worst = worst.max(fleet.busiest_over_mean());
+        }
+        eprintln!("{daemons} daemons: worst {worst}, late {}", fleet.late_share(0, 100.0));
+        assert!(worst < 2.6, "{daemons} daemons: {worst}");
+    }
+}
+
+/// Guards against decisions that depend on complete observations: packets of a flow that go to
+/// different daemons leave requests without answers and answers without requests.
+#[test]
+fn missing_observations_change_the_rank_only() {
+    let late = [Placement::OpenFlows, Placement::ExpectedWork].map(|placement| {
+        let mut fleet = Fleet::new(placement, 1, 24, 12);
+        fleet.is_spraying = true;
+        fleet.run(2000.0, &[short(0, 1.2)]);
+        fleet.reset();
+        fleet.run(6000.0, &[short(0, 1.2)]);
+        assert!(fleet.servers.iter().all(|server| server.served > 0));
+        eprintln!("{placement:?}: late {}", fleet.late_share(0, 100.0));
+        (fleet.late_share(0, 100.0), fleet.busiest_over_mean())
+    });
+    assert!(late[1].0 < late[0].0 + 0.02, "{late:?}");
+}
