--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -9,6 +9,7 @@
 //! This module does no I/O and reads no clock: functions that need the current time take it as an
 //! argument.
 
+mod basis;
 mod census;
 mod check;
 mod config;
@@ -16,6 +17,7 @@
 mod delta;
 mod directory;
 mod event;
+mod expected_work;
 mod flow;
 mod flows;
 mod forwarder;
@@ -36,6 +38,7 @@
 mod view;
 pub mod work;
 
+pub use basis::Basis;
 pub use census::Census;
 pub use check::{Check, CheckOutcome};
 pub use config::{Config, Route, Service, Share};
--- a/src/cookie/work/mod.rs
+++ b/src/cookie/work/mod.rs
@@ -26,4 +26,5 @@
 pub use publisher::{Batch, FRAME_BYTES, Publisher, REPORT_BYTES};
 pub use report::Report;
 pub use report_table::ReportTable;
+pub(super) use room::Avoidance;
 pub use room::{Room, Standing};
