--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -297,7 +297,10 @@
     }
     let (outgoing, batches) = mpsc::channel(REPORT_QUEUE_CAPACITY);
     let (queue, received) = mpsc::channel(REPORT_QUEUE_CAPACITY);
-    Some((ReportExchange::new(outgoing, received, shared.clone()), (batches, queue)))
+    Some((
+        ReportExchange::new(own_info(settings), outgoing, received, shared.clone()),
+        (batches, queue),
+    ))
 }
 
 /// Starts the actor that detects the other daemons, and the task that receives their frames at
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod report_sender;
 mod shared;
 mod source;
+mod zone_peers;
 
 pub use crate::util::BindError;
 pub use codec::{Codec, DecodeError};
--- a/src/gateway/report_exchange.rs
+++ b/src/gateway/report_exchange.rs
@@ -11,8 +11,8 @@
         Forwarder,
         work::{Batch, Publisher, Report},
     },
-    gateway::{report_counters::ReportCounters, shared::Shared},
-    member,
+    gateway::{report_counters::ReportCounters, shared::Shared, zone_peers::zone_peers},
+    member::{Id, Info},
 };
 
 /// The minimum time between two log lines.
@@ -21,13 +21,14 @@
 /// The reports of one frame of another daemon.
 #[derive(Debug)]
 pub(super) struct ReceivedReports {
-    pub(super) from: member::Id,
+    pub(super) from: Id,
     pub(super) reports: Vec<Report>,
     pub(super) received_at: Instant,
 }
 
 /// The part of the packet loop that exchanges reports with the tasks that send and receive them.
 pub(super) struct ReportExchange {
+    info: Info,
     publisher: Publisher,
     outgoing: mpsc::Sender<Batch>,
     received: mpsc::Receiver<ReceivedReports>,
@@ -44,15 +45,18 @@
 }
 
 impl ReportExchange {
-    /// Creates an exchange that queues batches to `outgoing` and takes reports from `received`.
+    /// Creates the exchange of the daemon `info`, which queues batches to `outgoing` and takes reports
+    /// from `received`.
     pub(super) fn new(
+        info: Info,
         outgoing: mpsc::Sender<Batch>,
         received: mpsc::Receiver<ReceivedReports>,
         shared: Arc<Shared>,
     ) -> ReportExchange {
         let now = Instant::now();
         let last_log = LogState { logged_at: now, sent: 0, received: 0 };
-        ReportExchange { publisher: Publisher::new(now), outgoing, received, shared, last_log }
+        let publisher = Publisher::new(now);
+        ReportExchange { info, publisher, outgoing, received, shared, last_log }
     }
 
     /// Records that the process was paused.
@@ -69,8 +73,13 @@
             ReportCounters::add(&counters.reports_received, reports.len());
             ReportCounters::add(&counters.reports_ignored, reports.len() - used);
         }
-        let peers = self.shared.zone_peer_count();
-        if let Some(batch) = self.publisher.publish(now, &forwarder.own_reports(now), peers)
+        let own = forwarder.own_reports(now);
+        // Failed daemons stay among the members for a day, so only the alive ones are counted.
+        let peers = match own.is_empty() {
+            true => 0,
+            false => zone_peers(&self.shared.members.load(), &self.info).count(),
+        };
+        if let Some(batch) = self.publisher.publish(now, &own, peers)
             && self.outgoing.try_send(batch).is_err()
         {
             ReportCounters::add(&counters.frames_dropped, 1);
--- a/src/gateway/report_sender.rs
+++ b/src/gateway/report_sender.rs
@@ -5,8 +5,8 @@
 
 use crate::{
     cookie::work::Batch,
-    gateway::{report_counters::ReportCounters, shared::Shared},
-    member::{Info, Status},
+    gateway::{report_counters::ReportCounters, shared::Shared, zone_peers::zone_peers},
+    member::Info,
     wire::{Body, Sender, TargetReport},
 };
 
@@ -48,13 +48,7 @@
     /// Returns the addresses of at most `count` random alive daemons of the own zone.
     fn random_peers(&self, count: usize) -> Vec<SocketAddr> {
         let members = self.shared.members.load();
-        let own = self.info.id();
-        members
-            .iter()
-            .filter(|(id, member)| {
-                *id != own && member.info.zone == self.info.zone && member.status == Status::Alive
-            })
-            .map(|(_, member)| member.info.peer)
-            .sample(&mut rand::rng(), count)
+        let addresses = zone_peers(&members, &self.info).map(|member| member.info.peer);
+        addresses.sample(&mut rand::rng(), count)
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -78,11 +78,6 @@
             && !self.is_cut_off.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of other daemons in the own zone; 0 if it is not known yet.
-    pub(super) fn zone_peer_count(&self) -> usize {
-        self.zone_daemon_count.load(Ordering::Relaxed).saturating_sub(1)
-    }
-
     /// Returns whether calls to the store fail or a daemon of another zone is suspected. `zone` is
     /// the zone of this daemon.
     pub(super) fn has_remote_failure(&self, zone: &str) -> bool {
