--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,7 +3,10 @@
 mod cookies;
 mod placements;
 
-use banyanwharf::cookie::Placement;
+use std::time::Duration;
+
+use banyanwharf::cookie::{Availability, Placement, Tuning};
+use cookies::{DaemonFixture, ms, targets};
 use placements::{Fleet, Traffic};
 
 /// One request per flow, 22 ms of work.
@@ -42,7 +45,6 @@
         let mut fleet = with_slow_targets(placement, 5.0);
         fleet.run(10_000.0, &[short(0, 0.76)]);
         let (slow, fast) = (served(&fleet, 0..8), served(&fleet, 8..24));
-        eprintln!("{placement:?}: late {} slow {slow} fast {fast}", fleet.late_share(0, 100.0));
         (fleet.late_share(0, 100.0), slow / fast)
     });
     assert!(late[1].0 < late[0].0 / 3.0, "{late:?}");
@@ -76,7 +78,6 @@
         fleet.reset();
         fleet.run(8000.0, &[short(0, 2.4)]);
         let (fast, usual) = (served(&fleet, 0..8), served(&fleet, 8..24));
-        eprintln!("{placement:?}: late {} fast {fast} usual {usual}", fleet.late_share(0, 60.0));
         (fleet.late_share(0, 60.0), fast / usual)
     });
     assert!(late[1].0 < late[0].0 * 0.8, "{late:?}");
@@ -90,7 +91,6 @@
     let busiest = [Placement::OpenFlows, Placement::ExpectedWork].map(|placement| {
         let mut fleet = Fleet::new(placement, 1, 24, 12);
         fleet.run(20_000.0, &[long(0, 0.05)]);
-        eprintln!("{placement:?}: busiest {}", fleet.busiest_over_mean());
         (fleet.busiest_over_mean(), fleet.late_share(0, 100.0))
     });
     assert!(busiest[1].0 < busiest[0].0 + 0.05, "{busiest:?}");
@@ -106,9 +106,7 @@
         fleet.run(3000.0, &kinds);
         fleet.reset();
         fleet.run(8000.0, &kinds);
-        let late = [0, 1, 2].map(|zone| fleet.late_share(zone, 150.0));
-        eprintln!("{placement:?}: late {late:?}");
-        late
+        [0, 1, 2].map(|zone| fleet.late_share(zone, 150.0))
     });
     assert!(late[1][0] < 0.05 && late[1][1] < 0.05 && late[1][2] < 0.05, "{late:?}");
 }
@@ -127,7 +125,6 @@
             fleet.run(300.0, &[short(0, 2.0)]);
             worst = worst.max(fleet.busiest_over_mean());
         }
-        eprintln!("{daemons} daemons: worst {worst}, late {}", fleet.late_share(0, 100.0));
         assert!(worst < 2.6, "{daemons} daemons: {worst}");
     }
 }
@@ -143,8 +140,44 @@
         fleet.reset();
         fleet.run(6000.0, &[short(0, 1.2)]);
         assert!(fleet.servers.iter().all(|server| server.served > 0));
-        eprintln!("{placement:?}: late {}", fleet.late_share(0, 100.0));
         (fleet.late_share(0, 100.0), fleet.busiest_over_mean())
     });
     assert!(late[1].0 < late[0].0 + 0.02, "{late:?}");
 }
+
+/// Returns a daemon with two targets, the first of which took 800 ms for its answers, and the other
+/// 5 ms.
+fn with_unequal_observations() -> DaemonFixture {
+    let tuning = Tuning { placement: Placement::ExpectedWork, ..Tuning::default() };
+    let mut fixture = DaemonFixture::with_tuning(targets("web", 2, 0), 0.0, tuning);
+    for number in 0..40 {
+        let opened = fixture.advance(ms(5)).establish(number);
+        fixture.send_data(number, opened.cookie, 1);
+        fixture.advance(ms(if opened.number == 1 { 800 } else { 5 }));
+        fixture.acknowledge(number, opened.cookie, 1100);
+    }
+    fixture
+}
+
+/// Guards against observations that keep flows from the only usable target, or send them to a
+/// draining one.
+#[test]
+fn wrong_observations_change_the_rank_only() {
+    let mut fixture = with_unequal_observations();
+    assert!(fixture.forwarder.highest_delays(fixture.now)["web"] > 2.0);
+    let mut all = targets("web", 2, 0);
+    all[1].availability = Availability::Draining;
+    all[1].revision = 2;
+    fixture.read_targets(all);
+    assert!((200..210).all(|number| fixture.open(number).number == 1));
+}
+
+/// Guards against old observations that still decide.
+#[test]
+fn old_observations_do_not_count() {
+    let mut fixture = with_unequal_observations();
+    fixture.advance(Duration::from_secs(30));
+    fixture.forwarder.sweep(fixture.now);
+    let first = (100..140).filter(|number| fixture.open(*number).number == 1).count();
+    assert!((15..=25).contains(&first), "{first} of 40 flows");
+}
