Test that the adapter does not mix responses of two eras

Cause: only tests with processes covered the header `Store-Era` in the adapter.

Change: a test of watches and of a list with pages of two eras, also after the revisions have passed the known ones.

--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -17,7 +17,7 @@
         ListingUpdate, OperatorState, Packet, Position, Revision, Target, Tuning,
     },
     gateway::{Codec as _, Consistency, DecodeError, Source as _},
-    platform::Timeouts,
+    platform::{Error as CallError, Timeouts},
 };
 use banyanwharf_testkit::{Proxy, Replica};
 use base64::{Engine as _, prelude::BASE64_STANDARD};
@@ -583,3 +583,38 @@
     path.stall_open_connections();
     client.read_operator_state().await.expect("the store responds on a new connection");
 }
+
+/// Guards against a state that mixes two eras of the store: pages of one list, or a watch and the
+/// state that it continues, also if the numbers of the revisions have passed the known ones.
+#[tokio::test]
+async fn responses_of_different_eras_are_not_mixed() {
+    let server = banyanwharf_testkit::Store::start().expect("the store starts");
+    for number in 0..60 {
+        server.put(&format!("servers/i-{number:08x}"), entry().to_string().as_bytes());
+    }
+    let url = server.url().parse().expect("a URL");
+    let client = Store::new(url, Timeouts::default());
+    let known =
+        client.read_targets(Consistency::Linearizable).await.expect("a list").value.revision;
+    assert_eq!(known, 60.into());
+    server.return_from_copy(Duration::ZERO, Duration::ZERO).await;
+    for _ in 0..2 {
+        for result in [
+            client.watch_targets(known, Duration::ZERO).await.map(drop),
+            client.watch_operator_changes(known, Duration::ZERO).await.map(drop),
+        ] {
+            let error = result.expect_err("the era has changed");
+            assert!(
+                matches!(error, CallError::EraChanged { found: 1, expected: 0, .. }),
+                "{error}"
+            );
+        }
+        server.put("op/other", b"");
+    }
+    server.set_replicas(&[Replica::Former, Replica::At(60)]);
+    let mixed = client.read_targets(Consistency::Stale).await.expect_err("pages of two eras");
+    assert!(matches!(mixed, CallError::EraChanged { found: 1, expected: 0, .. }), "{mixed}");
+    let latest = client.read_targets(Consistency::Linearizable).await.expect("a list").value;
+    assert_eq!(latest.revision, Revision { era: 1, number: 62 });
+    assert!(latest.targets.iter().all(|target| target.revision.era == 1));
+}
