--- a/src/cookie/work/room.rs
+++ b/src/cookie/work/room.rs
@@ -75,6 +75,9 @@
 pub(in crate::cookie) struct Avoidance<'a> {
     now: Instant,
     room: &'a Room,
+    /// Whether flows are refused because all zones are full. Then most targets have rejected a
+    /// request, and without them all flows would go to the few that have not.
+    is_refusing: bool,
     rejecting_targets: Vec<Cookie>,
     full_zones: Vec<Arc<str>>,
 }
@@ -85,7 +88,7 @@
         if self.rejecting_targets.contains(&entry.cookie) {
             return Standing::RejectedCaller;
         }
-        if self.room.is_full(self.now, entry.cookie) {
+        if !self.is_refusing && self.room.is_full(self.now, entry.cookie) {
             return Standing::Full;
         }
         match self.full_zones.contains(&entry.target.zone) {
@@ -174,7 +177,8 @@
             })
             .map(|(zone, _)| zone.clone())
             .collect();
-        Avoidance { now, room: self, rejecting_targets, full_zones }
+        let is_refusing = self.admissions.contains_key(service);
+        Avoidance { now, room: self, is_refusing, rejecting_targets, full_zones }
     }
 
     /// Returns whether the evidence of `zone` shows that it has no room for flows to `service`.
--- a/tests/cookies/mod.rs
+++ b/tests/cookies/mod.rs
@@ -109,7 +109,14 @@
     }
 
     pub(crate) fn with_cold_rate(targets: Vec<Target>, cold_rate: f64) -> DaemonFixture {
-        let tuning = Tuning::default();
+        DaemonFixture::with_tuning(targets, cold_rate, Tuning::default())
+    }
+
+    pub(crate) fn with_tuning(
+        targets: Vec<Target>,
+        cold_rate: f64,
+        tuning: Tuning,
+    ) -> DaemonFixture {
         let mut fixture = DaemonFixture {
             now: Instant::now(),
             directory: Directory::new(tuning.clone()),
