Make the test of a start with a stale read of the former era fail without the header

Cause: with the header `Store-Era` ignored, three of the four tests in tests/drills.rs failed, and the test of a start with a stale read passed, since the watch that completes the read got status 410.

Change: the copy lacks a target that the former state has, and the revisions pass the former ones.

With the header ignored, all four fail.

--- a/tests/drills.rs
+++ b/tests/drills.rs
@@ -170,13 +170,20 @@
     let store = Store::start().expect("the store starts");
     publish(&store, 3);
     let mut targets = Vec::new();
-    for number in 1..=2 {
+    for number in 1..=3 {
         let target = Target::start(number, "web", "zone-a", port).await;
-        target.register(&store, "ready");
         targets.push(target);
     }
-    store.return_from_copy(Duration::ZERO, Duration::ZERO).await;
+    targets[..2].iter().for_each(|target| target.register(&store, "ready"));
+    sleep(Duration::from_millis(50)).await;
+    let copied_at = Instant::now();
+    targets[2].register(&store, "ready");
+    store.return_from_copy(copied_at.elapsed(), Duration::ZERO).await;
     targets[0].deregister(&store);
+    // The revisions pass those of the former era, so that a watch from it would get a response.
+    for number in 0..10 {
+        store.put("op/other", number.to_string().as_bytes());
+    }
     store.set_replicas(&[Replica::Former]);
     let daemon = Daemon::start(1, "zone-a", port, &store, 2);
     daemon.wait_until_ready().await;
