--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -181,3 +181,23 @@
     let first = (100..140).filter(|number| fixture.open(*number).number == 1).count();
     assert!((15..=25).contains(&first), "{first} of 40 flows");
 }
+
+/// Guards against slow targets that are noticed late where many daemons see few answers each, and
+/// against zones whose load changes back and forth between targets in a burst.
+#[test]
+fn a_burst_beside_slow_targets_is_served_by_the_fast_ones() {
+    for daemons in [5, 12, 85] {
+        let late = [Placement::OpenFlows, Placement::ExpectedWork].map(|placement| {
+            let mut fleet = Fleet::new(placement, 1, 40, daemons);
+            fleet.run(3000.0, &[short(0, 0.7), long(0, 0.03)]);
+            for server in &mut fleet.servers[..14] {
+                server.slowness = 5.0;
+            }
+            fleet.run(1000.0, &[short(0, 0.7), long(0, 0.03)]);
+            fleet.reset();
+            fleet.run(6000.0, &[short(0, 1.5), long(0, 0.03)]);
+            fleet.late_share(0, 150.0)
+        });
+        assert!(late[1] < late[0] / 2.0, "{daemons} daemons: {late:?}");
+    }
+}
