--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -25,8 +25,6 @@
     /// Whether the caller has closed its side. The flow then no longer adds to the load of its
     /// target.
     is_closing: bool,
-    /// Whether the caller has sent a request.
-    has_sent: bool,
     /// Whether the caller waits for an answer.
     is_waiting: bool,
     /// When the first packet to this target arrived.
@@ -320,7 +318,6 @@
             opening_sequence: (!is_established).then_some(packet.sequence),
             is_established,
             is_closing: false,
-            has_sent: is_established,
             is_waiting: !is_established || packet.length > 0,
             first_packet_at: now,
             last_packet_at: now,
@@ -360,7 +357,6 @@
                 request.is_retransmitted |= matches!(signal, Signal::Retransmitted(_));
             }
             None if has_new_data => {
-                self.has_sent = true;
                 self.request = Some(Request { sent_at: now, is_retransmitted: false });
                 return true;
             }
@@ -393,7 +389,7 @@
                 };
                 Some(Pending { service, since: sent_at, stage })
             }
-            None if self.opening_sequence.is_some() && !self.has_sent => {
+            None if !self.is_established => {
                 Some(Pending { service, since: self.first_packet_at, stage: Stage::Opening })
             }
             None => None,
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -121,6 +121,11 @@
     /// Returns this daemon's own reports about targets that differ from the others.
     pub fn own_reports(&self, now: Instant) -> Vec<Report> {
         let mut reports = self.estimator.reports(now);
+        let is_in_own_zone = |report: &Report| {
+            let entry = self.view.target(report.cookie);
+            entry.is_some_and(|entry| entry.target.zone == self.zone)
+        };
+        reports.retain(is_in_own_zone);
         if let Some(room) = &self.room {
             reports.iter_mut().for_each(|report| {
                 report.is_rejecting = room.is_full(now, report.cookie);
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -3,12 +3,16 @@
 
 mod cookies;
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use banyanwharf::cookie::{
     ApplyOutcome, Availability, Cause, Change, CheckOutcome, Cookie, Directory, EntryChange, Event,
-    Kind, Listing, ListingUpdate, OperatorState, Packet, Presence, Reason, Target, Tuning, Verdict,
-    cookie,
+    Forwarder, Kind, Listing, ListingUpdate, OperatorState, Packet, Presence, Reason, Target,
+    Tuning, Verdict, cookie,
 };
 use cookies::*;
 
@@ -255,6 +259,36 @@
     assert_eq!(fixture.acknowledge(2, 12345, 100), Verdict::Reset(Reason::UnknownCookie));
 }
 
+/// Guards against the reset of a flow by a daemon that has just started. The target's entry expired
+/// in an outage of the store before the start, so the daemon has never seen it.
+#[test]
+fn daemon_that_has_just_started_resets_no_flow_of_a_target_without_an_entry() {
+    let all = targets("web", 2, 0);
+    let tuning = Tuning::default();
+    let start = Instant::now();
+    let mut fixture = DaemonFixture {
+        now: start,
+        directory: Directory::new(tuning.clone()),
+        forwarder: Forwarder::new(OWN_ZONE.into(), tuning),
+        revision: 1,
+        check_outcome: CheckOutcome::Unanswered,
+    };
+    let config = Some(Arc::new(config(1, 0.0)));
+    fixture.read_operator_state(OperatorState {
+        revision: 1.into(),
+        config,
+        ..OperatorState::default()
+    });
+    fixture.read_targets(all[..1].to_vec());
+    let expired = cookie(&all[1]);
+    for _ in 0..4 {
+        assert_eq!(fixture.acknowledge(1, expired, 100), Verdict::Drop(Cause::UnknownCookie));
+        fixture.advance(ms(500)).read_targets(all[..1].to_vec());
+    }
+    fixture.read_targets(all);
+    assert!(matches!(fixture.acknowledge(1, expired, 100), Verdict::Forward(_)));
+}
+
 /// Guards against the loss of all targets when their entries expire during an outage of the store,
 /// because the targets could not renew them.
 #[test]
--- a/tests/cookies/mod.rs
+++ b/tests/cookies/mod.rs
@@ -130,6 +130,11 @@
             config,
             ..OperatorState::default()
         });
+        // The daemon has run for longer than the time until missing entries prove anything.
+        let empty = Listing { revision: 1.into(), targets: Vec::new() };
+        fixture.directory.apply_listing(fixture.now, empty);
+        fixture.now += Duration::from_secs(10);
+        fixture.directory.confirm_config(fixture.now);
         fixture.read_targets(targets);
         fixture
     }
--- a/tests/overloads/mod.rs
+++ b/tests/overloads/mod.rs
@@ -111,7 +111,7 @@
         priorities.iter().map(|(port, priority)| (service_address(*port), route(*priority)));
     Config {
         version: 1,
-        revision: 1,
+        revision: 1.into(),
         routes: routes.collect(),
         services: [("web".into(), Service::default())].into(),
         idle_timeout: Duration::from_secs(15),
@@ -134,7 +134,7 @@
         let mut directory = Directory::new(tuning.clone());
         directory.confirm_config(start);
         let operator = OperatorState {
-            revision: 1,
+            revision: 1.into(),
             config: Some(Arc::new(config)),
             ..OperatorState::default()
         };
@@ -144,7 +144,7 @@
             (cookie(target), server)
         };
         let servers = targets.iter().map(server).collect();
-        directory.apply_listing(start, Listing { revision: 2, targets });
+        directory.apply_listing(start, Listing { revision: 2.into(), targets });
         let view = Arc::new(directory.view(start));
         let forwarder = |_| {
             let mut forwarder = Forwarder::new(OWN_ZONE.into(), tuning.clone());
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -167,7 +167,7 @@
     assert!(fixture.forwarder.highest_delays(fixture.now)["web"] > 2.0);
     let mut all = targets("web", 2, 0);
     all[1].availability = Availability::Draining;
-    all[1].revision = 2;
+    all[1].revision = 2.into();
     fixture.read_targets(all);
     assert!((200..210).all(|number| fixture.open(number).number == 1));
 }
--- a/tests/placements/mod.rs
+++ b/tests/placements/mod.rs
@@ -121,7 +121,7 @@
         let start = Instant::now();
         let mut directory = Directory::new(Tuning::default());
         let config = Some(Arc::new(cookies::config(1, 0.0)));
-        let operator = OperatorState { revision: 1, config, ..OperatorState::default() };
+        let operator = OperatorState { revision: 1.into(), config, ..OperatorState::default() };
         directory.confirm_config(start);
         directory.apply_operator_state(start, &operator);
         let target = |number: usize| Target {
@@ -129,7 +129,7 @@
             ..cookies::target(number as u64, "web", &zone_name(number / targets))
         };
         let all = (0..zones * targets).map(target).collect();
-        directory.apply_listing(start, Listing { revision: 2, targets: all });
+        directory.apply_listing(start, Listing { revision: 2.into(), targets: all });
         let view = Arc::new(directory.view(start));
         let daemon = |number: usize| {
             let zone = number / daemons;
