--- a/src/cookie/revision.rs
+++ b/src/cookie/revision.rs
@@ -7,10 +7,13 @@
 /// The number grows with each change. If the store returns from a copy of an earlier state, its
 /// numbers go back and are assigned again, and its era grows. Revisions of different eras are
 /// therefore ordered by era, and their numbers cannot be compared.
+///
+/// A revision of the era 0 is encoded as its number, as before there were eras: lists of thousands of
+/// targets stay short, and daemons of earlier versions can decode them.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
 )]
-#[serde(rename_all = "snake_case")]
+#[serde(from = "Encoded", into = "Encoded")]
 pub struct Revision {
     /// The number of times that the store has returned from a copy; 0 if the store does not say.
     pub era: u64,
@@ -18,6 +21,34 @@
     pub number: u64,
 }
 
+/// The encoding of a revision.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Encoded {
+    /// The number of a revision of the era 0.
+    Number(u64),
+    /// The era and the number.
+    Pair(u64, u64),
+}
+
+impl From<Encoded> for Revision {
+    fn from(encoded: Encoded) -> Revision {
+        match encoded {
+            Encoded::Number(number) => number.into(),
+            Encoded::Pair(era, number) => Revision { era, number },
+        }
+    }
+}
+
+impl From<Revision> for Encoded {
+    fn from(revision: Revision) -> Encoded {
+        match revision.era {
+            0 => Encoded::Number(revision.number),
+            era => Encoded::Pair(era, revision.number),
+        }
+    }
+}
+
 impl Revision {
     /// Returns whether this revision is later than `other` in the same era, so that the store held
     /// `other` when it assigned this one.
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -344,3 +344,15 @@
         fleet.settle(&mut random);
     }
 }
+
+/// Guards against deltas that grow by a third, which delayed packets on the link of the zone reader
+/// after a restart of all daemons, and against daemons that cannot decode those of earlier versions.
+#[test]
+fn revision_of_the_first_era_is_encoded_as_its_number() {
+    let encode = |revision: Revision| serde_json::to_string(&revision).expect("encodes");
+    assert_eq!(encode(70.into()), "70");
+    for revision in [Revision::from(70), Revision { era: 2, number: 70 }] {
+        let decoded: Revision = serde_json::from_str(&encode(revision)).expect("decodes");
+        assert_eq!(decoded, revision);
+    }
+}
