Learn the cost of a route from several answers that cannot be rejections

The first answer fixed the cost. If it was a rejection, the cost started at 0.5 ms, real answers looked 20 times as slow as usual, and a full target was preferred. Rejections that took a quarter of the cost or longer also counted as fast answers.

--- a/src/cookie/work/estimator.rs
+++ b/src/cookie/work/estimator.rs
@@ -10,7 +10,7 @@
 use crate::cookie::{
     Cookie, Entry, View,
     work::{
-        Answer, Pending, Report, Stage, average::Average, route_cost::RouteCost,
+        Answer, Pending, Report, Stage, average::Average, profile::Profile, route_cost::RouteCost,
         zone_load::ZoneLoad,
     },
 };
@@ -114,7 +114,8 @@
     /// Records an answer of the target `entry`.
     pub fn record_answer(&mut self, now: Instant, entry: &Entry, answer: &Answer) {
         self.answers += 1;
-        if answer.is_retransmitted {
+        // A small answer may be a rejection, whose time does not show what a request takes.
+        if answer.is_retransmitted || Profile::is_small(answer) {
             return;
         }
         let zone = &entry.target.zone;
@@ -128,11 +129,10 @@
             return;
         }
         let route = self.routes.entry(answer.service).or_default();
-        if route.is_rejection(seconds, answer.bytes) {
+        route.record(seconds);
+        let Some(cost) = route.seconds() else {
             return;
-        }
-        route.record(seconds, answer.bytes);
-        let cost = route.seconds().unwrap_or(seconds);
+        };
         let factor = (seconds / cost).clamp(MINIMUM_FACTOR, MAXIMUM_FACTOR);
         match &mut self.base {
             Some(base) => base.record(now, factor, BASE_WEIGHT),
--- a/src/cookie/work/profile.rs
+++ b/src/cookie/work/profile.rs
@@ -73,6 +73,11 @@
         (is_known && work >= MINIMUM_WORK).then_some(work)
     }
 
+    /// Returns whether an answer is small enough for a rejection.
+    pub(super) fn is_small(answer: &Answer) -> bool {
+        answer.bytes <= MAXIMUM_REJECTION_BYTES
+    }
+
     /// Records an answer, and returns what it shows about its target; `None` if it shows nothing.
     pub(super) fn record(&mut self, answer: &Answer) -> Option<Outcome> {
         if answer.bytes < MINIMUM_ANSWER_BYTES {
@@ -80,7 +85,7 @@
         }
         let round_trip = answer.round_trip.map_or(self.round_trip, |time| time.as_secs_f64());
         let work = (answer.elapsed.as_secs_f64() - round_trip).max(0.0);
-        if answer.bytes <= MAXIMUM_REJECTION_BYTES {
+        if Profile::is_small(answer) {
             return self.record_small(answer, work);
         }
         // The time of a retransmitted request contains the loss of a packet.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use banyanwharf::cookie::{Availability, Placement, Tuning};
-use cookies::{DaemonFixture, ms, targets};
+use banyanwharf::cookie::{Availability, Kind, Placement, Tuning};
+use cookies::{DaemonFixture, flow, ms, packet, targets};
 use placements::{Fleet, Traffic};
 
 /// One request per flow, 22 ms of work.
@@ -201,3 +201,43 @@
         assert!(late[1] < late[0] / 2.0, "{daemons} daemons: {late:?}");
     }
 }
+
+/// Opens flow `number` with a round trip of 6 ms, and returns the number of its target and the cookie.
+fn establish(fixture: &mut DaemonFixture, number: u32) -> (u64, u32) {
+    let opened = fixture.open(number);
+    fixture.advance(ms(6)).acknowledge(number, opened.cookie, 100);
+    (opened.number, opened.cookie)
+}
+
+/// Guards against a cost that is learned from rejections: real answers then look much slower than
+/// usual and rejections usual, so that a full target is preferred.
+#[test]
+fn a_daemon_that_starts_on_a_hard_day_ranks_a_rejecting_target_last() {
+    // A slow target also takes some time to reject a request.
+    for rejection_time in [ms(0), ms(10)] {
+        let tuning = Tuning { placement: Placement::ExpectedWork, ..Tuning::default() };
+        let mut fixture = DaemonFixture::with_tuning(targets("web", 3, 0), 0.0, tuning);
+        let (mut full, mut full_requests) = (None, 0);
+        let mut to_full = Vec::new();
+        for number in 0..160 {
+            let (target, cookie) = establish(&mut fixture, number);
+            fixture.send_data(number, cookie, 1);
+            // The target of the first flow is full: it rejects 3 of 4 requests, and the others wait
+            // in its queue.
+            let is_full = *full.get_or_insert(target) == target;
+            to_full.push(is_full);
+            full_requests += u32::from(is_full);
+            let (work, bytes) = match (is_full, full_requests % 4) {
+                (true, 0) => (ms(110), 1000),
+                (true, _) => (rejection_time, 40),
+                (false, _) => (ms(22), 1000),
+            };
+            fixture.advance(work + Duration::from_micros(6_500));
+            fixture.acknowledge(number, cookie, 100 + bytes);
+            fixture.decide(&packet(flow(number, 1), Kind::Finish, cookie));
+        }
+        // The first 120 requests take about 4 s.
+        let late = to_full[120..].iter().filter(|is_full| **is_full).count();
+        assert!(late <= 6, "{late} of 40 flows go to the full target ({rejection_time:?})");
+    }
+}
