Do not count the pauses of callers and of the process as answer times

If the acknowledgement of an answer was lost or passed through another daemon, the next request acknowledged the answer, and the caller's pause counted as answer time. A pause of the process while a flow was being opened gave a round-trip time near 0, so that the round trip counted as answer time.

An answer has no time if the flow had a gap of the retransmission window, or if new data acknowledges it and nothing of the flow was seen for longer than a round trip and five times the usual time. An opening that was not answered before a pause of the process gives no round trip.

--- a/src/cookie/flows.rs
+++ b/src/cookie/flows.rs
@@ -42,6 +42,9 @@
     unanswered_since: Instant,
     /// Whether the caller has retransmitted a packet since `unanswered_since`.
     is_retransmitting: bool,
+    /// Whether the process was paused before the opening packet was answered, so that the time until
+    /// the answer is not known.
+    was_opening_paused: bool,
     /// The round-trip time between caller and target at the opening of the flow.
     round_trip: Option<Duration>,
     /// The request that is not answered yet, if this daemon saw its first packet.
@@ -198,11 +201,13 @@
     }
 
     /// Records a packet after the opening packet. Returns what it shows about the target, and the
-    /// answer of which it acknowledges the first bytes.
+    /// answer of which it acknowledges the first bytes. `usual_time` is how long an answer usually
+    /// takes at most, without the round trip.
     pub(super) fn record_packet(
         &mut self,
         now: Instant,
         packet: &Packet,
+        usual_time: impl FnOnce() -> Duration,
         tuning: &Tuning,
     ) -> (Signal, Option<Answer>) {
         // Another daemon may have sent a retransmission of the opening packet to another target.
@@ -215,7 +220,8 @@
             return (Signal::Neutral, None);
         };
         let before = state.load_share();
-        let (answer, former_sequence) = (state.take_answer(now, packet), state.next_sequence);
+        let answer = state.take_answer(now, packet, usual_time, tuning);
+        let former_sequence = state.next_sequence;
         let signal = state.record_packet(now, packet, tuning);
         let has_new_data = packet.length > 0 && state.next_sequence != former_sequence;
         self.requests += u64::from(state.record_request(now, has_new_data, signal));
@@ -230,6 +236,7 @@
             let before = state.load_share();
             state.unanswered_since = now;
             state.is_retransmitting = false;
+            state.was_opening_paused = !state.is_established;
             state.request = None;
             replace_share(&mut self.loads, before, state.load_share());
         }
@@ -325,17 +332,34 @@
             acknowledged: if is_established { packet.acknowledged } else { 0 },
             unanswered_since: now,
             is_retransmitting: false,
+            was_opening_paused: false,
             round_trip: None,
             request: None,
         }
     }
 
-    /// Returns the answer to the current request if `packet` acknowledges its first bytes.
-    fn take_answer(&mut self, now: Instant, packet: &Packet) -> Option<Answer> {
+    /// Returns the answer to the current request if `packet` acknowledges its first bytes and shows
+    /// when the answer arrived.
+    fn take_answer(
+        &mut self,
+        now: Instant,
+        packet: &Packet,
+        usual_time: impl FnOnce() -> Duration,
+        tuning: &Tuning,
+    ) -> Option<Answer> {
         if !self.is_established || !is_after(packet.acknowledged, self.acknowledged) {
             return None;
         }
         let Request { sent_at, is_retransmitted } = self.request.take()?;
+        // If the acknowledgement was lost or passed through another daemon, the next request
+        // acknowledges the answer, after the caller's pause.
+        let unseen = now.saturating_duration_since(self.last_packet_at);
+        let end = packet.sequence.wrapping_add(u32::from(packet.length));
+        let has_new_data = packet.length > 0 && is_after(end, self.next_sequence);
+        let is_late = || unseen > self.round_trip.unwrap_or_default() + usual_time();
+        if unseen >= tuning.retransmission_window || (has_new_data && is_late()) {
+            return None;
+        }
         Some(Answer {
             service: packet.flow.service,
             cookie: self.cookie,
@@ -416,8 +440,9 @@
         if is_answer {
             let waited = now.saturating_duration_since(self.unanswered_since);
             // So soon the caller cannot have retransmitted, so no other daemon forwarded a copy.
-            let sent_by_this_daemon =
-                !self.is_retransmitting && !had_gap && waited < tuning.minimum_retransmission_delay;
+            let is_unknown =
+                self.is_retransmitting || had_gap || (is_opening && self.was_opening_paused);
+            let sent_by_this_daemon = !is_unknown && waited < tuning.minimum_retransmission_delay;
             let sent_by = if sent_by_this_daemon { SentBy::ThisDaemon } else { SentBy::Unknown };
             self.is_established = true;
             self.acknowledged = packet.acknowledged;
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -561,7 +561,8 @@
         if entry.presence == Presence::Gone && self.proves_target_end(now) {
             return Verdict::Reset(Reason::TargetGone);
         }
-        let (signal, answer) = self.flows.record_packet(now, packet, &self.tuning);
+        let usual_time = || self.estimator.usual_time(now, flow.service, entry);
+        let (signal, answer) = self.flows.record_packet(now, packet, usual_time, &self.tuning);
         if let Some(answer) = answer {
             self.record_answer(now, &flow, &answer, entry);
         }
--- a/src/cookie/work/estimator.rs
+++ b/src/cookie/work/estimator.rs
@@ -64,6 +64,10 @@
 /// The factor by which a target must differ from the others of its zone to be reported.
 const REPORTED_FACTOR: f64 = 1.5;
 
+/// How many times the usual time an answer may take if the next request acknowledges it. A full
+/// queue takes about five times the work of a request; longer times are mostly pauses of callers.
+const MAXIMUM_QUEUE_FACTOR: f64 = 5.0;
+
 /// The maximum age of an observation that is reported.
 const MAXIMUM_REPORT_AGE: Duration = Duration::from_secs(1);
 
@@ -176,6 +180,13 @@
         self.routes.get(&service).and_then(RouteCost::seconds).unwrap_or(DEFAULT_COST)
     }
 
+    /// Returns how long an answer usually takes at most on targets of the zone of `entry`, with a
+    /// queue and without the round trip.
+    pub fn usual_time(&self, now: Instant, service: SocketAddrV4, entry: &Entry) -> Duration {
+        let usual = self.zone_delay(now, &entry.target.service, &entry.target.zone);
+        Duration::from_secs_f64(MAXIMUM_QUEUE_FACTOR * usual * self.cost(service))
+    }
+
     /// Returns how much longer than targets of `own` those of `other` take to be reached, in seconds.
     pub fn zone_distance(&self, own: &str, other: &str) -> f64 {
         if own == other {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use banyanwharf::cookie::{Availability, Kind, Placement, Tuning};
-use cookies::{DaemonFixture, flow, ms, packet, targets};
+use banyanwharf::cookie::{Availability, Kind, Packet, Placement, Tuning};
+use cookies::{DaemonFixture, data_packet, flow, ms, packet, targets};
 use placements::{Fleet, Traffic};
 
 /// One request per flow, 22 ms of work.
@@ -241,3 +241,56 @@
         assert!(late <= 6, "{late} of 40 flows go to the full target ({rejection_time:?})");
     }
 }
+
+/// Returns a daemon with two targets that have answered 40 requests after 20 ms of work each.
+fn with_usual_observations() -> DaemonFixture {
+    let mut fixture = DaemonFixture::new(targets("web", 2, 0));
+    for number in 0..40 {
+        let (_, cookie) = establish(&mut fixture, number);
+        fixture.send_data(number, cookie, 1);
+        fixture.advance(ms(26)).acknowledge(number, cookie, 1100);
+    }
+    fixture
+}
+
+/// Guards against a caller's pause that counts as answer time: if the acknowledgement of an answer
+/// does not pass through this daemon, the next request acknowledges the answer after the pause.
+#[test]
+fn the_pause_of_a_caller_is_not_answer_time() {
+    for pause in [ms(500), ms(1_500), ms(3_000)] {
+        let mut fixture = with_usual_observations();
+        let (_, cookie) = establish(&mut fixture, 100);
+        fixture.send_data(100, cookie, 1);
+        let next = Packet { acknowledged: 1100, ..data_packet(100, cookie, 51) };
+        fixture.advance(pause).decide(&next);
+        let highest = fixture.forwarder.highest_delays(fixture.now)["web"];
+        assert!(highest < 1.5, "{highest} after {pause:?}");
+    }
+    // A late acknowledgement without data shows a slow answer.
+    let mut fixture = with_usual_observations();
+    let (_, cookie) = establish(&mut fixture, 100);
+    fixture.send_data(100, cookie, 1);
+    fixture.advance(ms(500)).acknowledge(100, cookie, 1100);
+    assert!(fixture.forwarder.highest_delays(fixture.now)["web"] > 2.0);
+}
+
+/// Guards against a round-trip time near 0 of a flow that was opened before a pause of the process:
+/// the round trip then counts as answer time.
+#[test]
+fn a_pause_during_the_opening_gives_no_round_trip() {
+    let mut fixture = DaemonFixture::new(targets("web", 2, 0));
+    for number in 0..40 {
+        let opened = fixture.open(number);
+        fixture.advance(ms(100)).acknowledge(number, opened.cookie, 100);
+        fixture.send_data(number, opened.cookie, 1);
+        fixture.advance(ms(105)).acknowledge(number, opened.cookie, 1100);
+    }
+    let opened = fixture.open(100);
+    fixture.advance(ms(90));
+    fixture.forwarder.record_pause(fixture.now);
+    fixture.advance(ms(1)).acknowledge(100, opened.cookie, 100);
+    fixture.send_data(100, opened.cookie, 1);
+    fixture.advance(ms(105)).acknowledge(100, opened.cookie, 1100);
+    let highest = fixture.forwarder.highest_delays(fixture.now)["web"];
+    assert!(highest < 1.5, "{highest}");
+}
