Report the targets that reject requests

A rejection was reported only with a target whose answer times differ from the others, and with the age of its last accepted answer. Most full targets were therefore not reported.

All targets of the own zone that get no new flows after a rejection are now reported, with the time since the rejection as age, and with a delay factor of 1 if their answer times do not differ.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -118,19 +118,23 @@
         self.drop_opens_until = Some(now + self.tuning.pause_drop_time);
     }
 
-    /// Returns this daemon's own reports about targets that differ from the others.
+    /// Returns this daemon's own reports about targets that differ from the others or are full.
     pub fn own_reports(&self, now: Instant) -> Vec<Report> {
         let mut reports = self.estimator.reports(now);
+        for (cookie, age) in self.room.iter().flat_map(|room| room.full_targets(now)) {
+            let known = reports.iter_mut().find(|report| report.cookie == cookie);
+            match known {
+                Some(report) => (report.is_rejecting, report.age) = (true, age),
+                None => {
+                    reports.push(Report { cookie, delay_factor: 1.0, is_rejecting: true, age });
+                }
+            }
+        }
         let is_in_own_zone = |report: &Report| {
             let entry = self.view.target(report.cookie);
             entry.is_some_and(|entry| entry.target.zone == self.zone)
         };
         reports.retain(is_in_own_zone);
-        if let Some(room) = &self.room {
-            reports.iter_mut().for_each(|report| {
-                report.is_rejecting = room.is_full(now, report.cookie);
-            });
-        }
         reports
     }
 
--- a/src/cookie/work/exclusion.rs
+++ b/src/cookie/work/exclusion.rs
@@ -35,14 +35,19 @@
         Exclusion { rejected_at: now, time }
     }
 
+    /// Returns the time since the rejection.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.rejected_at)
+    }
+
     /// Returns whether the target still gets no new flows.
     pub(super) fn is_active(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.rejected_at) < self.time
+        self.age(now) < self.time
     }
 
     /// Returns whether a further rejection extends the exclusion.
     pub(super) fn is_recent(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.rejected_at) < self.time + MAXIMUM_TIME
+        self.age(now) < self.time + MAXIMUM_TIME
     }
 
     /// Returns whether a request sent at `sent_at` was sent after the rejection.
--- a/src/cookie/work/room.rs
+++ b/src/cookie/work/room.rs
@@ -150,6 +150,12 @@
         self.exclusions.get(&cookie).is_some_and(|exclusion| exclusion.is_active(now))
     }
 
+    /// Returns the full targets, each with the time since its last rejection.
+    pub fn full_targets(&self, now: Instant) -> impl Iterator<Item = (Cookie, Duration)> {
+        let active = self.exclusions.iter().filter(move |(_, exclusion)| exclusion.is_active(now));
+        active.map(move |(cookie, exclusion)| (*cookie, exclusion.age(now)))
+    }
+
     /// Returns which targets the new flow `flow` to `service` avoids.
     pub(in crate::cookie) fn avoidance(
         &self,
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -1,11 +1,16 @@
 //! Daemons of a zone tell each other about slow and full targets within their byte budget, and wrong,
 //! outdated or missing reports change the order of targets within bounds only.
 
+mod cookies;
 mod zones;
 
 use std::time::{Duration, Instant};
 
-use banyanwharf::cookie::work::{Batch, Publisher, Report, ReportTable};
+use banyanwharf::cookie::{
+    Tuning,
+    work::{Batch, Publisher, Report, ReportTable},
+};
+use cookies::{DaemonFixture, ms, targets};
 use zones::*;
 
 /// Guards against daemons that learn of a slow target only from their own flows: with 85 daemons, one
@@ -394,3 +399,29 @@
     table.set_targets(end, 0..50);
     assert!(table.is_empty());
 }
+
+/// Guards against full targets of which the other daemons are not told: rejections show no answer
+/// time, so a full target does not differ from the others in it.
+#[test]
+fn a_target_that_rejects_requests_is_reported_until_it_is_usable() {
+    let tuning = Tuning { sheds_load: true, ..Tuning::default() };
+    // The third target is in another zone, whose targets are not reported.
+    let mut fixture = DaemonFixture::with_tuning(targets("web", 2, 1), 0.0, tuning);
+    let answer = |fixture: &mut DaemonFixture, number, cookie, work: u64, bytes: u32| {
+        fixture.advance(ms(6)).acknowledge(number, cookie, 100);
+        fixture.send_data(number, cookie, 1);
+        fixture.advance(ms(6 + work)).acknowledge(number, cookie, 100 + bytes);
+    };
+    for number in 0..20 {
+        let cookie = fixture.open(number).cookie;
+        answer(&mut fixture, number, cookie, 20, 1000);
+    }
+    assert_eq!(fixture.forwarder.own_reports(fixture.now), []);
+    let cookie = fixture.open(100).cookie;
+    answer(&mut fixture, 100, cookie, 0, 40);
+    fixture.advance(ms(50));
+    let full = Report { cookie, delay_factor: 1.0, is_rejecting: true, age: ms(50) };
+    assert_eq!(fixture.forwarder.own_reports(fixture.now), [full]);
+    fixture.advance(Duration::from_secs(1));
+    assert_eq!(fixture.forwarder.own_reports(fixture.now), []);
+}
