Remove the observations of zones that have no targets

The loads and round-trip times of zones were kept for ever. The estimator now removes those of zones and services without targets in the view once a second. The new test fails without the change: a former zone kept its distance of 10 ms.

--- a/src/cookie/work/estimator.rs
+++ b/src/cookie/work/estimator.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use hashbrown::HashMap;
+use hashbrown::{HashMap, HashSet};
 
 use crate::cookie::{
     Cookie, Entry, View,
@@ -161,7 +161,7 @@
         *known += ROUND_TRIP_WEIGHT * (seconds - *known);
     }
 
-    /// Removes the observations of targets that are no longer in the view, and compares the number
+    /// Removes the observations of targets, routes and zones that are no longer in the view, and compares the number
     /// of requests that this daemon has seen since its start with that of their answers. Is to be
     /// called about once a second.
     pub fn sweep(&mut self, view: &View, requests: u64) {
@@ -173,6 +173,14 @@
         (self.requests, self.answers) = (requests, 0);
         self.targets.retain(|cookie, _| view.target(*cookie).is_some());
         self.routes.retain(|address, _| view.route(*address).is_some());
+        let targets = || view.entries().iter().map(|entry| &entry.target);
+        let zones: HashSet<&Arc<str>> = targets().map(|target| &target.zone).collect();
+        let services: HashSet<&Arc<str>> = targets().map(|target| &target.service).collect();
+        self.round_trips.retain(|zone, _| zones.contains(zone));
+        self.zones.retain(|service, _| services.contains(service));
+        for loads in self.zones.values_mut() {
+            loads.retain(|zone, _| zones.contains(zone));
+        }
     }
 
     /// Returns the expected cost of a request in seconds, on a usual target without a queue.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use banyanwharf::cookie::{Availability, Kind, Packet, Placement, Tuning};
-use cookies::{DaemonFixture, data_packet, flow, ms, packet, targets};
+use banyanwharf::cookie::{Availability, Kind, Packet, Placement, Tuning, work::Estimator};
+use cookies::{DaemonFixture, OTHER_ZONE, OWN_ZONE, data_packet, flow, ms, packet, targets};
 use placements::{Fleet, Traffic};
 
 /// One request per flow, 22 ms of work.
@@ -294,3 +294,19 @@
     let highest = fixture.forwarder.highest_delays(fixture.now)["web"];
     assert!(highest < 1.5, "{highest}");
 }
+
+/// Guards against observations of former zones that are kept for ever.
+#[test]
+fn observations_of_a_zone_without_targets_are_removed() {
+    let both = DaemonFixture::new(targets("web", 1, 1));
+    let mut estimator = Estimator::default();
+    estimator.record_opening(&OWN_ZONE.into(), ms(6));
+    estimator.record_opening(&OTHER_ZONE.into(), ms(16));
+    let distance = |estimator: &Estimator| estimator.zone_distance(OWN_ZONE, OTHER_ZONE);
+    estimator.sweep(both.forwarder.view(), 0);
+    assert!((distance(&estimator) - 0.01).abs() < 1e-9);
+    let own = DaemonFixture::new(targets("web", 1, 0));
+    estimator.sweep(own.forwarder.view(), 0);
+    // The distance of an unknown zone.
+    assert_eq!(distance(&estimator), 0.002);
+}
