Select the demoted targets before a placement, not for each frame of reports

Each received frame pruned and sorted the whole table in the packet thread. This is now done before a new flow is placed, and only if reports were recorded since the last time. The tests of the table call refresh after record; their checks are unchanged. The effect on the time of a frame was not measured.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -479,6 +479,7 @@
         previous_target: Option<Cookie>,
     ) -> Verdict {
         let flow = packet.flow;
+        self.report_table.refresh(now);
         let selector = Selector {
             now,
             view: &self.view,
--- a/src/cookie/work/report_table.rs
+++ b/src/cookie/work/report_table.rs
@@ -76,6 +76,8 @@
     /// The targets whose expected time reports may increase: those with the strongest evidence, at
     /// most 1 in [`TARGETS_PER_DEMOTION`] of the targets.
     demoted: HashSet<Cookie>,
+    /// Whether reports were recorded since `demoted` was selected.
+    is_changed: bool,
     ignored_until: Option<Instant>,
 }
 
@@ -89,8 +91,8 @@
     pub fn set_targets(&mut self, now: Instant, targets: impl Iterator<Item = Cookie>) {
         self.targets.clear();
         self.targets.extend(targets);
-        self.prune(now);
-        self.select_demoted(now);
+        self.is_changed = true;
+        self.refresh(now);
     }
 
     /// Records that the process was paused. All reports are discarded.
@@ -102,18 +104,28 @@
 
     /// Records the reports of one frame of the daemon `from`, which arrived at `now`, and returns how
     /// many of them are used. A report is ignored if its numbers are not valid, it is outdated, its
-    /// target is not in the zone, or a newer one of the same daemon is known.
+    /// target is not in the zone, or a newer one of the same daemon is known. They increase expected
+    /// times after the next call of [`ReportTable::refresh`].
     pub fn record(&mut self, now: Instant, from: member::Id, reports: &[Report]) -> usize {
         if self.ignored_until.is_some_and(|until| now < until) {
             return 0;
         }
         let reports = reports.iter().take(MAXIMUM_REPORTS);
         let recorded = reports.filter(|report| self.record_one(now, from, report)).count();
-        self.prune(now);
-        self.select_demoted(now);
+        self.is_changed |= recorded > 0;
         recorded
     }
 
+    /// Selects anew the targets whose expected time reports may increase, if reports were recorded
+    /// since the last call. Is to be called before decisions rather than for each frame, since it
+    /// reads the whole table.
+    pub fn refresh(&mut self, now: Instant) {
+        if std::mem::take(&mut self.is_changed) {
+            self.prune(now);
+            self.select_demoted(now);
+        }
+    }
+
     fn record_one(&mut self, now: Instant, from: member::Id, report: &Report) -> bool {
         let factor = f64::from(report.delay_factor);
         if !factor.is_finite() || factor <= 0.0 || report.age >= DELAY_LIFETIME {
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use banyanwharf::cookie::{
-    Tuning,
+    Placement, Tuning,
     work::{Batch, Publisher, Report, ReportTable},
 };
 use cookies::{DaemonFixture, ms, targets};
@@ -188,6 +188,7 @@
         let wrong: Vec<Report> = (first..first + 50).map(|cookie| slow(cookie, 1e6)).collect();
         table.record(now, 3, &wrong);
     }
+    table.refresh(now);
     let factor = |cookie| table.factor(now, cookie, 0.0);
     let demoted: Vec<u32> = (0..100).filter(|cookie| factor(*cookie) > 1.0).collect();
     assert_eq!(demoted.len(), 25);
@@ -206,6 +207,7 @@
     for from in 0..100 {
         table.record(now, from, &[slow(1, 1e-6)]);
     }
+    table.refresh(now);
     assert!((0.5..0.6).contains(&table.factor(now, 1, 0.0)));
     assert!(table.factor(now, 1, 100.0) > 0.95);
 }
@@ -217,6 +219,7 @@
     let mut table = ReportTable::new();
     table.set_targets(now, 0..100);
     table.record(now, 1, &[slow(1, 3.0)]);
+    table.refresh(now);
     // With equal weights, one own observation would reduce the factor to its square root.
     assert!(table.factor(now, 1, 0.0) > 1.5);
     assert!(table.factor(now, 1, 1.0) < 3.0_f64.sqrt());
@@ -232,6 +235,7 @@
         let full = Report { is_rejecting: true, ..slow(2, 1.0) };
         table.record(start, from, &[slow(1, 4.0), full]);
     }
+    table.refresh(start);
     let mut previous = f64::MAX;
     for tick in 0..=20 {
         let now = start + Duration::from_millis(100 * tick);
@@ -271,6 +275,7 @@
     table.record(start, 1, &[slow(1, 3.0)]);
     table.record_pause(start);
     assert_eq!(table.record(start, 2, &[slow(1, 3.0)]), 0);
+    table.refresh(start);
     assert_eq!(table.factor(start, 1, 0.0), 1.0);
     let later = start + Duration::from_millis(300);
     assert_eq!(table.record(later, 2, &[slow(1, 3.0)]), 1);
@@ -283,9 +288,11 @@
     let mut table = ReportTable::new();
     table.set_targets(now, 0..100);
     table.record(now, 1, &[slow(1, 3.0)]);
+    table.refresh(now);
     let before = table.factor(now, 1, 0.0);
     let late = Report { age: Duration::from_millis(500), ..slow(1, 0.3) };
     assert_eq!(table.record(now, 1, &[late]), 0);
+    table.refresh(now);
     assert_eq!(table.factor(now, 1, 0.0), before);
 }
 
@@ -354,6 +361,7 @@
     assert!(table.is_empty());
     for own_samples in [f64::NAN, f64::INFINITY, -5.0] {
         table.record(now, 1, &[slow(1, 3.0)]);
+        table.refresh(now);
         assert!((1.0..=4.0).contains(&table.factor(now, 1, own_samples)));
     }
 }
@@ -376,6 +384,7 @@
             };
             table.record(now, from.into(), &[report]);
         }
+        table.refresh(now);
         let factors: Vec<f64> = (0..256).map(|cookie| table.factor(now, cookie, 0.0)).collect();
         assert!(factors.iter().all(|factor| (0.5..=4.0).contains(factor)));
         assert!(factors.iter().filter(|factor| **factor > 1.0).count() <= 10);
@@ -425,3 +434,17 @@
     fixture.advance(Duration::from_secs(1));
     assert_eq!(fixture.forwarder.own_reports(fixture.now), []);
 }
+
+/// Guards against decisions that do not use the reports that arrived since the last one.
+#[test]
+fn a_new_flow_avoids_a_target_that_was_just_reported() {
+    let tuning =
+        Tuning { placement: Placement::ExpectedWork, shares_reports: true, ..Tuning::default() };
+    let mut fixture = DaemonFixture::with_tuning(targets("web", 8, 0), 0.0, tuning);
+    fixture.forwarder.sweep(fixture.now);
+    let cookie = fixture.open(0).cookie;
+    let full = Report { is_rejecting: true, ..slow(cookie, 1.0) };
+    assert_eq!(fixture.forwarder.record_reports(fixture.now, 1, &[full]), 1);
+    // The other 7 targets have equal expected times.
+    assert!((1..30).all(|number| fixture.open(number).cookie != cookie));
+}
--- a/tests/zones/mod.rs
+++ b/tests/zones/mod.rs
@@ -126,7 +126,9 @@
         let frame = Frame::decode(&buffer, &self.keyring).expect("the frame is complete");
         let Body::TargetReports(received) = frame.body else { panic!("the body has changed") };
         let received: Vec<Report> = received.into_iter().map(Report::from).collect();
-        self.daemons[receiver].table.record(self.now, frame.sender, &received);
+        let table = &mut self.daemons[receiver].table;
+        table.record(self.now, frame.sender, &received);
+        table.refresh(self.now);
     }
 
     /// Returns the factor of a target at a daemon without own observations.
