--- a/src/cookie/work/estimator.rs
+++ b/src/cookie/work/estimator.rs
@@ -5,12 +5,12 @@
     time::{Duration, Instant},
 };
 
-use hashbrown::HashMap;
+use hashbrown::{HashMap, HashSet};
 
 use crate::cookie::{
     Cookie, Entry, View,
     work::{
-        Answer, Pending, Report, Stage, average::Average, route_cost::RouteCost,
+        Answer, Pending, Report, Stage, average::Average, profile::Profile, route_cost::RouteCost,
         zone_load::ZoneLoad,
     },
 };
@@ -64,6 +64,10 @@
 /// The factor by which a target must differ from the others of its zone to be reported.
 const REPORTED_FACTOR: f64 = 1.5;
 
+/// How many times the usual time an answer may take if the next request acknowledges it. A full
+/// queue takes about five times the work of a request; longer times are mostly pauses of callers.
+const MAXIMUM_QUEUE_FACTOR: f64 = 5.0;
+
 /// The maximum age of an observation that is reported.
 const MAXIMUM_REPORT_AGE: Duration = Duration::from_secs(1);
 
@@ -114,7 +118,8 @@
     /// Records an answer of the target `entry`.
     pub fn record_answer(&mut self, now: Instant, entry: &Entry, answer: &Answer) {
         self.answers += 1;
-        if answer.is_retransmitted {
+        // A small answer may be a rejection, whose time does not show what a request takes.
+        if answer.is_retransmitted || Profile::is_small(answer) {
             return;
         }
         let zone = &entry.target.zone;
@@ -128,11 +133,10 @@
             return;
         }
         let route = self.routes.entry(answer.service).or_default();
-        if route.is_rejection(seconds, answer.bytes) {
+        route.record(seconds);
+        let Some(cost) = route.seconds() else {
             return;
-        }
-        route.record(seconds, answer.bytes);
-        let cost = route.seconds().unwrap_or(seconds);
+        };
         let factor = (seconds / cost).clamp(MINIMUM_FACTOR, MAXIMUM_FACTOR);
         match &mut self.base {
             Some(base) => base.record(now, factor, BASE_WEIGHT),
@@ -157,7 +161,7 @@
         *known += ROUND_TRIP_WEIGHT * (seconds - *known);
     }
 
-    /// Removes the observations of targets that are no longer in the view, and compares the number
+    /// Removes the observations of targets, routes and zones that are no longer in the view, and compares the number
     /// of requests that this daemon has seen since its start with that of their answers. Is to be
     /// called about once a second.
     pub fn sweep(&mut self, view: &View, requests: u64) {
@@ -169,6 +173,14 @@
         (self.requests, self.answers) = (requests, 0);
         self.targets.retain(|cookie, _| view.target(*cookie).is_some());
         self.routes.retain(|address, _| view.route(*address).is_some());
+        let targets = || view.entries().iter().map(|entry| &entry.target);
+        let zones: HashSet<&Arc<str>> = targets().map(|target| &target.zone).collect();
+        let services: HashSet<&Arc<str>> = targets().map(|target| &target.service).collect();
+        self.round_trips.retain(|zone, _| zones.contains(zone));
+        self.zones.retain(|service, _| services.contains(service));
+        for loads in self.zones.values_mut() {
+            loads.retain(|zone, _| zones.contains(zone));
+        }
     }
 
     /// Returns the expected cost of a request in seconds, on a usual target without a queue.
@@ -176,6 +188,13 @@
         self.routes.get(&service).and_then(RouteCost::seconds).unwrap_or(DEFAULT_COST)
     }
 
+    /// Returns how long an answer usually takes at most on targets of the zone of `entry`, with a
+    /// queue and without the round trip.
+    pub fn usual_time(&self, now: Instant, service: SocketAddrV4, entry: &Entry) -> Duration {
+        let usual = self.zone_delay(now, &entry.target.service, &entry.target.zone);
+        Duration::from_secs_f64(MAXIMUM_QUEUE_FACTOR * usual * self.cost(service))
+    }
+
     /// Returns how much longer than targets of `own` those of `other` take to be reached, in seconds.
     pub fn zone_distance(&self, own: &str, other: &str) -> f64 {
         if own == other {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use banyanwharf::cookie::{Availability, Placement, Tuning};
-use cookies::{DaemonFixture, ms, targets};
+use banyanwharf::cookie::{Availability, Kind, Packet, Placement, Tuning, work::Estimator};
+use cookies::{DaemonFixture, OTHER_ZONE, OWN_ZONE, data_packet, flow, ms, packet, targets};
 use placements::{Fleet, Traffic};
 
 /// One request per flow, 22 ms of work.
@@ -201,3 +201,112 @@
         assert!(late[1] < late[0] / 2.0, "{daemons} daemons: {late:?}");
     }
 }
+
+/// Opens flow `number` with a round trip of 6 ms, and returns the number of its target and the cookie.
+fn establish(fixture: &mut DaemonFixture, number: u32) -> (u64, u32) {
+    let opened = fixture.open(number);
+    fixture.advance(ms(6)).acknowledge(number, opened.cookie, 100);
+    (opened.number, opened.cookie)
+}
+
+/// Guards against a cost that is learned from rejections: real answers then look much slower than
+/// usual and rejections usual, so that a full target is preferred.
+#[test]
+fn a_daemon_that_starts_on_a_hard_day_ranks_a_rejecting_target_last() {
+    // A slow target also takes some time to reject a request.
+    for rejection_time in [ms(0), ms(10)] {
+        let tuning = Tuning { placement: Placement::ExpectedWork, ..Tuning::default() };
+        let mut fixture = DaemonFixture::with_tuning(targets("web", 3, 0), 0.0, tuning);
+        let (mut full, mut full_requests) = (None, 0);
+        let mut to_full = Vec::new();
+        for number in 0..160 {
+            let (target, cookie) = establish(&mut fixture, number);
+            fixture.send_data(number, cookie, 1);
+            // The target of the first flow is full: it rejects 3 of 4 requests, and the others wait
+            // in its queue.
+            let is_full = *full.get_or_insert(target) == target;
+            to_full.push(is_full);
+            full_requests += u32::from(is_full);
+            let (work, bytes) = match (is_full, full_requests % 4) {
+                (true, 0) => (ms(110), 1000),
+                (true, _) => (rejection_time, 40),
+                (false, _) => (ms(22), 1000),
+            };
+            fixture.advance(work + Duration::from_micros(6_500));
+            fixture.acknowledge(number, cookie, 100 + bytes);
+            fixture.decide(&packet(flow(number, 1), Kind::Finish, cookie));
+        }
+        // The first 120 requests take about 4 s.
+        let late = to_full[120..].iter().filter(|is_full| **is_full).count();
+        assert!(late <= 6, "{late} of 40 flows go to the full target ({rejection_time:?})");
+    }
+}
+
+/// Returns a daemon with two targets that have answered 40 requests after 20 ms of work each.
+fn with_usual_observations() -> DaemonFixture {
+    let mut fixture = DaemonFixture::new(targets("web", 2, 0));
+    for number in 0..40 {
+        let (_, cookie) = establish(&mut fixture, number);
+        fixture.send_data(number, cookie, 1);
+        fixture.advance(ms(26)).acknowledge(number, cookie, 1100);
+    }
+    fixture
+}
+
+/// Guards against a caller's pause that counts as answer time: if the acknowledgement of an answer
+/// does not pass through this daemon, the next request acknowledges the answer after the pause.
+#[test]
+fn the_pause_of_a_caller_is_not_answer_time() {
+    for pause in [ms(500), ms(1_500), ms(3_000)] {
+        let mut fixture = with_usual_observations();
+        let (_, cookie) = establish(&mut fixture, 100);
+        fixture.send_data(100, cookie, 1);
+        let next = Packet { acknowledged: 1100, ..data_packet(100, cookie, 51) };
+        fixture.advance(pause).decide(&next);
+        let highest = fixture.forwarder.highest_delays(fixture.now)["web"];
+        assert!(highest < 1.5, "{highest} after {pause:?}");
+    }
+    // A late acknowledgement without data shows a slow answer.
+    let mut fixture = with_usual_observations();
+    let (_, cookie) = establish(&mut fixture, 100);
+    fixture.send_data(100, cookie, 1);
+    fixture.advance(ms(500)).acknowledge(100, cookie, 1100);
+    assert!(fixture.forwarder.highest_delays(fixture.now)["web"] > 2.0);
+}
+
+/// Guards against a round-trip time near 0 of a flow that was opened before a pause of the process:
+/// the round trip then counts as answer time.
+#[test]
+fn a_pause_during_the_opening_gives_no_round_trip() {
+    let mut fixture = DaemonFixture::new(targets("web", 2, 0));
+    for number in 0..40 {
+        let opened = fixture.open(number);
+        fixture.advance(ms(100)).acknowledge(number, opened.cookie, 100);
+        fixture.send_data(number, opened.cookie, 1);
+        fixture.advance(ms(105)).acknowledge(number, opened.cookie, 1100);
+    }
+    let opened = fixture.open(100);
+    fixture.advance(ms(90));
+    fixture.forwarder.record_pause(fixture.now);
+    fixture.advance(ms(1)).acknowledge(100, opened.cookie, 100);
+    fixture.send_data(100, opened.cookie, 1);
+    fixture.advance(ms(105)).acknowledge(100, opened.cookie, 1100);
+    let highest = fixture.forwarder.highest_delays(fixture.now)["web"];
+    assert!(highest < 1.5, "{highest}");
+}
+
+/// Guards against observations of former zones that are kept for ever.
+#[test]
+fn observations_of_a_zone_without_targets_are_removed() {
+    let both = DaemonFixture::new(targets("web", 1, 1));
+    let mut estimator = Estimator::default();
+    estimator.record_opening(&OWN_ZONE.into(), ms(6));
+    estimator.record_opening(&OTHER_ZONE.into(), ms(16));
+    let distance = |estimator: &Estimator| estimator.zone_distance(OWN_ZONE, OTHER_ZONE);
+    estimator.sweep(both.forwarder.view(), 0);
+    assert!((distance(&estimator) - 0.01).abs() < 1e-9);
+    let own = DaemonFixture::new(targets("web", 1, 0));
+    estimator.sweep(own.forwarder.view(), 0);
+    // The distance of an unknown zone.
+    assert_eq!(distance(&estimator), 0.002);
+}
