Do not take a zone kept by the grace for an item, nor end targets by a new reader's inventory

A peer's state named the zones out of service that are only kept for the grace of 5 s among those with an item. A receiver returned such a zone to service too early, or kept it out for good. The state now names these zones with their remaining time, and the receiver merges them into its own grace.

A follower of the former era ended targets at once by the inventory of a daemon that was started in the new era and never knew them. An inventory of a later era that lacks a known target is now not sufficient, so that the follower reads the store.

The new tests were not run without the change.

--- a/src/cookie/directory/delta.rs
+++ b/src/cookie/directory/delta.rs
@@ -123,7 +123,9 @@
     /// Returns whether this directory is complete after the delta: each target of the delta's
     /// inventory is in this directory or in the delta, and a target that is missing in the
     /// inventory has certainly ended. An entry has the same number in each era that holds it, and
-    /// the delta contains those that were written since this directory's era.
+    /// the delta contains those that were written since this directory's era. In a later era, the
+    /// followed daemon may have been started after the return from a copy and may not know the targets
+    /// that the copy lacks, so a target that is missing in its inventory may still run.
     fn is_delta_sufficient(&self, now: Instant, delta: &Delta) -> bool {
         let Some(inventory) = &delta.inventory else {
             return true;
@@ -133,9 +135,16 @@
             known.is_some_and(|known| known.target.revision.number == item.revision.number)
                 || delta.written.iter().chain(&delta.lapsed).any(|t| t.name == item.name)
         };
+        let is_lacking = || {
+            let listed: BTreeSet<&Arc<str>> = inventory.iter().map(|item| &item.name).collect();
+            let mut left = self.targets.iter().filter(|(_, t)| t.presence != Presence::Gone);
+            left.any(|(name, _)| !listed.contains(name))
+        };
+        let is_later_era = delta.revision.era > self.revision.era;
         delta.is_absence_conclusive
             && self.is_absence_conclusive(now)
             && inventory.iter().all(is_known)
+            && !(is_later_era && is_lacking())
     }
 }
 
--- a/src/cookie/directory/era.rs
+++ b/src/cookie/directory/era.rs
@@ -3,9 +3,9 @@
 //! Writers repeat what the copy lacks, but not at once, and the copy may show again what had
 //! already been removed. Neither a missing nor a restored entry is therefore trusted immediately.
 
-use std::{sync::Arc, time::Instant};
+use std::{collections::BTreeSet, sync::Arc, time::Instant};
 
-use crate::cookie::{Directory, Presence, Revision, Target};
+use crate::cookie::{Directory, OperatorState, Presence, Revision, Target};
 
 /// The first read of the targets in an era.
 #[derive(Debug, Clone, Copy)]
@@ -67,12 +67,28 @@
 
     /// Keeps the zones out of service that are not among `listed`, the zones with an item in the copy
     /// from which the store has returned, until operators have had time to write their items again.
-    pub(super) fn restart_zone_grace(&mut self, now: Instant, listed: &[Arc<str>]) {
+    pub(super) fn restart_zone_grace(&mut self, now: Instant, listed: &BTreeSet<Arc<str>>) {
         let until = now.checked_add(self.tuning.zone_grace).unwrap_or(now);
-        let missing = self.zones_out.iter().filter(|zone| !listed.contains(zone));
+        let missing = self.zones_out.iter().filter(|zone| !listed.contains(*zone));
         self.unconfirmed_zones = missing.map(|zone| (zone.clone(), until)).collect();
     }
 
+    /// Keeps the zones out of service that another daemon keeps out without an item, unless they have
+    /// returned to service here in the same era. A grace that this daemon has begun is not prolonged.
+    pub(super) fn merge_unconfirmed_zones(&mut self, now: Instant, operator: &OperatorState) {
+        for (zone, remaining) in &operator.unconfirmed_zones {
+            let has_returned = self
+                .zones_back
+                .get(zone)
+                .is_some_and(|(since, _)| since.era == operator.revision.era);
+            if !has_returned {
+                let remaining = (*remaining).min(self.tuning.zone_grace);
+                let until = now.checked_add(remaining).unwrap_or(now);
+                self.unconfirmed_zones.entry(zone.clone()).or_insert(until);
+            }
+        }
+    }
+
     /// Returns zones to service whose items operators have not written again in time.
     pub(super) fn release_unconfirmed_zones(&mut self) {
         let Some(confirmed_at) = self.confirmed_at else {
--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -134,8 +134,12 @@
             return ApplyOutcome::Ignored;
         }
         let is_same = operator.revision == self.operator_revision;
+        let mut listed: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
+        for (zone, _) in &operator.unconfirmed_zones {
+            listed.remove(zone);
+        }
         if operator.revision.era > self.operator_revision.era {
-            self.restart_zone_grace(now, &operator.zones_out);
+            self.restart_zone_grace(now, &listed);
             // Followers have to read the operators' items of the new era as well.
             self.record_operator_change(operator.revision);
         }
@@ -143,8 +147,9 @@
         if let Some(config) = &operator.config {
             self.set_config(now, config.clone());
         }
-        let mut zones: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
-        self.unconfirmed_zones.retain(|zone, _| !zones.contains(zone));
+        self.unconfirmed_zones.retain(|zone, _| !listed.contains(zone));
+        self.merge_unconfirmed_zones(now, operator);
+        let mut zones = listed;
         zones.extend(self.unconfirmed_zones.keys().cloned());
         let back: Vec<Arc<str>> = self.zones_out.difference(&zones).cloned().collect();
         for zone in back {
@@ -396,10 +401,15 @@
         let cold_for = services.map(|service| service.cold_for).max().unwrap_or_default();
         let is_recent = |at: Instant| now.saturating_duration_since(at) < cold_for;
         let zones_back = self.zones_back.iter().filter(|(_, (_, at))| is_recent(*at));
+        let unconfirmed = self
+            .unconfirmed_zones
+            .iter()
+            .map(|(zone, until)| (zone.clone(), until.saturating_duration_since(now)));
         OperatorState {
             revision: self.operator_revision,
             config: self.config.clone(),
             zones_out: self.zones_out.iter().cloned().collect(),
+            unconfirmed_zones: unconfirmed.collect(),
             zones_back: zones_back.map(|(zone, (since, _))| (zone.clone(), *since)).collect(),
         }
     }
--- a/src/cookie/operator.rs
+++ b/src/cookie/operator.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +15,10 @@
     pub config: Option<Arc<Config>>,
     /// The availability zones that are out of service.
     pub zones_out: Vec<Arc<str>>,
+    /// The zones in `zones_out` whose items the store has not shown since it returned from a copy,
+    /// each with the time for which they stay out. The store does not record this; daemons pass it on
+    /// to each other.
+    pub unconfirmed_zones: Vec<(Arc<str>, Duration)>,
     /// The availability zones that returned to service recently, each with the revision of its
     /// return. The store does not record this; daemons pass it on to each other.
     pub zones_back: Vec<(Arc<str>, Revision)>,
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -249,6 +249,31 @@
     }
 }
 
+/// Guards against a running target that counts as ended at once, because the copy lacks its entry and
+/// the followed daemon was started in the new era and has never known it.
+#[test]
+fn inventory_of_a_daemon_started_in_the_new_era_does_not_end_targets() {
+    let targets = || vec![entry(1, at(0, 80), READY), entry(2, at(0, 81), READY)];
+    let mut follower = daemon(targets());
+    let mut reader = DaemonFixture::new(Vec::new());
+    reader.advance(Duration::from_secs(20));
+    read(&mut reader, at(1, 70), vec![entry(1, at(1, 60), READY)]);
+    for fixture in [&mut follower, &mut reader] {
+        fixture.advance(Duration::from_secs(10));
+    }
+    update(&mut follower, at(0, 90), Vec::new());
+    update(&mut reader, at(1, 75), vec![EntryChange::Written(entry(1, at(1, 75), READY))]);
+    reader.directory.confirm_config(reader.now);
+    let position = Position::Read(follower.directory.revision());
+    let delta = reader.directory.delta(reader.now, position);
+    assert!(delta.is_absence_conclusive && follower.directory.is_absence_conclusive(follower.now));
+    assert_eq!(follower.directory.apply_delta(follower.now, delta), ApplyOutcome::Ignored);
+    assert_eq!(state(&mut follower, 2), Some((Presence::Present, READY)));
+    // The follower reads the store itself.
+    read(&mut follower, at(1, 75), vec![entry(1, at(1, 75), READY)]);
+    assert_eq!(state(&mut follower, 2), Some((Presence::Lapsed, READY)));
+}
+
 /// Guards against a delta of the former era that replaces the state of the new one.
 #[test]
 fn delta_of_an_earlier_era_is_ignored() {
@@ -295,6 +320,45 @@
     assert_eq!(zones_out(&renewed).len(), 1);
 }
 
+/// Guards against a zone that returns to service too early or never, because a daemon takes a zone
+/// that a peer keeps out for the grace only for an item of the store.
+#[test]
+fn zone_that_a_peer_keeps_out_for_the_grace_is_no_item_of_the_store() {
+    let zones_out =
+        |fixture: &DaemonFixture| fixture.directory.operator_state(fixture.now).zones_out.len();
+    // The receiver has the state of the former era, that of the new one, or none.
+    for (read_eras, confirmed) in [(1, false), (1, true), (2, true), (0, true)] {
+        let mut peer = daemon(Vec::new());
+        let mut receiver = daemon(Vec::new());
+        for era in 0..2 {
+            let zones: &[&str] = if era == 0 { &[OWN_ZONE] } else { &[] };
+            peer.read_operator_state(operator(at(era, 70), 1, zones));
+            if era < read_eras {
+                receiver.read_operator_state(operator(at(era, 70), 1, zones));
+            }
+        }
+        let state = peer.directory.operator_state(peer.now);
+        receiver.read_operator_state(state);
+        if confirmed {
+            // A read of the store lists only its items.
+            receiver.read_operator_state(operator(at(1, 71), 1, &[]));
+        }
+        receiver.advance(ms(4900));
+        receiver.directory.confirm_config(receiver.now);
+        receiver.directory.advance_operator_revision(at(1, 72));
+        assert_eq!(zones_out(&receiver), 1, "{read_eras} {confirmed}: the zone returned too early");
+        receiver.advance(ms(200));
+        receiver.directory.confirm_config(receiver.now);
+        receiver.directory.advance_operator_revision(at(1, 72));
+        assert_eq!(zones_out(&receiver), 0, "{read_eras} {confirmed}: the zone stays out");
+        // The state of a peer that has not noticed the return yet does not take the zone out again.
+        let mut late = peer.directory.operator_state(peer.now);
+        late.revision = at(1, 73);
+        receiver.read_operator_state(late);
+        assert_eq!(zones_out(&receiver), 0, "{read_eras} {confirmed}: the zone is out again");
+    }
+}
+
 /// Guards against callers of an added route that are refused because the copy holds a lower version
 /// of the configuration.
 #[test]
