Read again without a retry delay after a change of era, and reject an era that is not text

A response of another era shows that the store works, like status 410, but the next read had the delay of a failed call. An era header that is not text counted as missing, that is, as era 0; it is now an error like one that is not an integer.

The rule for the header has no test, and the test of the delay was not run without the change.

--- a/src/platform/fetcher.rs
+++ b/src/platform/fetcher.rs
@@ -70,7 +70,7 @@
     }
 
     /// Returns the decoded JSON value of `url` and the value of the response's header `header`, if
-    /// there is one that is text. `index` is the index of the call, which the error
+    /// there is one. Bytes of the value that are not text are replaced. `index` is the index of the call, which the error
     /// [`Error::Gone`] contains.
     pub(crate) async fn get_json_with_header<T>(
         &self,
@@ -85,8 +85,8 @@
         let response = self.get_response(&url, wait).await?;
         match response.status() {
             StatusCode::OK => {
-                let text = response.headers().get(header).and_then(|value| value.to_str().ok());
-                let text = text.map(str::to_owned);
+                let text = response.headers().get(header);
+                let text = text.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned());
                 let value = serde_json::from_slice(response.body());
                 Ok((value.map_err(|source| Error::Malformed { url, source })?, text))
             }
--- a/src/platform/schedule.rs
+++ b/src/platform/schedule.rs
@@ -97,8 +97,9 @@
     /// Records a failed call and sets the delay before the next one.
     pub fn record_failure(&mut self, now: Instant, error: &Error) {
         let initial = match error {
-            // The platform works. The reader starts again at index 0 without a retry delay.
-            Error::Gone { .. } => return self.record_success(),
+            // The platform works. The reader starts again at index 0, or reads everything anew in the
+            // other era, without a retry delay.
+            Error::Gone { .. } | Error::EraChanged { .. } => return self.record_success(),
             Error::RateLimited => self.backoff.initial_limited_delay,
             _ => self.backoff.initial_delay,
         };
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -11,6 +11,7 @@
     ApplyOutcome, Availability, Change, Config, Delta, EntryChange, Listing, ListingUpdate,
     OperatorState, Position, Presence, Revision, Target,
 };
+use banyanwharf::platform::{Backoff, Error, Schedule};
 use cookies::*;
 use era::fleet::Fleet;
 use rand::{RngExt as _, SeedableRng as _};
@@ -383,6 +384,20 @@
     assert_eq!(version(&mut fixture), (Some(6), None));
 }
 
+/// Guards against a daemon that keeps the former state for the delay of a failed call, although the
+/// store responds.
+#[test]
+fn read_after_a_change_of_era_has_no_retry_delay() {
+    let now = std::time::Instant::now();
+    let backoff = Backoff::default();
+    let mut schedule = Schedule::new(backoff, 1, now);
+    schedule.record_start(now);
+    let url = "http://127.0.0.1/".to_owned();
+    schedule.record_failure(now, &Error::EraChanged { url, found: 1, expected: 0 });
+    assert!(schedule.may_start(now + backoff.minimum_interval));
+    assert_eq!(schedule.failures(), 0);
+}
+
 /// Guards against followers that never read the operators' items of a new era, since none of them
 /// has changed.
 #[test]
