--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -54,6 +54,8 @@
     restored_targets: BTreeMap<Arc<str>, Target>,
     /// The first read of the present era; `None` if it is the era of the first read of all.
     era_start: Option<EraStart>,
+    /// Whether the targets have to be listed; see [`View::is_listing_due`].
+    is_listing_due: bool,
     /// Targets that were replaced by a later start under the same id.
     replaced_targets: Vec<KnownTarget>,
     former_services: Arc<HashMap<SocketAddrV4, Vec<Arc<str>>>>,
@@ -94,6 +96,7 @@
             targets: BTreeMap::new(),
             restored_targets: BTreeMap::new(),
             era_start: None,
+            is_listing_due: false,
             replaced_targets: Vec::new(),
             former_services: Arc::default(),
             configured_at: None,
@@ -116,6 +119,13 @@
         self.store_health.record_failure(now);
     }
 
+    /// Records that this daemon no longer follows a zone reader. The store may have been unavailable
+    /// since the last read of the zone reader, without a failed call of this daemon.
+    pub fn record_following_ended(&mut self, now: Instant) {
+        self.store_health.record_failure(now);
+        self.request_listing(now);
+    }
+
     /// Returns whether a missing store entry proves that its target has ended, since the store has
     /// been available for [`Tuning::settle_time`].
     pub fn is_absence_conclusive(&self, now: Instant) -> bool {
@@ -134,8 +144,12 @@
             return ApplyOutcome::Ignored;
         }
         let is_same = operator.revision == self.operator_revision;
+        let mut listed: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
+        for (zone, _) in &operator.unconfirmed_zones {
+            listed.remove(zone);
+        }
         if operator.revision.era > self.operator_revision.era {
-            self.restart_zone_grace(now, &operator.zones_out);
+            self.restart_zone_grace(now, &listed);
             // Followers have to read the operators' items of the new era as well.
             self.record_operator_change(operator.revision);
         }
@@ -143,8 +157,9 @@
         if let Some(config) = &operator.config {
             self.set_config(now, config.clone());
         }
-        let mut zones: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
-        self.unconfirmed_zones.retain(|zone, _| !zones.contains(zone));
+        self.unconfirmed_zones.retain(|zone, _| !listed.contains(zone));
+        self.merge_unconfirmed_zones(now, operator);
+        let mut zones = listed;
         zones.extend(self.unconfirmed_zones.keys().cloned());
         let back: Vec<Arc<str>> = self.zones_out.difference(&zones).cloned().collect();
         for zone in back {
@@ -212,6 +227,7 @@
         }
         let is_same = listing.revision == self.revision && self.read_at.is_some();
         self.replace_targets(now, listing, &[]);
+        self.is_listing_due = false;
         self.record_read(now, Some(now));
         if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
@@ -381,6 +397,7 @@
             return applied;
         }
         self.replace_targets(now, listing, lapsed);
+        self.request_listing(now);
         self.record_read(now, read_at);
         ApplyOutcome::New
     }
@@ -396,10 +413,15 @@
         let cold_for = services.map(|service| service.cold_for).max().unwrap_or_default();
         let is_recent = |at: Instant| now.saturating_duration_since(at) < cold_for;
         let zones_back = self.zones_back.iter().filter(|(_, (_, at))| is_recent(*at));
+        let unconfirmed = self
+            .unconfirmed_zones
+            .iter()
+            .map(|(zone, until)| (zone.clone(), until.saturating_duration_since(now)));
         OperatorState {
             revision: self.operator_revision,
             config: self.config.clone(),
             zones_out: self.zones_out.iter().cloned().collect(),
+            unconfirmed_zones: unconfirmed.collect(),
             zones_back: zones_back.map(|(zone, (since, _))| (zone.clone(), *since)).collect(),
         }
     }
@@ -451,6 +473,7 @@
             read_at: self.read_at,
             confirmed_at: self.confirmed_at,
             is_absence_conclusive: self.is_absence_conclusive(now) && self.has_settled(now),
+            is_listing_due: self.is_listing_due,
         }
     }
 
