Do not refuse copies of opening packets of flows that a target may have opened

Cause: a daemon that had refused one copy of an opening packet refused all later ones for 2 s, also if another daemon had forwarded a copy in between, and it refused a delayed duplicate of the first copy of a flow that it knew only from data packets. Both resets hit open flows.

Change: a flow in the flow table is never refused. A copy is refused only if it or the previous one was refused here and none before it is missing.

Measured: the two new tests of tests/load_shedding.rs fail without the change and pass with it.

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -405,14 +405,17 @@
         let (Some(room), Some(config)) = (&mut self.room, &self.view.config) else {
             return true;
         };
+        // A target may have opened the flow, also if this daemon knows it only from later packets.
+        if self.flows.cookie(&flow).is_some() {
+            return true;
+        }
         let lifetime = self.tuning.opening_copy_lifetime;
-        if room.has_refused(now, &flow, sequence, lifetime) {
+        if room.refuse_copy(now, &flow, sequence, attempt, lifetime) {
             self.events.push(Event::RefusedAgain { flow, attempt });
             return false;
         }
-        // Another daemon may have forwarded an earlier copy, or the network may have duplicated
-        // this one, so that a target may have opened the flow.
-        if attempt > 0 || self.flows.opening_cookie(now, packet, &self.tuning).is_some() {
+        // Another daemon may have forwarded an earlier copy.
+        if attempt > 0 {
             return true;
         }
         // The other zones matter only if the own zone is full.
--- a/src/cookie/work/room.rs
+++ b/src/cookie/work/room.rs
@@ -67,8 +67,24 @@
     /// The answers of each service by zone.
     windows: HashMap<Arc<str>, HashMap<Arc<str>, Window>>,
     admissions: HashMap<Arc<str>, Admission>,
-    /// The refused flows with the sequence numbers of their opening packets.
-    refused_flows: HashMap<Flow, (u32, Instant)>,
+    refused_flows: HashMap<Flow, RefusedFlow>,
+}
+
+/// A flow whose opening packet was refused.
+#[derive(Debug, Clone, Copy)]
+struct RefusedFlow {
+    /// The sequence number of the opening packet.
+    sequence: u32,
+    /// When the first copy was refused.
+    refused_at: Instant,
+    /// The latest copy of which this daemon has refused all earlier ones too.
+    last_attempt: u32,
+}
+
+impl RefusedFlow {
+    fn is_recent(&self, now: Instant, lifetime: Duration) -> bool {
+        now.saturating_duration_since(self.refused_at) < lifetime
+    }
 }
 
 /// Which targets a new flow avoids.
@@ -231,22 +247,39 @@
             return Ok(());
         }
         if self.refused_flows.len() < MAXIMUM_RECORDS {
-            self.refused_flows.insert(*flow, (sequence, now));
+            let refused = RefusedFlow { sequence, refused_at: now, last_attempt: 0 };
+            self.refused_flows.insert(*flow, refused);
         }
         Err(self.refusal(now, service, zones, share))
     }
 
-    /// Returns whether an earlier copy of an opening packet was refused within `lifetime`.
-    pub fn has_refused(
-        &self,
+    /// Decides whether the copy `attempt` of an opening packet is refused, since this daemon has
+    /// refused the packet within `lifetime`.
+    ///
+    /// Another daemon may have forwarded a copy that did not arrive here, so that a target may have
+    /// opened the flow. A copy is therefore refused only if this one or the previous one was, and
+    /// all before it.
+    pub fn refuse_copy(
+        &mut self,
         now: Instant,
         flow: &Flow,
         sequence: u32,
+        attempt: u32,
         lifetime: Duration,
     ) -> bool {
-        self.refused_flows.get(flow).is_some_and(|(refused, at)| {
-            *refused == sequence && now.saturating_duration_since(*at) < lifetime
-        })
+        let Some(refused) = self.refused_flows.get_mut(flow) else {
+            return false;
+        };
+        if refused.sequence != sequence || !refused.is_recent(now, lifetime) {
+            return false;
+        }
+        if attempt > refused.last_attempt + 1 {
+            // This copy is forwarded, so none that arrives later may be refused.
+            self.refused_flows.remove(flow);
+            return false;
+        }
+        refused.last_attempt = refused.last_attempt.max(attempt);
+        true
     }
 
     /// Discards all evidence about targets and zones after a pause of the process. What is usual for
@@ -271,7 +304,7 @@
             !zones.is_empty()
         });
         self.admissions.retain(|service, _| self.windows.contains_key(service));
-        self.refused_flows.retain(|_, (_, at)| now.saturating_duration_since(*at) < lifetime);
+        self.refused_flows.retain(|_, refused| refused.is_recent(now, lifetime));
         if let Some(config) = config {
             self.profiles.retain(|service, _| config.routes.contains_key(service));
         }
--- a/tests/load_shedding.rs
+++ b/tests/load_shedding.rs
@@ -193,13 +193,66 @@
     assert!(forwarder.counters().resets[&Reason::NoRoom] > 0);
 }
 
+/// Returns whether a copy of an opening packet is refused.
+fn is_refused(forwarder: &mut Forwarder, now: Instant, number: u32, attempt: u32) -> bool {
+    let opening = packet(flow(number, LOW), Kind::Open { attempt }, 0);
+    forwarder.decide(now, &opening) == Verdict::Reset(Reason::NoRoom)
+}
+
+/// Returns a daemon that refuses flows of low priority, and the present time.
+fn refusing_daemon() -> (Forwarder, Instant) {
+    let mut overload = burst(&shedding(), LOW);
+    overload.run(BURST_START + secs(2));
+    let now = overload.start + overload.now;
+    (overload.forwarders.swap_remove(0), now)
+}
+
+/// Guards against the reset of a flow that a target has opened: this daemon has refused the first copy
+/// of the opening packet, and another one has forwarded the second.
+#[test]
+fn a_copy_after_a_missing_one_is_not_refused() {
+    let (mut forwarder, now) = refusing_daemon();
+    let numbers = 1_000_000..1_000_200;
+    let refused: Vec<u32> =
+        numbers.filter(|number| is_refused(&mut forwarder, now, *number, 0)).collect();
+    assert!(refused.len() > 50, "{}", refused.len());
+    let (with_gap, without_gap) = refused.split_at(refused.len() / 2);
+    for number in with_gap {
+        assert!(!is_refused(&mut forwarder, now + ms(600), *number, 2));
+        assert!(!is_refused(&mut forwarder, now + ms(601), *number, 1));
+        assert!(!is_refused(&mut forwarder, now + ms(602), *number, 0));
+    }
+    for number in without_gap {
+        for (after, attempt) in [(1, 0), (200, 1), (201, 1), (202, 0), (600, 2), (601, 1)] {
+            assert!(is_refused(&mut forwarder, now + ms(after), *number, attempt));
+        }
+    }
+}
+
+/// Guards against the reset of an open flow by a delayed copy of its opening packet. The copy that
+/// opened the flow went through another daemon, and this one may have refused a copy before.
+#[test]
+fn a_flow_known_from_later_packets_is_not_refused() {
+    let (mut forwarder, now) = refusing_daemon();
+    let cookie = forwarder.view().entries()[0].cookie;
+    for has_refused in [true, false] {
+        let first = 1_000_000 + 1_000 * u32::from(has_refused);
+        for number in first..first + 200 {
+            if has_refused {
+                is_refused(&mut forwarder, now, number, 0);
+            }
+            let data =
+                Packet { acknowledged: 100, ..packet(flow(number, LOW), Kind::Data, cookie) };
+            assert!(matches!(forwarder.decide(now + ms(10), &data), Verdict::Forward(_)));
+            assert!(!is_refused(&mut forwarder, now + ms(20), number, 0));
+            assert!(!is_refused(&mut forwarder, now + ms(30), number, 1));
+        }
+    }
+}
+
 /// Returns how many of 200 new flows of low priority, numbered from `first` on, are refused.
 fn refused_flows(forwarder: &mut Forwarder, now: Instant, first: u32) -> usize {
-    let is_refused = |number: &u32| {
-        let opening = packet(flow(*number, LOW), Kind::Open { attempt: 0 }, 0);
-        forwarder.decide(now, &opening) == Verdict::Reset(Reason::NoRoom)
-    };
-    (first..first + 200).filter(is_refused).count()
+    (first..first + 200).filter(|number| is_refused(forwarder, now, *number, 0)).count()
 }
 
 /// One daemon with `count` targets in its zone, which has seen 20 answers of 600 bytes that took
