End refusals when one of the full zones has room again

Cause: while flows were refused, a single rejection within the last second made a zone full, and the prompt answers that reopen admission counted over all zones together, so refusals went on while one zone had room.

Change: while flows are refused, a zone is full only if it has rejections and less than half of its own answers are prompt.

--- a/src/cookie/work/room.rs
+++ b/src/cookie/work/room.rs
@@ -202,7 +202,7 @@
         let is_refusing = self.admissions.contains_key(service);
         let window = self.windows.get(service).and_then(|zones| zones.get(zone));
         let tally = window.map(|window| window.tally(now)).unwrap_or_default();
-        if is_refusing { tally.has_rejections() } else { tally.is_full() }
+        if is_refusing { tally.remains_full() } else { tally.is_full() }
     }
 
     /// Decides whether the new flow `flow` to `service` is admitted.
--- a/src/cookie/work/window.rs
+++ b/src/cookie/work/window.rs
@@ -22,6 +22,11 @@
 /// The share of answers without a queue from which on a zone has spare capacity.
 const PROMPT_SHARE: f64 = 0.1;
 
+/// The share of answers without a queue from which on a zone is no longer full while flows are
+/// refused. The refusals themselves shorten the queues: with [`PROMPT_SHARE`], admission opened and
+/// closed in turn during a burst.
+const RECOVERED_SHARE: f64 = 0.5;
+
 /// The answers of a zone's targets within the last second, by what they show.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Tally {
@@ -49,16 +54,19 @@
     /// Returns whether the zone has no room: many answers are rejections, and few came without a
     /// queue, which only a target with spare capacity gives.
     pub(super) fn is_full(&self) -> bool {
-        let prompt_share = f64::from(self.prompt) / f64::from(self.answers.max(1));
         self.rejections >= MINIMUM_REJECTIONS
             && self.rejected_share() >= FULL_SHARE
-            && prompt_share < PROMPT_SHARE
+            && self.prompt_share() < PROMPT_SHARE
+    }
+
+    /// Returns whether a zone remains full while flows are refused: the refusals keep the share of
+    /// rejections low, so a single one suffices.
+    pub(super) fn remains_full(&self) -> bool {
+        self.rejections > 0 && self.prompt_share() < RECOVERED_SHARE
     }
 
-    /// Returns whether any answer is a rejection. While flows are refused, this suffices for a zone to
-    /// count as full: the refusals keep the share of rejections low.
-    pub(super) fn has_rejections(&self) -> bool {
-        self.rejections > 0
+    fn prompt_share(&self) -> f64 {
+        f64::from(self.prompt) / f64::from(self.answers.max(1))
     }
 }
 
--- a/tests/load_shedding.rs
+++ b/tests/load_shedding.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use banyanwharf::cookie::{
-    Event, Forwarder, Kind, Packet, Reason, Target, Tuning, Verdict, cookie,
+    Cookie, Event, Forwarder, Kind, Packet, Reason, Target, Tuning, Verdict, cookie,
 };
 use cookies::*;
 use overloads::{Overload, config, shedding};
@@ -250,6 +250,53 @@
     }
 }
 
+/// Records a rejection by the target `cookie`, in a flow that another daemon has opened.
+fn reject(forwarder: &mut Forwarder, now: Instant, number: u32, cookie: Cookie) {
+    let opened = Packet { acknowledged: 100, ..packet(flow(number, HIGH), Kind::Data, cookie) };
+    forwarder.decide(now, &opened);
+    forwarder.decide(now, &Packet { length: 50, ..opened });
+    forwarder.decide(now, &Packet { sequence: 50, acknowledged: 220, ..opened });
+}
+
+/// Guards against refusals that go on while one of two full zones has room again: a target of this zone
+/// still rejects, and its prompt answers are few among those of both zones.
+#[test]
+fn nothing_is_refused_after_one_of_two_full_zones_has_recovered() {
+    let (mut forwarder, now) = refusing_daemon();
+    // Only the following answers count.
+    let now = now + ms(1_100);
+    let cookies: Vec<Cookie> = small_targets(4, 4).iter().map(cookie).collect();
+    let (full_zone, recovering_zone) = cookies.split_at(4);
+    for number in 0..60 {
+        reject(&mut forwarder, now, 5_000_000 + number, full_zone[0]);
+    }
+    reject(&mut forwarder, now, 5_100_000, recovering_zone[0]);
+    assert!(refused_flows(&mut forwarder, now, 3_000_000) > 0);
+    let mut prompt = 0;
+    for number in 6_000_000..6_000_020 {
+        let opening = packet(flow(number, HIGH), Kind::Open { attempt: 0 }, 0);
+        let opened = destination(forwarder.decide(now, &opening)).cookie;
+        if prompt == 6 || !recovering_zone.contains(&opened) {
+            continue;
+        }
+        prompt += 1;
+        let sent = Packet {
+            acknowledged: 100,
+            length: 50,
+            ..packet(flow(number, HIGH), Kind::Data, opened)
+        };
+        forwarder.decide(now + ms(6), &sent);
+        let answered = Packet { sequence: 50, acknowledged: 700, length: 0, ..sent };
+        forwarder.decide(now + ms(32), &answered);
+    }
+    assert_eq!(prompt, 6);
+    let now = now + ms(150);
+    for number in 0..60 {
+        reject(&mut forwarder, now, 5_200_000 + number, full_zone[0]);
+    }
+    assert_eq!(refused_flows(&mut forwarder, now, 4_000_000), 0);
+}
+
 /// Returns how many of 200 new flows of low priority, numbered from `first` on, are refused.
 fn refused_flows(forwarder: &mut Forwarder, now: Instant, first: u32) -> usize {
     (first..first + 200).filter(|number| is_refused(forwarder, now, *number, 0)).count()
