Forward a duplicated opening packet to the target of the first copy

Cause: a duplicate of the first copy of an opening packet, made by the network, was placed anew, so that two targets could open the flow.

Change: if the flow table shows that the same packet was forwarded to a target that is neither gone nor silent, the duplicate goes there. It does not count as a retransmission.

Measured: duplicated_opening_packet_goes_to_the_same_target fails without the change and passes with it, for both placements.

--- a/src/cookie/counters.rs
+++ b/src/cookie/counters.rs
@@ -15,7 +15,8 @@
     pub placed_in_other_zones: u64,
     /// Retransmitted opening packets that were forwarded to another target than the previous copy.
     pub moved: u64,
-    /// Retransmitted opening packets that were forwarded to the target of the previous copy.
+    /// Retransmitted or duplicated opening packets that were forwarded to the target of the previous
+    /// copy.
     pub repeated: u64,
     /// Flows reset, by reason.
     pub resets: BTreeMap<Reason, u64>,
--- a/src/cookie/event.rs
+++ b/src/cookie/event.rs
@@ -26,8 +26,8 @@
         /// The expected time until the answer in milliseconds, if it was estimated.
         expected_ms: Option<u64>,
     },
-    /// A retransmitted opening packet was forwarded to the target of the previous copy, without a
-    /// new selection.
+    /// A retransmitted or duplicated opening packet was forwarded to the target of the previous copy,
+    /// without a new selection.
     Repeated {
         /// The flow.
         flow: Flow,
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -372,7 +372,7 @@
         let Some(service) = route.service(hash).cloned() else {
             return Verdict::Reset(Reason::NoRoute);
         };
-        let previous_target = self.record_open_retransmission(now, packet, attempt);
+        let previous_target = self.record_open_copy(now, packet, attempt);
         if let Some(cookie) = previous_target
             && let Some(entry) = self.view.target(cookie)
             && self.should_keep_target(entry)
@@ -443,24 +443,21 @@
         }
     }
 
-    /// Records a retransmitted opening packet, and returns the cookie of the target that got the
-    /// previous copy. If that copy did not pass through this daemon, there is none.
-    fn record_open_retransmission(
-        &mut self,
-        now: Instant,
-        packet: &Packet,
-        attempt: u32,
-    ) -> Option<Cookie> {
+    /// Records a copy of an opening packet, and returns the cookie of the target that got the previous
+    /// copy. If that copy did not pass through this daemon, there is none.
+    fn record_open_copy(&mut self, now: Instant, packet: &Packet, attempt: u32) -> Option<Cookie> {
+        let cookie = self.flows.opening_cookie(now, packet, &self.tuning)?;
         if attempt == 0 {
-            return None;
+            // The network has duplicated the packet, which shows nothing about the target.
+            let entry = self.view.target(cookie)?;
+            return self.should_keep_target(entry).then_some(cookie);
         }
-        let cookie = self.flows.opening_cookie(now, packet, &self.tuning)?;
         let signal = self.flows.record_retransmitted_open(now, &packet.flow);
         self.apply_signal(now, packet.flow, cookie, signal);
         Some(cookie)
     }
 
-    /// Returns whether a retransmitted opening packet is forwarded to `entry`, the target of the
+    /// Returns whether a copy of an opening packet is forwarded to `entry`, the target of the
     /// previous copy. The packet goes to another target only if `entry` is not expected to answer:
     /// if two targets answered, the caller would echo the cookie of the later answer.
     fn should_keep_target(&self, entry: &Entry) -> bool {
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -11,8 +11,8 @@
 
 use banyanwharf::cookie::{
     ApplyOutcome, Availability, Cause, Change, CheckOutcome, Cookie, Directory, EntryChange, Event,
-    Forwarder, Kind, Listing, ListingUpdate, OperatorState, Packet, Presence, Reason, Target,
-    Tuning, Verdict, cookie,
+    Forwarder, Kind, Listing, ListingUpdate, OperatorState, Packet, Placement, Presence, Reason,
+    Target, Tuning, Verdict, cookie,
 };
 use cookies::*;
 
@@ -420,6 +420,39 @@
     assert_eq!(fixture.decide(&retransmission), Verdict::Forward(first));
 }
 
+/// Guards against one flow that is open on two targets because the network has duplicated its opening
+/// packet: the first copy is repeated although the caller has not retransmitted it. A duplicate does
+/// not show that the target is slow to answer.
+#[test]
+fn duplicated_opening_packet_goes_to_the_same_target() {
+    for placement in [Placement::OpenFlows, Placement::ExpectedWork] {
+        let tuning = Tuning { placement, ..Tuning::default() };
+        let mut fixture = DaemonFixture::with_tuning(targets("web", 6, 0), 0.0, tuning);
+        for number in 0..40 {
+            let first = fixture.open(number);
+            for other in 0..10 {
+                fixture.open(100 + 10 * number + other);
+            }
+            fixture.advance(ms(20));
+            assert_eq!(fixture.open(number), first, "{placement:?}");
+        }
+        assert_eq!(fixture.forwarder.counters().placed, 440);
+        assert_eq!(fixture.forwarder.counters().retransmissions, 0);
+    }
+}
+
+/// Guards against a duplicate of an opening packet that is held at a target which has ended.
+#[test]
+fn duplicated_opening_packet_leaves_an_ended_target() {
+    let all = targets("web", 2, 0);
+    let mut fixture = DaemonFixture::new(all.clone());
+    let first = fixture.open(1);
+    let remaining: Vec<_> =
+        all.into_iter().filter(|target| cookie(target) != first.cookie).collect();
+    fixture.advance(ms(500)).read_targets(remaining.clone());
+    assert_eq!(fixture.open(1).cookie, cookie(&remaining[0]));
+}
+
 /// Guards against a new flow on the target of an earlier flow between the same addresses and ports,
 /// although that target is draining or its service is no longer routed to. The first copy of the new
 /// flow's opening packet was lost or went through another daemon.
