--- a/src/cookie/work/room.rs
+++ b/src/cookie/work/room.rs
@@ -67,8 +67,26 @@
     /// The answers of each service by zone.
     windows: HashMap<Arc<str>, HashMap<Arc<str>, Window>>,
     admissions: HashMap<Arc<str>, Admission>,
-    /// The refused flows with the sequence numbers of their opening packets.
-    refused_flows: HashMap<Flow, (u32, Instant)>,
+    refused_flows: HashMap<Flow, RefusedFlow>,
+    /// The priorities of the routes of each service in ascending order, each once.
+    priorities: HashMap<Arc<str>, Vec<u32>>,
+}
+
+/// A flow whose opening packet was refused.
+#[derive(Debug, Clone, Copy)]
+struct RefusedFlow {
+    /// The sequence number of the opening packet.
+    sequence: u32,
+    /// When the first copy was refused.
+    refused_at: Instant,
+    /// The latest copy of which this daemon has refused all earlier ones too.
+    last_attempt: u32,
+}
+
+impl RefusedFlow {
+    fn is_recent(&self, now: Instant, lifetime: Duration) -> bool {
+        now.saturating_duration_since(self.refused_at) < lifetime
+    }
 }
 
 /// Which targets a new flow avoids.
@@ -99,6 +117,11 @@
 }
 
 impl Room {
+    /// Sets the configuration, which determines the priority classes of each service.
+    pub fn set_config(&mut self, config: &Config) {
+        self.priorities = priorities_by_service(config);
+    }
+
     /// Records the answer of the target `entry` to a request of `flow`, and returns whether it is a
     /// rejection. `zone_daemons` is the number of daemons in the own zone.
     pub fn record(
@@ -192,7 +215,7 @@
         let is_refusing = self.admissions.contains_key(service);
         let window = self.windows.get(service).and_then(|zones| zones.get(zone));
         let tally = window.map(|window| window.tally(now)).unwrap_or_default();
-        if is_refusing { tally.has_rejections() } else { tally.is_full() }
+        if is_refusing { tally.remains_full() } else { tally.is_full() }
     }
 
     /// Decides whether the new flow `flow` to `service` is admitted.
@@ -220,7 +243,7 @@
         if zones.is_empty() || !zones.iter().all(|zone| self.is_zone_full(now, service, zone)) {
             return Ok(());
         }
-        let rank = class_rank(config, service, flow.service);
+        let rank = self.class_rank(config, service, flow.service);
         if rank == 0 {
             return Ok(());
         }
@@ -237,22 +260,39 @@
             return Ok(());
         }
         if self.refused_flows.len() < MAXIMUM_RECORDS {
-            self.refused_flows.insert(*flow, (sequence, now));
+            let refused = RefusedFlow { sequence, refused_at: now, last_attempt: 0 };
+            self.refused_flows.insert(*flow, refused);
         }
         Err(self.refusal(now, service, zones, share))
     }
 
-    /// Returns whether an earlier copy of an opening packet was refused within `lifetime`.
-    pub fn has_refused(
-        &self,
+    /// Decides whether the copy `attempt` of an opening packet is refused, since this daemon has
+    /// refused the packet within `lifetime`.
+    ///
+    /// Another daemon may have forwarded a copy that did not arrive here, so that a target may have
+    /// opened the flow. A copy is therefore refused only if this one or the previous one was, and
+    /// all before it.
+    pub fn refuse_copy(
+        &mut self,
         now: Instant,
         flow: &Flow,
         sequence: u32,
+        attempt: u32,
         lifetime: Duration,
     ) -> bool {
-        self.refused_flows.get(flow).is_some_and(|(refused, at)| {
-            *refused == sequence && now.saturating_duration_since(*at) < lifetime
-        })
+        let Some(refused) = self.refused_flows.get_mut(flow) else {
+            return false;
+        };
+        if refused.sequence != sequence || !refused.is_recent(now, lifetime) {
+            return false;
+        }
+        if attempt > refused.last_attempt + 1 {
+            // This copy is forwarded, so none that arrives later may be refused.
+            self.refused_flows.remove(flow);
+            return false;
+        }
+        refused.last_attempt = refused.last_attempt.max(attempt);
+        true
     }
 
     /// Discards all evidence about targets and zones after a pause of the process. What is usual for
@@ -277,7 +317,7 @@
             !zones.is_empty()
         });
         self.admissions.retain(|service, _| self.windows.contains_key(service));
-        self.refused_flows.retain(|_, (_, at)| now.saturating_duration_since(*at) < lifetime);
+        self.refused_flows.retain(|_, refused| refused.is_recent(now, lifetime));
         if let Some(config) = config {
             self.profiles.retain(|service, _| config.routes.contains_key(service));
         }
@@ -302,6 +342,16 @@
         rejections.push((now, cookie));
     }
 
+    /// Returns the number of priority classes of `service` that are higher than that of the route
+    /// `address`.
+    fn class_rank(&self, config: &Config, service: &str, address: SocketAddrV4) -> u32 {
+        let own = config.routes.get(&address).map(|route| route.priority);
+        let Some((own, priorities)) = own.zip(self.priorities.get(service)) else {
+            return 0;
+        };
+        priorities.partition_point(|priority| *priority < own) as u32
+    }
+
     /// Returns the share of rejections among the answers of all zones.
     fn rejected_share(&self, now: Instant, service: &str) -> f64 {
         let windows = self.windows.get(service).into_iter().flat_map(HashMap::values);
@@ -336,21 +386,19 @@
     Some(map.entry(key).or_default())
 }
 
-/// Returns the number of priority classes of `service` that are higher than that of the route
-/// `address`.
-fn class_rank(config: &Config, service: &str, address: SocketAddrV4) -> u32 {
-    let Some(own) = config.routes.get(&address).map(|route| route.priority) else {
-        return 0;
-    };
-    let mut higher: Vec<u32> = config
-        .routes
-        .values()
-        .filter(|route| route.priority < own && route.includes_service(service))
-        .map(|route| route.priority)
-        .collect();
-    higher.sort_unstable();
-    higher.dedup();
-    higher.len() as u32
+/// Returns the priorities of the routes of each service in ascending order, each once.
+fn priorities_by_service(config: &Config) -> HashMap<Arc<str>, Vec<u32>> {
+    let mut priorities: HashMap<Arc<str>, Vec<u32>> = HashMap::new();
+    for route in config.routes.values() {
+        for share in &route.shares {
+            priorities.entry(share.service.clone()).or_default().push(route.priority);
+        }
+    }
+    for priorities in priorities.values_mut() {
+        priorities.sort_unstable();
+        priorities.dedup();
+    }
+    priorities
 }
 
 /// Returns a number from 0 to 1 that is the same for all copies of a flow's opening packet.
--- a/tests/load_shedding.rs
+++ b/tests/load_shedding.rs
@@ -4,10 +4,14 @@
 mod cookies;
 mod overloads;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use banyanwharf::cookie::{
-    Event, Forwarder, Kind, Packet, Reason, Target, Tuning, Verdict, cookie,
+    Cookie, Directory, Event, Forwarder, Kind, Listing, OperatorState, Packet, Reason, Target,
+    Tuning, Verdict, cookie,
 };
 use cookies::*;
 use overloads::{Overload, config, shedding};
@@ -74,6 +78,15 @@
     assert_eq!(late, 0);
 }
 
+/// Guards against refusals of flows that a target could serve at once.
+#[test]
+fn few_flows_are_refused_while_a_target_has_a_free_slot() {
+    let mut overload = burst(&shedding(), LOW);
+    let total = overload.run(secs(14)).total();
+    let (wrong, refusals) = (total.wrong_refusals, total.refusals.len());
+    assert!(refusals > 100 && 20 * (wrong as usize) < refusals, "{wrong} of {refusals}");
+}
+
 /// Guards against a class that gets no request through while higher ones are served.
 #[test]
 fn no_class_starves() {
@@ -193,13 +206,130 @@
     assert!(forwarder.counters().resets[&Reason::NoRoom] > 0);
 }
 
+/// Returns whether a copy of an opening packet is refused.
+fn is_refused(forwarder: &mut Forwarder, now: Instant, number: u32, attempt: u32) -> bool {
+    let opening = packet(flow(number, LOW), Kind::Open { attempt }, 0);
+    forwarder.decide(now, &opening) == Verdict::Reset(Reason::NoRoom)
+}
+
+/// Returns a daemon that refuses flows of low priority, and the present time.
+fn refusing_daemon() -> (Forwarder, Instant) {
+    let mut overload = burst(&shedding(), LOW);
+    overload.run(BURST_START + secs(2));
+    let now = overload.start + overload.now;
+    (overload.forwarders.swap_remove(0), now)
+}
+
+/// Guards against the reset of a flow that a target has opened: this daemon has refused the first copy
+/// of the opening packet, and another one has forwarded the second.
+#[test]
+fn a_copy_after_a_missing_one_is_not_refused() {
+    let (mut forwarder, now) = refusing_daemon();
+    let numbers = 1_000_000..1_000_200;
+    let refused: Vec<u32> =
+        numbers.filter(|number| is_refused(&mut forwarder, now, *number, 0)).collect();
+    assert!(refused.len() > 50, "{}", refused.len());
+    let (with_gap, without_gap) = refused.split_at(refused.len() / 2);
+    for number in with_gap {
+        assert!(!is_refused(&mut forwarder, now + ms(600), *number, 2));
+        assert!(!is_refused(&mut forwarder, now + ms(601), *number, 1));
+        assert!(!is_refused(&mut forwarder, now + ms(602), *number, 0));
+    }
+    for number in without_gap {
+        for (after, attempt) in [(1, 0), (200, 1), (201, 1), (202, 0), (600, 2), (601, 1)] {
+            assert!(is_refused(&mut forwarder, now + ms(after), *number, attempt));
+        }
+    }
+}
+
+/// Guards against the reset of an open flow by a delayed copy of its opening packet. The copy that
+/// opened the flow went through another daemon, and this one may have refused a copy before.
+#[test]
+fn a_flow_known_from_later_packets_is_not_refused() {
+    let (mut forwarder, now) = refusing_daemon();
+    let cookie = forwarder.view().entries()[0].cookie;
+    for has_refused in [true, false] {
+        let first = 1_000_000 + 1_000 * u32::from(has_refused);
+        for number in first..first + 200 {
+            if has_refused {
+                is_refused(&mut forwarder, now, number, 0);
+            }
+            let data =
+                Packet { acknowledged: 100, ..packet(flow(number, LOW), Kind::Data, cookie) };
+            assert!(matches!(forwarder.decide(now + ms(10), &data), Verdict::Forward(_)));
+            assert!(!is_refused(&mut forwarder, now + ms(20), number, 0));
+            assert!(!is_refused(&mut forwarder, now + ms(30), number, 1));
+        }
+    }
+}
+
+/// Guards against refusals by the priorities of a former configuration: in the new one, the route is
+/// in the highest class of its service.
+#[test]
+fn a_new_configuration_changes_the_classes() {
+    let (mut forwarder, now) = refusing_daemon();
+    assert!(refused_flows(&mut forwarder, now, 3_000_000) > 0);
+    let mut directory = Directory::new(shedding());
+    directory.confirm_config(now);
+    let config = Some(Arc::new(config(&[(HIGH, 1), (LOW, 1)])));
+    let operator = OperatorState { revision: 1.into(), config, ..OperatorState::default() };
+    directory.apply_operator_state(now, &operator);
+    let listing = Listing { revision: 2.into(), targets: small_targets(4, 4) };
+    directory.apply_listing(now, listing);
+    forwarder.set_view(Arc::new(directory.view(now)));
+    assert_eq!(refused_flows(&mut forwarder, now, 4_000_000), 0);
+}
+
+/// Records a rejection by the target `cookie`, in a flow that another daemon has opened.
+fn reject(forwarder: &mut Forwarder, now: Instant, number: u32, cookie: Cookie) {
+    let opened = Packet { acknowledged: 100, ..packet(flow(number, HIGH), Kind::Data, cookie) };
+    forwarder.decide(now, &opened);
+    forwarder.decide(now, &Packet { length: 50, ..opened });
+    forwarder.decide(now, &Packet { sequence: 50, acknowledged: 220, ..opened });
+}
+
+/// Guards against refusals that go on while one of two full zones has room again: a target of this zone
+/// still rejects, and its prompt answers are few among those of both zones.
+#[test]
+fn nothing_is_refused_after_one_of_two_full_zones_has_recovered() {
+    let (mut forwarder, now) = refusing_daemon();
+    // Only the following answers count.
+    let now = now + ms(1_100);
+    let cookies: Vec<Cookie> = small_targets(4, 4).iter().map(cookie).collect();
+    let (full_zone, recovering_zone) = cookies.split_at(4);
+    for number in 0..60 {
+        reject(&mut forwarder, now, 5_000_000 + number, full_zone[0]);
+    }
+    reject(&mut forwarder, now, 5_100_000, recovering_zone[0]);
+    assert!(refused_flows(&mut forwarder, now, 3_000_000) > 0);
+    let mut prompt = 0;
+    for number in 6_000_000..6_000_020 {
+        let opening = packet(flow(number, HIGH), Kind::Open { attempt: 0 }, 0);
+        let opened = destination(forwarder.decide(now, &opening)).cookie;
+        if prompt == 6 || !recovering_zone.contains(&opened) {
+            continue;
+        }
+        prompt += 1;
+        let sent = Packet {
+            acknowledged: 100,
+            length: 50,
+            ..packet(flow(number, HIGH), Kind::Data, opened)
+        };
+        forwarder.decide(now + ms(6), &sent);
+        let answered = Packet { sequence: 50, acknowledged: 700, length: 0, ..sent };
+        forwarder.decide(now + ms(32), &answered);
+    }
+    assert_eq!(prompt, 6);
+    let now = now + ms(150);
+    for number in 0..60 {
+        reject(&mut forwarder, now, 5_200_000 + number, full_zone[0]);
+    }
+    assert_eq!(refused_flows(&mut forwarder, now, 4_000_000), 0);
+}
+
 /// Returns how many of 200 new flows of low priority, numbered from `first` on, are refused.
 fn refused_flows(forwarder: &mut Forwarder, now: Instant, first: u32) -> usize {
-    let is_refused = |number: &u32| {
-        let opening = packet(flow(*number, LOW), Kind::Open { attempt: 0 }, 0);
-        forwarder.decide(now, &opening) == Verdict::Reset(Reason::NoRoom)
-    };
-    (first..first + 200).filter(is_refused).count()
+    (first..first + 200).filter(|number| is_refused(forwarder, now, *number, 0)).count()
 }
 
 /// One daemon with `count` targets in its zone, which has seen 20 answers of 600 bytes that took
