Read the operators' items and restored entries again only when needed

A rejected watch of the operators' items (429, 503, no connection) led to a read of all items. The watch now continues the known revision. After a timeout everything is still read again, since only watches may get no response. A watch of an era earlier than the announced one or that of the targets could only fail; everything is read at once instead.

Entries that may have been removed before the store returned are known only to the daemon that listed them. If following ends or a peer's state is applied within the lifetime of such entries, the targets are listed once, since a running target could otherwise count as ended for good.

The new tests were not run without the change.

--- a/src/cookie/directory/era.rs
+++ b/src/cookie/directory/era.rs
@@ -52,6 +52,15 @@
             && lasted < self.tuning.restored_entry_lifetime
     }
 
+    /// Requires a listing of the targets if restored entries may still be in the store. Neither a delta
+    /// nor a peer's state contains them, and a watch reports only later changes, so a running target
+    /// that counts as ended would stay ended.
+    pub(super) fn request_listing(&mut self, now: Instant) {
+        self.is_listing_due |= self.era_start.is_some_and(|start| {
+            now.saturating_duration_since(start.at) < self.tuning.restored_entry_lifetime
+        });
+    }
+
     /// Applies the restored entries that are still in the store although the entries of ended
     /// targets have expired.
     pub(super) fn apply_restored(&mut self, now: Instant) {
--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -54,6 +54,8 @@
     restored_targets: BTreeMap<Arc<str>, Target>,
     /// The first read of the present era; `None` if it is the era of the first read of all.
     era_start: Option<EraStart>,
+    /// Whether the targets have to be listed; see [`View::is_listing_due`].
+    is_listing_due: bool,
     /// Targets that were replaced by a later start under the same id.
     replaced_targets: Vec<KnownTarget>,
     former_services: Arc<HashMap<SocketAddrV4, Vec<Arc<str>>>>,
@@ -94,6 +96,7 @@
             targets: BTreeMap::new(),
             restored_targets: BTreeMap::new(),
             era_start: None,
+            is_listing_due: false,
             replaced_targets: Vec::new(),
             former_services: Arc::default(),
             configured_at: None,
@@ -116,6 +119,13 @@
         self.store_health.record_failure(now);
     }
 
+    /// Records that this daemon no longer follows a zone reader. The store may have been unavailable
+    /// since the last read of the zone reader, without a failed call of this daemon.
+    pub fn record_following_ended(&mut self, now: Instant) {
+        self.store_health.record_failure(now);
+        self.request_listing(now);
+    }
+
     /// Returns whether a missing store entry proves that its target has ended, since the store has
     /// been available for [`Tuning::settle_time`].
     pub fn is_absence_conclusive(&self, now: Instant) -> bool {
@@ -217,6 +227,7 @@
         }
         let is_same = listing.revision == self.revision && self.read_at.is_some();
         self.replace_targets(now, listing, &[]);
+        self.is_listing_due = false;
         self.record_read(now, Some(now));
         if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
     }
@@ -386,6 +397,7 @@
             return applied;
         }
         self.replace_targets(now, listing, lapsed);
+        self.request_listing(now);
         self.record_read(now, read_at);
         ApplyOutcome::New
     }
@@ -461,6 +473,7 @@
             read_at: self.read_at,
             confirmed_at: self.confirmed_at,
             is_absence_conclusive: self.is_absence_conclusive(now) && self.has_settled(now),
+            is_listing_due: self.is_listing_due,
         }
     }
 
--- a/src/cookie/view.rs
+++ b/src/cookie/view.rs
@@ -131,6 +131,9 @@
     /// Whether a missing store entry proves that its target has ended, since the store has been
     /// available for [`Tuning::settle_time`](crate::cookie::Tuning::settle_time).
     pub is_absence_conclusive: bool,
+    /// Whether the targets have to be listed, since changes of entries that may have been removed
+    /// before the store returned from a copy are unknown to this daemon.
+    pub is_listing_due: bool,
 }
 
 impl View {
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -189,9 +189,8 @@
                     );
                 }
             }
-            Request::StoreCallFailed | Request::FollowingEnded | Request::ProcessPaused => {
-                self.directory.record_failure(now)
-            }
+            Request::FollowingEnded => self.directory.record_following_ended(now),
+            Request::StoreCallFailed | Request::ProcessPaused => self.directory.record_failure(now),
         }
         let view = self.directory.view(now);
         self.log_era(&self.shared.view.load(), &view);
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -81,6 +81,9 @@
         let is_immediate = was_following || std::mem::take(&mut is_check_due);
         let wait = if is_immediate { Duration::ZERO } else { OPERATOR_WATCH_WAIT };
         tracker.wait_until_due().await;
+        // A watch can only fail if the store has returned from a copy since the known revision.
+        let newest_era = newest_known_era(&shared);
+        known = known.filter(|known| known.era >= newest_era);
         let request = match known {
             None => {
                 tracker.record_result("watch", source.read_operator_state().await).map(|read| {
@@ -103,9 +106,13 @@
                         continue;
                     }
                 };
-                if result.is_err() {
-                    // Changes may have been missed, so all of the operators' items are read again.
-                    known = None;
+                match &result {
+                    Ok(_) => {}
+                    // Nothing was missed, so the watch continues, at first without waiting.
+                    Err(error) if is_call_rejected(error) => is_check_due = true,
+                    // Changes may have been missed, or only watches may get no response, so all of
+                    // the operators' items are read again.
+                    Err(_) => known = None,
                 }
                 tracker.record_result("watch", result).map(|read| {
                     known = Some(read.value.revision.max(after));
@@ -138,7 +145,8 @@
         wait_while_following(&shared, |_| false).await;
         tracker.wait_until_due().await;
         let called_at = Instant::now();
-        let after = if is_history_lost { None } else { known.max(known_revision(&shared)) };
+        let is_list_needed = is_history_lost || shared.view.load().is_listing_due;
+        let after = if is_list_needed { None } else { known.max(known_revision(&shared)) };
         let request = match after {
             None => {
                 // A stale read may be from before the return of the store from a copy.
@@ -219,6 +227,13 @@
     }
 }
 
+/// Returns the latest era of the store that the zone reader has announced or in which the targets are
+/// known.
+fn newest_known_era(shared: &Shared) -> u64 {
+    let announced: Revision = **shared.announced_operator_revision.load();
+    announced.era.max(shared.view.load().revision.era)
+}
+
 /// Returns the revision at which the targets are known, from the store or from another daemon.
 fn known_revision(shared: &Shared) -> Option<Revision> {
     let view = shared.view.load();
@@ -270,6 +285,18 @@
     )
 }
 
+/// Returns whether the store rejected the call or could not be reached. The history that the store
+/// holds is then as usable as before, and a read of all items would fail as well.
+fn is_call_rejected(error: &Error) -> bool {
+    matches!(
+        error,
+        Error::RateLimited
+            | Error::Unavailable { .. }
+            | Error::Connect { .. }
+            | Error::ConnectionLost { .. }
+    )
+}
+
 /// Waits while this daemon follows a zone reader. Ends early if `is_unread` returns true for the
 /// revision of the operators' last change that the zone reader has announced. Returns whether this
 /// daemon followed a zone reader at the start of the call.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -51,7 +51,7 @@
     /// reads the change from the store.
     pub(super) announced_operator_revision: ArcSwap<Revision>,
     /// The revision up to which this daemon has read the operators' changes from the store; the lowest
-    /// one if the last call failed, since changes may have been missed.
+    /// one if changes may have been missed.
     pub(super) read_operator_revision: ArcSwap<Revision>,
     /// The number of times that the store has returned from a copy while this daemon ran.
     pub(super) era_changes: AtomicU64,
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -163,6 +163,35 @@
     assert_eq!(state(&mut lasting, 1), Some((Presence::Present, READY)));
 }
 
+/// Guards against a running target that stays ended for good, because the daemon that has read its
+/// restored entry is no longer the zone reader, or has taken the state of a peer instead.
+#[test]
+fn restored_entries_are_listed_after_a_change_of_the_reader() {
+    for is_peer in [false, true] {
+        for (lasted, expected) in [(1000, true), (5000, false)] {
+            let mut fixture = daemon(vec![entry(1, at(0, 80), READY)]);
+            fixture.advance(ms(500));
+            update(&mut fixture, at(0, 95), vec![removed(1, at(0, 95))]);
+            read(&mut fixture, at(1, 85), vec![entry(1, at(1, 80), READY)]);
+            fixture.advance(ms(lasted));
+            if is_peer {
+                let operator = fixture.directory.operator_state(fixture.now);
+                let listing = Listing { revision: at(1, 86), targets: Vec::new() };
+                fixture.directory.apply_peer(fixture.now, ms(0), &operator, listing, &[]);
+            } else {
+                fixture.directory.record_following_ended(fixture.now);
+            }
+            let is_due = fixture.directory.view(fixture.now).is_listing_due;
+            assert_eq!(is_due, expected, "peer {is_peer}, {lasted} ms");
+            read(&mut fixture, at(1, 86), vec![entry(1, at(1, 80), READY)]);
+            assert!(!fixture.directory.view(fixture.now).is_listing_due);
+            fixture.advance(ms(5000));
+            update(&mut fixture, at(1, 86), Vec::new());
+            assert_eq!(state(&mut fixture, 1), Some((Presence::Present, READY)));
+        }
+    }
+}
+
 /// Guards against the present start of a target that counts as ended, and a former one that gets
 /// flows, because the copy shows the entry of the former one.
 #[test]
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -8,7 +8,10 @@
 use std::{
     fs,
     net::Ipv4Addr,
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU16, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -482,6 +485,68 @@
     assert_eq!(gateway.failed_component().await, "reader of the targets");
 }
 
+/// A store that responds to reads and rejects the watch of the operators' items.
+#[derive(Clone, Default)]
+struct CountingStore {
+    /// The era of the targets and of all reads of the operators' items but the first one.
+    era: u64,
+    operator_reads: Arc<AtomicU64>,
+    operator_watches: Arc<AtomicU64>,
+}
+
+impl Source for CountingStore {
+    async fn read_operator_state(&self) -> Result<ReadOutcome<OperatorState>, Error> {
+        // The targets are known earlier.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let is_first = self.operator_reads.fetch_add(1, Ordering::Relaxed) == 0;
+        let revision = Revision { era: if is_first { 0 } else { self.era }, number: 5 };
+        Ok(ReadOutcome::new(OperatorState { revision, ..OperatorState::default() }))
+    }
+
+    async fn watch_operator_changes(
+        &self,
+        after: Revision,
+        _: Duration,
+    ) -> Result<ReadOutcome<Changes>, Error> {
+        assert_eq!(after.era, self.era, "the watch can only fail");
+        self.operator_watches.fetch_add(1, Ordering::Relaxed);
+        Err(Error::RateLimited)
+    }
+
+    async fn read_targets(&self, _: Consistency) -> Result<ReadOutcome<Listing>, Error> {
+        let revision = Revision { era: self.era, number: 5 };
+        Ok(ReadOutcome::new(Listing { revision, targets: Vec::new() }))
+    }
+
+    async fn watch_targets(
+        &self,
+        revision: Revision,
+        wait: Duration,
+    ) -> Result<ReadOutcome<ListingUpdate>, Error> {
+        tokio::time::sleep(wait).await;
+        Ok(ReadOutcome::new(ListingUpdate { revision, changes: Vec::new() }))
+    }
+}
+
+/// Guards against a read of all of the operators' items after each rejected watch, and against a watch
+/// of a former era, which can only fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_items_are_read_again_only_if_their_history_is_lost() {
+    for era in [0, 1] {
+        let port = allocate_ports();
+        let text = settings(1, "zone-a", port, "http://127.0.0.1:9", "127.0.0.1:9").to_string();
+        let settings =
+            banyanwharf::settings::Gateway::parse("test", &text).expect("valid settings");
+        let store = CountingStore { era, ..CountingStore::default() };
+        let started = Gateway::start(settings, store.clone(), PacketCodec, READY_PATH).await;
+        let _gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
+        let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let watches = &store.operator_watches;
+        wait_until("the watch is repeated", async || count(watches) >= 4).await;
+        assert_eq!(count(&store.operator_reads), 1 + era);
+    }
+}
+
 /// A codec that panics.
 struct FaultyCodec;
 
