Leave the zone only if the answer would not be soon enough there

A flow now stays while a target of its zone answers within a quarter of the route's latency objective.

--- a/src/cookie/expected_work.rs
+++ b/src/cookie/expected_work.rs
@@ -25,6 +25,14 @@
 /// so that the share of flows that leave the zone grows gradually with the difference.
 const HYSTERESIS: [f64; 2] = [1.2, 1.8];
 
+/// The share of its route's latency objective up to which a flow stays in the own zone, although
+/// another zone may be sooner. A flow in another zone breaks when the zones are cut off from each
+/// other, which harms its caller more than an answer that is later but within the objective.
+const ACCEPTED_OBJECTIVE_SHARE: f64 = 0.25;
+
+/// The same for a route without a latency objective, in multiples of its cost.
+const ACCEPTED_COSTS: f64 = 3.0;
+
 /// A target that may get a new flow.
 struct Candidate<'a> {
     entry: &'a Entry,
@@ -151,7 +159,15 @@
             let order = order.then(a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal));
             order.then_with(|| tie_breaker(first).cmp(&tie_breaker(other)))
         };
-        let ranked = candidates.iter().map(|candidate| (rank(candidate), candidate));
+        let accepted = self.accepted_time(flow, cost);
+        let is_accepted = |candidate: &Candidate| {
+            let (time, _) = rank(candidate);
+            candidate.is_own_zone && candidate.standing == Standing::Usable && time <= accepted
+        };
+        let stays_in_zone = candidates.iter().any(is_accepted);
+        let eligible =
+            candidates.iter().filter(|candidate| candidate.is_own_zone || !stays_in_zone);
+        let ranked = eligible.map(|candidate| (rank(candidate), candidate));
         let ((_, seconds), best) = ranked.min_by(compare)?;
         Some(Choice {
             cookie: best.entry.cookie,
@@ -162,6 +178,16 @@
         })
     }
 
+    /// Returns the expected time up to which a flow stays in the own zone, in seconds. `cost` is that
+    /// of its route.
+    fn accepted_time(&self, flow: &Flow, cost: f64) -> f64 {
+        let objective = self.view.route(flow.service).map(|route| route.latency_objective);
+        match objective.filter(|objective| !objective.is_zero()) {
+            Some(objective) => ACCEPTED_OBJECTIVE_SHARE * objective.as_secs_f64(),
+            None => ACCEPTED_COSTS * cost,
+        }
+    }
+
     /// Returns the utilization of the slots of a service's targets in the own zone.
     fn utilization(&self, service: &str, pool: &ZonePool) -> f64 {
         let requests = self.estimator.mean_requests(self.now, service, &pool.zone);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -51,6 +51,21 @@
     assert!(late[1].1 < 0.25, "{late:?}");
 }
 
+/// Guards against flows that leave their zone for a small gain, and that break when the zones are cut
+/// off from each other. Two thirds of the own zone's targets are somewhat slow, at 35% load, and the
+/// other zone is idle.
+#[test]
+fn a_flow_stays_in_its_zone_while_the_answer_is_soon_enough() {
+    let mut fleet = Fleet::new(Placement::ExpectedWork, 2, 24, 12);
+    for server in fleet.servers.iter_mut().filter(|server| server.zone == 0).take(16) {
+        server.slowness = 1.5;
+    }
+    fleet.run(8000.0, &[short(0, 0.76), long(0, 0.02)]);
+    let left: usize =
+        fleet.servers.iter().filter(|server| server.zone == 1).map(|s| s.served).sum();
+    assert_eq!(left, 0);
+}
+
 /// Guards against a target that is avoided for ever after it was slow.
 #[test]
 fn a_recovered_target_gets_flows_again() {
