--- a/src/cookie/target.rs
+++ b/src/cookie/target.rs
@@ -22,7 +22,8 @@
     pub name: Arc<str>,
     /// The number that datagrams to the target carry.
     pub number: TargetNumber,
-    /// Distinguishes the starts of targets with the same id. Only equality has a meaning.
+    /// Distinguishes the starts of targets with the same id or address, and orders them by the clock of
+    /// the target.
     pub born: u64,
     /// The service that the target provides.
     pub service: Arc<str>,
--- a/src/cookie/work/estimator.rs
+++ b/src/cookie/work/estimator.rs
@@ -161,9 +161,9 @@
         *known += ROUND_TRIP_WEIGHT * (seconds - *known);
     }
 
-    /// Removes the observations of targets, routes and zones that are no longer in the view, and compares the number
-    /// of requests that this daemon has seen since its start with that of their answers. Is to be
-    /// called about once a second.
+    /// Removes the observations of targets, routes and zones that are no longer in the view, and
+    /// compares the number of requests that this daemon has seen since its start with that of their
+    /// answers. Is to be called about once a second.
     pub fn sweep(&mut self, view: &View, requests: u64) {
         let begun = requests.saturating_sub(self.requests);
         if begun > 0 {
@@ -213,8 +213,7 @@
 
     /// Returns how many times the cost of its route a request takes at a target.
     ///
-    /// `usual` is the delay factor of its zone, which applies without observations. Delay factors
-    /// that other daemons report belong here too.
+    /// `usual` is the delay factor of its zone, which applies without observations.
     pub fn delay_factor(
         &self,
         now: Instant,
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -206,8 +206,8 @@
             warn!(
                 era = view.revision.era, former_era = previous.revision.era,
                 read = view.revision.number, former_read = previous.revision.number;
-                "store has returned from a copy of an earlier state; what it has lost stays in force \
-                 until it is written again or the grace is over"
+                "store has returned from a copy of an earlier state; lost entries are kept until they \
+                 are written again or the grace period ends"
             );
         }
         let withheld = self.directory.withheld_version();
--- a/tests/contacts.rs
+++ b/tests/contacts.rs
@@ -114,7 +114,7 @@
 }
 
 /// Guards against two groups of daemons that know only each other for as long as they run, since a
-/// daemon stops to query its contacts once it knows any other daemon (soak seed 7110).
+/// daemon stops querying its contacts once it knows any other daemon (soak seed 7110).
 #[test]
 fn groups_that_formed_separately_discover_each_other() {
     for seed in 0..10 {
@@ -210,7 +210,7 @@
     assert_eq!(deployment.queries, before);
 }
 
-/// Guards against a contact that is queried no more after it was replaced at its address.
+/// Guards against a contact that is no longer queried after it was replaced at its address.
 #[test]
 fn contact_is_queried_until_it_is_present() {
     let now = Instant::now();
