Publish a view before its changes are logged

one_daemon_of_a_zone_reads_the_store failed once beside a load of 20: a new flow went to a target that the log already showed as draining. The lines were written before the view was published, so that an opening packet in between was decided by the former view. That this was the cause of that failure follows from reading only.

--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -192,10 +192,12 @@
             Request::FollowingEnded => self.directory.record_following_ended(now),
             Request::StoreCallFailed | Request::ProcessPaused => self.directory.record_failure(now),
         }
-        let view = self.directory.view(now);
-        self.log_era(&self.shared.view.load(), &view);
-        log_changes(now, &self.shared.view.load(), &view);
-        self.shared.publish_view(view);
+        // A change is in force when it is logged.
+        let previous = self.shared.view.load_full();
+        self.shared.publish_view(self.directory.view(now));
+        let view = self.shared.view.load_full();
+        self.log_era(&previous, &view);
+        log_changes(now, &previous, &view);
     }
 
     /// Logs and counts a return of the store from a copy, and logs a version of the configuration that
