--- a/review/standin-2/backend.rs
+++ b/review/standin-2/backend.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -31,6 +31,8 @@
     /// The port at which clients receive packets.
     pub client_port: u16,
     pub heartbeat: Duration,
+    /// How long a start leaves the backend cold (`warmupS`).
+    pub cold_for: Duration,
 }
 
 pub struct Backend {
@@ -40,6 +42,8 @@
     run: Mutex<Option<Run>>,
     /// The requests that were run.
     pub executed: AtomicU64,
+    /// When each flow was opened, by the start of the record.
+    pub openings: Mutex<Vec<Duration>>,
 }
 
 /// One start of the backend.
@@ -65,6 +69,7 @@
             record,
             run: Mutex::new(None),
             executed: AtomicU64::new(0),
+            openings: Mutex::default(),
         })
     }
 
@@ -113,6 +118,7 @@
     }
 
     fn write_entries(&self, born: u64, first_write: Duration, is_stopped: &AtomicBool) {
+        let started_at = Instant::now();
         let mut delay = first_write;
         loop {
             let mut waited = Duration::ZERO;
@@ -125,11 +131,12 @@
                 waited += step;
             }
             delay = self.config.heartbeat;
-            let Config { service, zone, address, .. } = &self.config;
+            let Config { service, zone, address, cold_for, .. } = &self.config;
+            let cold_ms = cold_for.saturating_sub(started_at.elapsed()).as_millis();
             // A heartbeat that changes only seqNo does not change the entry, so it always has 1.
             let entry = format!(
                 "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-                 \"slots\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"seqNo\":1,\"born\":{born}}}"
+                 \"slots\":4,\"state\":\"ready\",\"warmupLeftMs\":{cold_ms},\"seqNo\":1,\"born\":{born}}}"
             );
             if !self.store.holds(&self.key(), entry.as_bytes()) {
                 let revision = self.store.put(&self.key(), entry.as_bytes());
@@ -209,6 +216,7 @@
                 return None;
             }
             flow.is_open = true;
+            self.openings.lock().unwrap().push(self.record.now());
             self.record.add(format!(
                 "backend {} has opened the flow of {}",
                 self.id(),
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -12,7 +12,7 @@
 use crate::{
     client::{Client, Flow, Outcome},
     record::Record,
-    testbed::{GRACE, Plan, Result, SERVICE, Testbed, config, idle_service},
+    testbed::{GRACE, Plan, Result, SERVICE, Testbed, config, config_with_rate, idle_service},
 };
 
 pub struct Verdict {
@@ -22,7 +22,6 @@
 
 /// The callers' deadline.
 const DEADLINE: Duration = Duration::from_secs(8);
-const TWO_DAEMONS: [&str; 2] = ["za", "za"];
 
 pub fn run(case: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict> {
     match case {
@@ -30,6 +29,7 @@
         "foreign-entry" => foreign_entry(has_trouble, record),
         "restarted-backend" => restarted_backend(has_trouble, record),
         "fraction" => fraction(has_trouble, record),
+        "cold-backend" => cold_backend(has_trouble, record),
         _ => Err(format!("no case {case:?}").into()),
     }
 }
@@ -49,6 +49,7 @@
         backends: vec!["za", "za", "zb", "zb"],
         clients: vec!["za", "zb"],
         link_mbps: Some(10.0),
+        ..Plan::default()
     };
     let testbed = Testbed::start(&plan, &config(1, 10), record)?;
     let is_ended = Arc::new(AtomicBool::new(false));
@@ -152,12 +153,7 @@
 
 /// Another writer overwrites the entry of a running backend for a moment.
 fn foreign_entry(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict> {
-    let plan = Plan {
-        daemons: TWO_DAEMONS.to_vec(),
-        backends: vec!["za"; 3],
-        clients: vec!["za"],
-        link_mbps: None,
-    };
+    let plan = Plan { backends: vec!["za"; 3], ..Plan::default() };
     let testbed = Testbed::start(&plan, &config(1, 10), record)?;
     // The daemons have known the targets for longer than any of their own delays.
     sleep(6.0);
@@ -213,12 +209,7 @@
 
 /// A backend starts again under its id, then the daemons are stopped and started in turn.
 fn restarted_backend(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict> {
-    let plan = Plan {
-        daemons: TWO_DAEMONS.to_vec(),
-        backends: vec!["za"; 2],
-        clients: vec!["za"],
-        link_mbps: None,
-    };
+    let plan = Plan::default();
     let mut testbed = Testbed::start(&plan, &config(1, 10), record)?;
     sleep(6.0);
     let backend = testbed.backends[0].clone();
@@ -290,12 +281,7 @@
 
 /// A bound in the settings becomes a fraction, and the daemons are stopped and started in turn.
 fn fraction(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict> {
-    let plan = Plan {
-        daemons: TWO_DAEMONS.to_vec(),
-        backends: vec!["za"; 2],
-        clients: vec!["za"],
-        link_mbps: None,
-    };
+    let plan = Plan::default();
     let mut testbed = Testbed::start(&plan, &config(1, 10), record)?;
     let grace = if has_trouble { "6.5" } else { "7" };
     for daemon in &mut testbed.daemons {
@@ -339,3 +325,95 @@
         ),
     })
 }
+
+/// All daemons of a large zone are killed and start again, the three seeds later than the others. Meanwhile
+/// backends are added, which are cold.
+fn cold_backend(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict> {
+    /// `warmupPerS`, `coldOver` and `coldSlack`.
+    const RATE: f64 = 13.0;
+    const LIMIT: f64 = RATE * 1.5 + 5.0;
+    const SEEDS: usize = 3;
+    const COLD_FOR: Duration = Duration::from_secs(2);
+    /// When backends are added, and when the machines of the seeds are back, after the kill.
+    const ADDED_AFTER: Duration = Duration::from_millis(1600);
+    const SEEDS_DOWN: Duration = Duration::from_millis(3500);
+    let plan = Plan {
+        daemons: vec!["za"; 23],
+        backends: vec!["za"; 6],
+        clients: vec!["za"; 4],
+        later_backends: 2,
+        cold_for: COLD_FOR,
+        ..Plan::default()
+    };
+    let mut testbed = Testbed::start(&plan, &config_with_rate(1, 10, RATE), record)?;
+    // The daemons know each other, and the first backends are warm.
+    sleep(18.0);
+    let is_ended = Arc::new(AtomicBool::new(false));
+    let openers: Vec<_> = (0..40)
+        .map(|index| {
+            let client = testbed.clients[index % testbed.clients.len()].clone();
+            let is_ended = is_ended.clone();
+            thread::spawn(move || {
+                // The flows stay open.
+                let mut flows = Vec::new();
+                while !is_ended.load(Ordering::SeqCst) {
+                    flows.extend(client.open(SERVICE));
+                    thread::sleep(Duration::from_millis(150));
+                }
+                flows.len()
+            })
+        })
+        .collect();
+    sleep(3.0);
+    let killed_at = Instant::now();
+    if has_trouble {
+        testbed.daemons.iter_mut().for_each(|daemon| daemon.kill());
+        record.add("all daemons are killed");
+        sleep(0.6);
+        for daemon in &mut testbed.daemons[SEEDS..] {
+            daemon.start()?;
+        }
+    }
+    thread::sleep((killed_at + ADDED_AFTER).saturating_duration_since(Instant::now()));
+    let added = testbed.backends[plan.backends.len() - plan.later_backends..].to_vec();
+    let started_at = record.now();
+    for backend in &added {
+        backend.start(Duration::ZERO)?;
+    }
+    thread::sleep((killed_at + SEEDS_DOWN).saturating_duration_since(Instant::now()));
+    if has_trouble {
+        for daemon in &mut testbed.daemons[..SEEDS] {
+            daemon.start()?;
+        }
+    }
+    sleep(1.0);
+    is_ended.store(true, Ordering::SeqCst);
+    let flows: usize = openers.into_iter().filter_map(|opener| opener.join().ok()).sum();
+    let mut most = 0;
+    for backend in &added {
+        let mut openings = backend.openings.lock().unwrap().clone();
+        openings.retain(|at| *at < started_at + COLD_FOR);
+        let within = |first: &Duration| {
+            let second = Duration::from_secs(1);
+            openings.iter().filter(|at| *at >= first && **at < *first + second).count()
+        };
+        let highest = openings.iter().map(within).max().unwrap_or(0);
+        record.add(format!(
+            "cold backend {}: {} flows while it was cold, at most {highest} in one second",
+            backend.id(),
+            openings.len()
+        ));
+        most = most.max(highest);
+    }
+    for daemon in &testbed.daemons[SEEDS..SEEDS + 3] {
+        for line in daemon.log_lines(&["limits of cold targets"], 3) {
+            record.add(format!("log of {}: {line}", daemon.fields.name));
+        }
+    }
+    Ok(Verdict {
+        is_broken: most as f64 > LIMIT,
+        reason: format!(
+            "FAILBACK: a cold backend got {most} flows in one second, the limit is {LIMIT} ({flows} flows opened)"
+        ),
+    })
+}
--- a/review/standin-2/testbed.rs
+++ b/review/standin-2/testbed.rs
@@ -37,6 +37,23 @@
     pub clients: Vec<&'static str>,
     /// The rate of the links between daemons and store, in Mbit/s.
     pub link_mbps: Option<f64>,
+    /// The number of backends, the last ones, that are not started at first.
+    pub later_backends: usize,
+    /// How long a start leaves a backend cold.
+    pub cold_for: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            daemons: vec!["za", "za"],
+            backends: vec!["za", "za"],
+            clients: vec!["za"],
+            link_mbps: None,
+            later_backends: 0,
+            cold_for: Duration::ZERO,
+        }
+    }
 }
 
 pub struct Testbed {
@@ -67,6 +84,7 @@
                 address: SocketAddrV4::new(ip(2, index), free_port(ip(2, index))?),
                 client_port: 0,
                 heartbeat: HEARTBEAT,
+                cold_for: plan.cold_for,
             };
             backends.push(config);
         }
@@ -118,7 +136,7 @@
             .collect();
         let mut testbed =
             Testbed { store, daemons, backends, clients, router, record: record.clone(), folder };
-        for backend in &testbed.backends {
+        for backend in &testbed.backends[..plan.backends.len() - plan.later_backends] {
             backend.start(Duration::ZERO)?;
         }
         thread::sleep(Duration::from_millis(100));
@@ -201,6 +219,11 @@
 
 /// Returns a configuration with the main route and `idle` further routes.
 pub fn config(version: u64, idle: usize) -> String {
+    config_with_rate(version, idle, 0.0)
+}
+
+/// Returns a configuration whose service has cold backends that bear `rate` requests a second.
+pub fn config_with_rate(version: u64, idle: usize, rate: f64) -> String {
     let route = |name: &str, host: Ipv4Addr, kind: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{host}\",\"prefix\":\"/8443/\",\"routeType\":\"{kind}\",\
@@ -217,7 +240,7 @@
     }
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"board\",\"healthPath\":\"/health\",\
-         \"maxConns\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":2.0,\"warmupPerS\":0.0}}],\
+         \"maxConns\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":2.0,\"warmupPerS\":{rate:.1}}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000}}}}",
         routes.join(",")
