--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -209,7 +209,8 @@
 
 /// A backend starts again under its id, then the daemons are stopped and started in turn.
 fn restarted_backend(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict> {
-    let plan = Plan::default();
+    // One backend of eight restarts, 0.125 of them.
+    let plan = Plan { backends: vec!["za"; 8], ..Plan::default() };
     let mut testbed = Testbed::start(&plan, &config(1, 10), record)?;
     sleep(6.0);
     let backend = testbed.backends[0].clone();
@@ -221,7 +222,7 @@
     }
     let restarted_at = Instant::now();
     sleep(0.1);
-    let flows = open_flows(&testbed.clients[0], 16, "first");
+    let flows = open_flows(&testbed.clients[0], 48, "first");
     record.add(format!(
         "{} flows are open {:.3} s after the start of {}",
         flows.len(),
@@ -327,7 +328,7 @@
 }
 
 /// All daemons of a large zone are killed and start again, the three seeds later than the others. Meanwhile
-/// backends are added, which are cold.
+/// a backend is added, which is cold.
 fn cold_backend(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict> {
     /// `warmupPerS`, `coldOver` and `coldSlack`.
     const RATE: f64 = 13.0;
@@ -339,9 +340,10 @@
     const SEEDS_DOWN: Duration = Duration::from_millis(3500);
     let plan = Plan {
         daemons: vec!["za"; 23],
-        backends: vec!["za"; 6],
+        // One backend is added to four, 0.25 of them.
+        backends: vec!["za"; 5],
         clients: vec!["za"; 4],
-        later_backends: 2,
+        later_backends: 1,
         cold_for: COLD_FOR,
         ..Plan::default()
     };
