Forward flows of an unseen former start to the present start of their target

Cause: a cookie was a hash of the target's id and start time, so only a daemon that had read the entries of both starts could tell that an unknown cookie belonged to a former start of a known target.

Change: 22 bits of the cookie identify the target over all its starts. A flow with an unknown cookie is forwarded to the present start with the same identity instead of being reset; the target resets what it does not hold. Packets are dropped as before until the targets have been read later than the first of them, since the cookie may belong to a target that has not been read yet. If two starts of a target have the same cookie, the present one is used.

The models in tests/eras.rs and tests/resets.rs took a cookie for the name of a start. They now use number and start time, which is exact; what they check is unchanged. The model of tests/resets.rs restarts the daemon as well.

Before the change `later_daemon_keeps_a_flow_opened_after_an_unread_restart` failed ("the packet is not forwarded: Reset(UnknownCookie)"), and so did `no_flow_of_a_running_target_is_reset` with restarts of the daemon ("UnknownCookie resets OpenFlow ..., whose target runs").

--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -486,7 +486,13 @@
     }
 
     fn build_index(&self) -> Index {
-        let replaced = self.replaced_targets.iter().map(|known| (known, self.successor(known)));
+        // If two starts of a target have the same cookie, the present one gets all packets.
+        let has_own_cookie = |known: &&KnownTarget| {
+            let present = self.targets.get(&known.target.name);
+            present.is_none_or(|present| present.cookie != known.cookie)
+        };
+        let replaced = self.replaced_targets.iter().filter(has_own_cookie);
+        let replaced = replaced.map(|known| (known, self.successor(known)));
         let mut all: Vec<(&KnownTarget, Option<Successor>)> =
             self.targets.values().map(|known| (known, None)).chain(replaced).collect();
         // If two targets have the same cookie, every daemon must choose the same one: the earlier.
--- a/src/cookie/event.rs
+++ b/src/cookie/event.rs
@@ -47,6 +47,14 @@
         /// The new target.
         target: Arc<str>,
     },
+    /// A flow with the cookie of a former start of a target, which this daemon has not seen, was
+    /// forwarded to the target's present start.
+    FormerStart {
+        /// The flow.
+        flow: Flow,
+        /// The target.
+        target: Arc<str>,
+    },
     /// A flow was reset.
     Reset {
         /// The flow.
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -556,10 +556,19 @@
             return self.decide_unknown_route(now, packet);
         }
         let view = self.view.clone();
-        let Some(entry) = view.target(packet.cookie) else {
-            return self.decide_unknown_cookie(now, packet);
+        let entry = match view.target(packet.cookie) {
+            Some(entry) => self.possible_holder(&view, &flow, entry),
+            None => match self.unseen_start_holder(&view, packet) {
+                Some(entry) => {
+                    if self.flows.cookie(&flow) != Some(entry.cookie) {
+                        let target = entry.target.name.clone();
+                        self.events.push(Event::FormerStart { flow, target });
+                    }
+                    entry
+                }
+                None => return self.decide_unknown_cookie(now, packet),
+            },
         };
-        let entry = self.possible_holder(&view, &flow, entry);
         let packet = &Packet { cookie: entry.cookie, ..*packet };
         if !view.may_have_routed(flow.service, &entry.target.service) {
             return Verdict::Drop(Cause::WrongService);
@@ -613,6 +622,21 @@
         if is_older { entry } else { view.target(cookie).unwrap_or(entry) }
     }
 
+    /// Returns the present start of the target whose former start has the cookie of `packet`, if this
+    /// daemon has not seen the former start. The target resets a flow that it does not hold.
+    ///
+    /// The cookie may also belong to another target of the same identity that this daemon has not read
+    /// yet. Nothing is returned for the first packets of a flow until a later read excludes this.
+    fn unseen_start_holder<'a>(&self, view: &'a View, packet: &Packet) -> Option<&'a Entry> {
+        let entry = view.present_start(packet.cookie)?;
+        let is_resolved = self.flows.cookie(&packet.flow) == Some(entry.cookie);
+        let first = self.unresolved_flows.get(&packet.flow);
+        let is_read_since = first.is_some_and(|(cookie, since)| {
+            *cookie == packet.cookie && self.is_read_after_grace(*since)
+        });
+        (is_resolved || is_read_since).then_some(entry)
+    }
+
     /// Decides on a packet of an established flow whose service address has no known route. The flow
     /// is reset only after a later confirmation of the configuration, since another daemon may have
     /// read a newer one that adds the route.
@@ -631,8 +655,9 @@
         }
     }
 
-    /// Decides on a packet whose cookie belongs to no known target. The flow is reset only after a
-    /// later read of the targets, since the target may have started recently.
+    /// Decides on a packet whose cookie belongs to no known target and to no former start of one. The
+    /// flow is reset only after a later read of the targets, since the target may have started
+    /// recently.
     fn decide_unknown_cookie(&mut self, now: Instant, packet: &Packet) -> Verdict {
         if packet.kind == Kind::Reset {
             return Verdict::Drop(Cause::UnknownReset);
@@ -640,16 +665,20 @@
         let Some(since) = self.record_unresolved(now, packet) else {
             return Verdict::Drop(Cause::UnknownCookie);
         };
-        let read_at = self.view.read_at;
-        let is_read_after_grace =
-            read_at.is_some_and(|at| at >= since + self.tuning.unresolved_flow_grace);
-        if is_read_after_grace && self.view.is_absence_conclusive {
+        if self.is_read_after_grace(since) && self.view.is_absence_conclusive {
             Verdict::Reset(Reason::UnknownCookie)
         } else {
             Verdict::Drop(Cause::UnknownCookie)
         }
     }
 
+    /// Returns whether the targets were read after a flow with an unknown cookie had been seen at
+    /// `since`, so that a target that had started by then is known.
+    fn is_read_after_grace(&self, since: Instant) -> bool {
+        let read_at = self.view.read_at;
+        read_at.is_some_and(|at| at >= since + self.tuning.unresolved_flow_grace)
+    }
+
     /// Records a packet of an established flow whose route or cookie is not known, and returns when
     /// the first such packet arrived. Returns `None` if too many flows are recorded.
     fn record_unresolved(&mut self, now: Instant, packet: &Packet) -> Option<Instant> {
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -62,6 +62,9 @@
 /// The token that identifies the target of a flow; 0 stands for no target.
 pub type Cookie = u32;
 
+/// The part of a [`Cookie`] that is derived from the target's id and is the same for all its starts.
+type Identity = u32;
+
 /// The number that each datagram to a target carries, so that the target can reject datagrams that
 /// are meant for another target.
 pub type TargetNumber = u64;
--- a/src/cookie/view.rs
+++ b/src/cookie/view.rs
@@ -1,7 +1,8 @@
 use std::{collections::HashMap, net::SocketAddrV4, sync::Arc, time::Instant};
 
 use crate::cookie::{
-    Availability, Config, Cookie, Destination, Presence, Revision, Route, Service, Target, Version,
+    Availability, Config, Cookie, Destination, Identity, Presence, Revision, Route, Service,
+    Target, Version, hash::identity,
 };
 
 /// The present start of a target that was started again under its id.
@@ -50,6 +51,8 @@
 pub(super) struct Index {
     entries: Vec<Entry>,
     by_cookie: HashMap<Cookie, usize>,
+    /// The targets that have not ended; `None` if several of them share the identity.
+    by_identity: HashMap<Identity, Option<usize>>,
     /// The usable targets of each service, as indices into `entries`.
     pools: HashMap<Arc<str>, Pool>,
 }
@@ -85,6 +88,12 @@
             return;
         }
         self.by_cookie.insert(entry.cookie, index);
+        if entry.presence != Presence::Gone {
+            self.by_identity
+                .entry(identity(entry.cookie))
+                .and_modify(|holder| *holder = None)
+                .or_insert(Some(index));
+        }
         if entry.is_usable {
             self.pools.entry(entry.target.service.clone()).or_default().push(index, &entry.target);
         }
@@ -168,6 +177,13 @@
         self.index.entries.get(*self.index.by_cookie.get(&cookie)?)
     }
 
+    /// Returns the target that has not ended and whose cookie differs from `cookie` at most by the
+    /// start of the target. Returns `None` if several targets are possible.
+    pub(super) fn present_start(&self, cookie: Cookie) -> Option<&Entry> {
+        let index = *self.index.by_identity.get(&identity(cookie))?;
+        self.index.entries.get(index?)
+    }
+
     /// Returns the settings of a service.
     pub(super) fn service(&self, name: &str) -> Option<&Service> {
         self.config.as_ref()?.services.get(name)
--- a/src/gateway/event_logger.rs
+++ b/src/gateway/event_logger.rs
@@ -80,6 +80,11 @@
             revision:% = revision, age_ms = age_ms;
             "flow is placed again, since its target does not answer"
         ),
+        Event::FormerStart { flow, target } => info!(
+            flow:% = flow, target_id = &**target, version = version, revision:% = revision,
+            age_ms = age_ms;
+            "flow of a former start of the target is forwarded to the present one"
+        ),
         Event::Reset { flow, target, reason } => info!(
             flow:% = flow, target_id = target.as_deref().unwrap_or("unknown"), reason:? = reason,
             version = version, revision:% = revision, age_ms = age_ms;
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -93,6 +93,93 @@
     assert_eq!(destination(other_daemon.acknowledge(1, opened.cookie, 300)), kept);
 }
 
+/// Returns the daemon that starts after a target has been started again under its id, and a flow
+/// that the target took before any daemon had read its new entry.
+fn daemon_after_an_unread_restart() -> (DaemonFixture, Cookie, Target) {
+    let mut earlier_daemon = DaemonFixture::new(targets("web", 3, 0));
+    let opened = earlier_daemon.establish(1);
+    let mut all = targets("web", 3, 0);
+    let restarted = all.iter_mut().find(|target| cookie(target) == opened.cookie);
+    let restarted = restarted.expect("the target of the flow");
+    restarted.born += 1;
+    let restarted = restarted.clone();
+    (DaemonFixture::new(all), opened.cookie, restarted)
+}
+
+/// Guards against the reset of flows that a restarted target took before its new entry was read, by
+/// daemons that start later and have never known its former start.
+#[test]
+fn later_daemon_keeps_a_flow_opened_after_an_unread_restart() {
+    let (mut daemon, former, restarted) = daemon_after_an_unread_restart();
+    assert_eq!(daemon.acknowledge(1, former, 200), Verdict::Drop(Cause::UnknownCookie));
+    daemon.advance(ms(500)).read_again();
+    assert_eq!(daemon.acknowledge(1, former, 200), Verdict::Drop(Cause::UnknownCookie));
+    daemon.advance(ms(1000)).read_again();
+    let kept = destination(daemon.acknowledge(1, former, 200));
+    assert_eq!((kept.address, kept.number), (restarted.address, restarted.number));
+    assert_eq!(kept.cookie, cookie(&restarted));
+    // The caller may repeat the former cookie until it has received the present one.
+    assert_eq!(destination(daemon.acknowledge(1, former, 300)), kept);
+    assert_eq!(destination(daemon.acknowledge(1, kept.cookie, 400)), kept);
+    assert_eq!(daemon.forwarder.take_lost_flows(daemon.now), []);
+}
+
+/// Guards against callers that wait for a target whose former start is not known and which has ended.
+#[test]
+fn flow_of_an_unknown_start_is_reset_if_its_target_has_ended() {
+    let (mut daemon, former, restarted) = daemon_after_an_unread_restart();
+    assert_eq!(daemon.acknowledge(1, former, 200), Verdict::Drop(Cause::UnknownCookie));
+    let others: Vec<Target> =
+        targets("web", 3, 0).into_iter().filter(|target| target.name != restarted.name).collect();
+    for _ in 0..8 {
+        daemon.advance(ms(500)).read_targets(others.clone());
+    }
+    assert_eq!(daemon.acknowledge(1, former, 200), Verdict::Reset(Reason::UnknownCookie));
+}
+
+/// Guards against packets for a target that this daemon has not read yet and that reach another one
+/// whose cookie has the same bits for the id.
+#[test]
+fn unread_target_is_not_taken_for_another_one_of_the_same_identity() {
+    // As many bits of a cookie as its doc comment states are derived from the id.
+    let identity = |number: u64| cookie(&target(number, "web", OWN_ZONE)) >> 10;
+    let mut numbers: HashMap<u32, u64> = HashMap::new();
+    let pair = (0..).find_map(|number| Some((numbers.insert(identity(number), number)?, number)));
+    let (known, unread) = pair.expect("two ids");
+    let (known, unread) = (target(known, "web", OWN_ZONE), target(unread, "web", OWN_ZONE));
+    let mut daemon = DaemonFixture::new(vec![known.clone()]);
+    let sent = cookie(&unread);
+    assert_eq!(daemon.acknowledge(1, sent, 100), Verdict::Drop(Cause::UnknownCookie));
+    for _ in 0..3 {
+        daemon.advance(ms(500)).read_targets(vec![known.clone(), unread.clone()]);
+        assert_eq!(destination(daemon.acknowledge(1, sent, 100)).number, unread.number);
+    }
+    // A former start of either target has the same identity, so nothing shows which one it was.
+    let former = sent ^ 1;
+    for _ in 0..8 {
+        daemon.advance(ms(500)).read_again();
+        assert!(!matches!(daemon.acknowledge(2, former, 100), Verdict::Forward(_)));
+    }
+}
+
+/// Guards against a restarted target that gets no packets, because its cookie is the same as that of
+/// its former start.
+#[test]
+fn restarted_target_with_the_same_cookie_gets_new_flows() {
+    let former = target(1, "web", OWN_ZONE);
+    let is_same = |born: &u64| cookie(&Target { born: *born, ..former.clone() }) == cookie(&former);
+    let born = (former.born + 1..).find(is_same).expect("a start with the same cookie");
+    let mut daemon = DaemonFixture::new(vec![former.clone()]);
+    let opened = daemon.establish(1);
+    let restarted = Target { born, revision: 2.into(), ..former };
+    for _ in 0..8 {
+        daemon.advance(ms(500)).read_targets(vec![restarted.clone()]);
+    }
+    // The target resets the flows that it does not hold.
+    assert_eq!(destination(daemon.acknowledge(1, opened.cookie, 200)).number, restarted.number);
+    assert_eq!(daemon.open(2).number, restarted.number);
+}
+
 /// Guards against packets that reach a service to which their address was never routed: a caller
 /// can put any cookie into a packet.
 #[test]
@@ -269,7 +356,8 @@
     let mut fixture = DaemonFixture {
         now: start,
         directory: Directory::new(tuning.clone()),
-        forwarder: Forwarder::new(OWN_ZONE.into(), tuning),
+        forwarder: Forwarder::new(OWN_ZONE.into(), tuning.clone()),
+        tuning,
         revision: 1,
         check_outcome: CheckOutcome::Unanswered,
     };
--- a/tests/cookies/mod.rs
+++ b/tests/cookies/mod.rs
@@ -20,6 +20,7 @@
 /// The directory and the forwarder of one daemon on virtual time.
 pub(crate) struct DaemonFixture {
     pub(crate) now: Instant,
+    pub(crate) tuning: Tuning,
     pub(crate) directory: Directory,
     pub(crate) forwarder: Forwarder,
     pub(crate) revision: u64,
@@ -120,7 +121,8 @@
         let mut fixture = DaemonFixture {
             now: Instant::now(),
             directory: Directory::new(tuning.clone()),
-            forwarder: Forwarder::new(OWN_ZONE.into(), tuning),
+            forwarder: Forwarder::new(OWN_ZONE.into(), tuning.clone()),
+            tuning,
             revision: 1,
             check_outcome: CheckOutcome::Unanswered,
         };
@@ -139,6 +141,14 @@
         fixture
     }
 
+    /// Starts the daemon again, which then knows nothing but the configuration.
+    pub(crate) fn restart(&mut self) {
+        let operator = self.directory.operator_state(self.now);
+        self.directory = Directory::new(self.tuning.clone());
+        self.forwarder = Forwarder::new(OWN_ZONE.into(), self.tuning.clone());
+        self.read_operator_state(operator);
+    }
+
     /// Applies a read of the operator state and publishes the view.
     pub(crate) fn read_operator_state(&mut self, operator: OperatorState) {
         self.directory.confirm_config(self.now);
@@ -153,6 +163,12 @@
         self.publish_view();
     }
 
+    /// Reads the present targets once more and publishes the view.
+    pub(crate) fn read_again(&mut self) {
+        let targets = self.directory.listing().targets;
+        self.read_targets(targets);
+    }
+
     /// Records a failed read of the store and publishes the view.
     pub(crate) fn fail_read(&mut self) {
         self.directory.record_failure(self.now);
--- a/tests/era/fleet.rs
+++ b/tests/era/fleet.rs
@@ -4,8 +4,8 @@
 };
 
 use banyanwharf::cookie::{
-    ApplyOutcome, Change, Cookie, Delta, Directory, Listing, ListingUpdate, OperatorState,
-    Position, Presence, Revision, Tuning,
+    ApplyOutcome, Change, Delta, Directory, Listing, ListingUpdate, OperatorState, Position,
+    Presence, Revision, TargetNumber, Tuning,
 };
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
@@ -48,8 +48,9 @@
     version: u64,
     /// When a missing entry last did not prove the end of its target.
     unsettled_at: Instant,
-    /// The targets that this daemon has regarded as ended.
-    ended: HashSet<Cookie>,
+    /// The starts of targets that this daemon has regarded as ended, as target numbers and times. Two
+    /// starts of a target may have the same cookie.
+    ended: HashSet<(TargetNumber, u64)>,
 }
 
 impl Daemon {
@@ -167,12 +168,13 @@
             let describe = || format!("{what}: {} born {}", target.name, target.born);
             if entry.presence == Presence::Gone {
                 assert!(!runs, "{} runs and counts as ended", describe());
-                self.ended.insert(entry.cookie);
+                self.ended.insert((target.number, target.born));
             }
             if !entry.is_usable {
                 continue;
             }
-            assert!(runs || !self.ended.contains(&entry.cookie), "{} is used again", describe());
+            let has_ended = self.ended.contains(&(target.number, target.born));
+            assert!(runs || !has_ended, "{} is used again", describe());
             let since = world.unusable_since(target).map(|since| since.max(settling));
             let lasted = since.map(|since| now.saturating_duration_since(since));
             assert!(lasted.is_none_or(|l| l <= LONGEST_GRACE), "{} used {lasted:?}", describe());
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -9,7 +9,7 @@
 };
 
 use banyanwharf::cookie::{
-    Check, CheckOutcome, Cookie, Destination, Packet, Target, Verdict, cookie,
+    Check, CheckOutcome, Cookie, Destination, Packet, Target, TargetNumber, Verdict,
 };
 use cookies::*;
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
@@ -30,6 +30,13 @@
 /// heartbeat that writes its entry.
 const HEARTBEAT_MS: u64 = 1200;
 
+/// A start of a target: the target's number, and when it was born. Two starts may have the same cookie.
+type Start = (TargetNumber, u64);
+
+fn start(target: &Target) -> Start {
+    (target.number, target.born)
+}
+
 /// A target as it really is.
 #[derive(Debug, Clone)]
 struct RealTarget {
@@ -48,7 +55,7 @@
 struct OpenFlow {
     number: u32,
     /// The start of the target that took the opening packet.
-    holder: Cookie,
+    holder: Start,
     /// The cookie that the caller repeats, which may be that of an earlier start.
     cookie: Cookie,
     sequence: u32,
@@ -93,8 +100,8 @@
         }
     }
 
-    fn is_running(&self, of: Cookie) -> bool {
-        self.targets.iter().any(|real| cookie(&real.target) == of && real.ended_at.is_none())
+    fn is_running(&self, of: Start) -> bool {
+        self.targets.iter().any(|real| start(&real.target) == of && real.ended_at.is_none())
     }
 
     fn is_address_in_use(&self, address: SocketAddrV4) -> bool {
@@ -111,7 +118,7 @@
         let is_missing = self.targets.iter().any(|real| {
             let has_expired =
                 real.former.as_ref().is_some_and(|(_, expires_at)| now >= *expires_at);
-            cookie(&real.target) == flow.holder && has_expired && now < real.writes_at
+            start(&real.target) == flow.holder && has_expired && now < real.writes_at
         });
         assert!(
             !self.is_running(flow.holder) || is_missing,
@@ -121,6 +128,9 @@
 
     fn step(&mut self) {
         self.fixture.advance(ms(self.random.random_range(5..150)));
+        if self.random.random_bool(0.01) {
+            self.restart_daemon();
+        }
         match self.random.random_range(0..40) {
             0 => self.end_target(),
             1 => self.restart_target(),
@@ -203,6 +213,18 @@
         });
     }
 
+    /// Replaces the daemon by one that has seen nothing before, if the store is available to it.
+    fn restart_daemon(&mut self) {
+        if self.store_down_since.is_some() {
+            return;
+        }
+        let now = self.fixture.now;
+        self.fixture.restart();
+        self.checks.clear();
+        self.fixture.directory.confirm_config(now);
+        self.read_store();
+    }
+
     fn toggle_store(&mut self) {
         let now = self.fixture.now;
         let Some(since) = self.store_down_since.take() else {
@@ -267,12 +289,12 @@
     }
 
     /// Returns the start of the running target that takes packets with this destination.
-    fn receiver(&self, to: &Destination) -> Option<Cookie> {
+    fn receiver(&self, to: &Destination) -> Option<Start> {
         let is_receiver = |real: &&RealTarget| {
             let Target { address, number, .. } = real.target;
             real.ended_at.is_none() && (address, number) == (to.address, to.number)
         };
-        self.targets.iter().find(is_receiver).map(|real| cookie(&real.target))
+        self.targets.iter().find(is_receiver).map(|real| start(&real.target))
     }
 
     /// Sends a packet of a flow: half of them repeat the last one, also those to running targets,
