Accept fractions of a second in the settings

Cause: the settings template passes the platform's figures on as they are, and `drain_seconds` and `flow_ttl_seconds` accepted whole numbers only.

Change: both are times that are read from any number of seconds, in both modes, and checked against the same ranges as before. This holds for every figure that the template fills in; the others were fractions already.

`times_may_be_fractions` guards against it.

--- a/examples/packet_rate.rs
+++ b/examples/packet_rate.rs
@@ -261,7 +261,7 @@
             new_flows_per_second: 1_000_000,
             ..Limits::default()
         },
-        drain_seconds: 1,
+        drain_time: Duration::from_secs(1),
         control: Default::default(),
         handover_bytes_per_second: 256 * 1024,
         log: Default::default(),
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -7,7 +7,10 @@
 
 #![allow(clippy::print_stdout, clippy::print_stderr)]
 
-use std::{process::ExitCode, time::Instant};
+use std::{
+    process::ExitCode,
+    time::{Duration, Instant},
+};
 
 use banyanwharf::{
     node::Node,
@@ -61,7 +64,7 @@
         keys: vec![Key { number: 1, key: Secret::from([0xa5; 32]) }],
         sign_with: None,
         limits: Limits::default(),
-        drain_seconds: 2,
+        drain_time: Duration::from_secs(2),
         control: Default::default(),
         handover_bytes_per_second: 256 * 1024,
         log: Default::default(),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -199,13 +199,13 @@
             ("metrics", previous.metrics != settings.metrics),
             ("peer", previous.peer != settings.peer),
             ("platform", previous.platform != settings.platform),
-            ("flow_ttl_seconds", previous.flow_ttl_seconds != settings.flow_ttl_seconds),
+            ("flow_ttl_seconds", previous.flow_ttl != settings.flow_ttl),
             ("cold_factor", previous.cold_factor != settings.cold_factor),
             ("cold_slack", previous.cold_slack != settings.cold_slack),
             ("load_shedding", previous.load_shedding != settings.load_shedding),
             ("target_reports", previous.target_reports != settings.target_reports),
         ];
-        self.settings.drain_seconds = settings.drain_seconds;
+        self.settings.drain_time = settings.drain_time;
         self.shared.contacts.store(Arc::new(settings.contacts));
         self.settings.log = settings.log;
         changed.into_iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| name).collect()
@@ -235,7 +235,7 @@
             warn!("member actor has stopped; other daemons are not told that this daemon leaves");
         }
         let stop_requested_at = Instant::now();
-        let drain = Duration::from_secs(u64::from(self.settings.drain_seconds));
+        let drain = self.settings.drain_time;
         tokio::time::sleep(WITHDRAWAL_TIME.min(drain)).await;
         info!(after_ms = stop_requested_at.elapsed().as_millis() as u64; "daemon stops");
     }
@@ -260,7 +260,7 @@
         placement: settings.placement,
         sheds_load: settings.load_shedding,
         shares_reports: settings.target_reports,
-        ended_target_retention: Duration::from_secs(u64::from(settings.flow_ttl_seconds)),
+        ended_target_retention: settings.flow_ttl,
         ..Tuning::default()
     }
 }
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -165,7 +165,7 @@
         info!("daemon {} is leaving and hands over its records", self.info.name);
         self.shared.is_leaving.store(true, Ordering::Relaxed);
         let began_at = Instant::now();
-        let drain = Duration::from_secs(u64::from(self.settings.drain_seconds));
+        let drain = self.settings.drain_time;
         let _ = self.actors.members.cast(request::Members::AnnounceLeaving);
         let _ = self.commands.send(Command::BeginLeave).await;
         loop {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashSet, net::SocketAddr, ops::RangeInclusive, sync::Arc};
+use std::{collections::HashSet, net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
 use url::Url;
 
@@ -12,6 +12,9 @@
 /// The maximum length of a name in bytes. Names are part of the failure detector's datagrams.
 const MAXIMUM_NAME_BYTES: usize = 64;
 
+/// The range of the time for which a stopping daemon still forwards packets, in seconds.
+const DRAIN_SECONDS: RangeInclusive<f64> = 0.0..=3_600.0;
+
 type Check = Result<(), ValidationError>;
 
 /// Checks all settings of tunnel mode and returns the first error.
@@ -45,8 +48,8 @@
     if settings.peer.is_some() || !settings.keys.is_empty() {
         check_keys(&settings.keys, None)?;
     }
-    check_range(&[Field("drain_seconds")], settings.drain_seconds, 0..=3_600, "seconds")?;
-    check_range(&[Field("flow_ttl_seconds")], settings.flow_ttl_seconds, 1..=86_400, "seconds")?;
+    check_seconds("drain_seconds", settings.drain_time, DRAIN_SECONDS)?;
+    check_seconds("flow_ttl_seconds", settings.flow_ttl, 1.0..=86_400.0)?;
     check_range(&[Field("cold_factor")], settings.cold_factor, 0.0..=100.0, "times the rate")?;
     check_range(&[Field("cold_slack")], settings.cold_slack, 0.0..=1_000.0, "flows a second")
 }
@@ -186,7 +189,7 @@
 fn check_ranges(settings: &Settings) -> Check {
     let limits = &settings.limits;
     let control = &settings.control;
-    let integers: [(&[PathSegment], u32, RangeInclusive<u32>, &str); 8] = [
+    let integers: [(&[PathSegment], u32, RangeInclusive<u32>, &str); 7] = [
         (&[Field("limits"), Field("owned_flows")], limits.owned_flows, 1_000..=20_000_000, "flows"),
         (
             &[Field("limits"), Field("cached_flows")],
@@ -206,7 +209,6 @@
             1..=10_000_000,
             "flows a second",
         ),
-        (&[Field("drain_seconds")], settings.drain_seconds, 0..=3_600, "seconds"),
         (
             &[Field("control"), Field("bytes_per_second")],
             control.bytes_per_second,
@@ -229,6 +231,7 @@
     for (path, value, range, unit) in integers {
         check_range(path, value, range, unit)?;
     }
+    check_seconds("drain_seconds", settings.drain_time, DRAIN_SECONDS)?;
     check_range(
         &[Field("limits"), Field("caller_share")],
         limits.caller_share,
@@ -243,6 +246,10 @@
     )
 }
 
+fn check_seconds(field: &'static str, time: Duration, range: RangeInclusive<f64>) -> Check {
+    check_range(&[Field(field)], time.as_secs_f64(), range, "seconds")
+}
+
 fn check_range<T>(path: &[PathSegment], value: T, range: RangeInclusive<T>, unit: &str) -> Check
 where
     T: PartialOrd + std::fmt::Display,
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, path::Path, sync::Arc};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use serde::Deserialize;
 use url::Url;
@@ -6,7 +6,8 @@
 use crate::{
     settings::{
         Control, Key, Limits, Log, Mode, Result, Secret, Trace, ValidationError, check, locate,
-        parse_text, read, strict::strict,
+        parse_text, read,
+        strict::{seconds, strict},
     },
     wire::{self, Keyring},
 };
@@ -54,9 +55,13 @@
     /// The capacities of tables and the limits on callers.
     #[serde(default)]
     pub limits: Limits,
-    /// How long the fabric may go on sending packets to a leaving daemon, in seconds.
-    #[serde(default = "default_drain_seconds", deserialize_with = "strict")]
-    pub drain_seconds: u32,
+    /// How long the fabric may go on sending packets to a leaving daemon.
+    #[serde(
+        rename = "drain_seconds",
+        default = "default_drain_time",
+        deserialize_with = "seconds"
+    )]
+    pub drain_time: Duration,
     /// The rate limit of control messages.
     #[serde(default)]
     pub control: Control,
@@ -121,8 +126,8 @@
     }
 }
 
-fn default_drain_seconds() -> u32 {
-    30
+fn default_drain_time() -> Duration {
+    Duration::from_secs(30)
 }
 
 fn default_handover_bytes_per_second() -> u32 {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -1,13 +1,17 @@
 use std::{
     net::{SocketAddr, SocketAddrV4},
     sync::Arc,
+    time::Duration,
 };
 
 use serde::Deserialize;
 use url::Url;
 
 use crate::cookie::Placement;
-use crate::settings::{Key, Log, Mode, Result, check, locate, parse_text, strict::strict};
+use crate::settings::{
+    Key, Log, Mode, Result, check, locate, parse_text,
+    strict::{seconds, strict},
+};
 
 /// The settings of one daemon in gateway mode.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -47,12 +51,20 @@
     /// set.
     #[serde(default)]
     pub keys: Vec<Key>,
-    /// The maximum time for which a stopping daemon still forwards packets, in seconds.
-    #[serde(default = "default_drain_seconds", deserialize_with = "strict")]
-    pub drain_seconds: u32,
-    /// The maximum age of a flow in seconds.
-    #[serde(default = "default_flow_ttl_seconds", deserialize_with = "strict")]
-    pub flow_ttl_seconds: u32,
+    /// The maximum time for which a stopping daemon still forwards packets.
+    #[serde(
+        rename = "drain_seconds",
+        default = "default_drain_time",
+        deserialize_with = "seconds"
+    )]
+    pub drain_time: Duration,
+    /// The maximum age of a flow.
+    #[serde(
+        rename = "flow_ttl_seconds",
+        default = "default_flow_ttl",
+        deserialize_with = "seconds"
+    )]
+    pub flow_ttl: Duration,
     /// The factor by which the configured rate of new flows to a cold target is multiplied.
     #[serde(default = "default_cold_factor", deserialize_with = "strict")]
     pub cold_factor: f64,
@@ -88,12 +100,12 @@
     }
 }
 
-fn default_drain_seconds() -> u32 {
-    5
+fn default_drain_time() -> Duration {
+    Duration::from_secs(5)
 }
 
-fn default_flow_ttl_seconds() -> u32 {
-    60
+fn default_flow_ttl() -> Duration {
+    Duration::from_secs(60)
 }
 
 fn default_cold_factor() -> f64 {
--- a/src/settings/strict.rs
+++ b/src/settings/strict.rs
@@ -1,4 +1,4 @@
-use std::{fmt, marker::PhantomData};
+use std::{fmt, marker::PhantomData, time::Duration};
 
 use serde::{
     Deserialize, Deserializer,
@@ -17,6 +17,16 @@
     deserializer.deserialize_any(NumberVisitor(PhantomData))
 }
 
+/// Deserializes a time from a number of seconds, which may have a fraction.
+pub(super) fn seconds<'de, D>(deserializer: D) -> Result<Duration, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let seconds: f64 = strict(deserializer)?;
+    let invalid = |error| D::Error::custom(format_args!("{seconds} s is not a time: {error}"));
+    Duration::try_from_secs_f64(seconds).map_err(invalid)
+}
+
 struct NumberVisitor<T>(PhantomData<T>);
 
 impl<'de, T: Deserialize<'de>> Visitor<'de> for NumberVisitor<T> {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,9 +1,9 @@
 //! Invalid settings must be refused with the right position, and no key may be shown.
 
-use std::{fs, path::PathBuf};
+use std::{fs, path::PathBuf, time::Duration};
 
 use banyanwharf::{
-    settings::{Error, File, Level, LocatedError, MAXIMUM_BYTES, Output, Settings},
+    settings::{Error, File, Gateway, Level, LocatedError, MAXIMUM_BYTES, Output, Settings},
     ticket::Ticket,
 };
 use miette::Diagnostic as _;
@@ -30,7 +30,7 @@
     let File::Gateway(settings) = File::load(&path).expect("the sample is correct") else {
         panic!("the sample is for gateway mode")
     };
-    assert_eq!((&*settings.zone, settings.drain_seconds), ("mvd-cerro", 5));
+    assert_eq!((&*settings.zone, settings.drain_time), ("mvd-cerro", Duration::from_secs(5)));
     let (path, _) = sample("deployment-a.jsonc");
     assert!(matches!(File::load(&path), Ok(File::Tunnel(_))));
     for (from, to, message) in [
@@ -145,6 +145,39 @@
     }
 }
 
+/// Guards against a daemon that does not start because a time is not a whole number of seconds, or is
+/// written with a decimal point.
+#[test]
+fn times_may_be_fractions() {
+    let (_, text) = sample("gateway.jsonc");
+    let with = |drain: &str, ttl: &str| {
+        let text = text.replace("\"drain_seconds\": 5", &format!("\"drain_seconds\": {drain}"));
+        text.replace("\"flow_ttl_seconds\": 60", &format!("\"flow_ttl_seconds\": {ttl}"))
+    };
+    for (drain, ttl, expected) in
+        [("6.5", "59.5", [6_500, 59_500]), ("6.0", "60.0", [6_000, 60_000]), ("0", "1", [0, 1_000])]
+    {
+        let settings = Gateway::parse("test.jsonc", &with(drain, ttl)).expect("valid settings");
+        assert_eq!([settings.drain_time, settings.flow_ttl], expected.map(Duration::from_millis));
+    }
+    for (drain, ttl, message) in [
+        ("3600.5", "60", "drain_seconds: 3600.5 seconds is out of range"),
+        ("5", "0.5", "flow_ttl_seconds: 0.5 seconds is out of range"),
+        ("-0.5", "60", "-0.5 s is not a time"),
+        ("5", "1e30", "s is not a time"),
+        ("NaN", "60", "NaN s is not a time"),
+        ("\"6.5\"", "60", "expected a number"),
+    ] {
+        let error = Gateway::parse("test.jsonc", &with(drain, ttl)).expect_err("invalid settings");
+        let Error::Located(located) = error else { panic!("{error} has no position") };
+        assert!(located.message.contains(message), "{}", located.message);
+    }
+    let (_, text) = sample("deployment-a.jsonc");
+    let text = text.replace("\"drain_seconds\": 30", "\"drain_seconds\": 2.5");
+    let settings = Settings::parse("test.jsonc", &text).expect("valid settings");
+    assert_eq!(settings.drain_time, Duration::from_millis(2_500));
+}
+
 /// Guards against an error that does not point at the second of two equal key numbers, and against
 /// errors that show a key.
 #[test]
