Read large configurations on slow links, and evacuations beside them

Cause: a call to the store had 1 s until the last byte of its response, whatever its size, and such a configuration takes as long on a link of 10 Mbit/s. Evacuations were read only together with it. Each announcement of the zone reader also ended the call of a follower that was under way.

While a response with operators' items is under way, the zones out of service are read without the configuration, and earlier changes that arrive later do not undo them. Announcements no longer end a call. Since a response may now be under way for seconds, it confirms what it shows as of its first part: otherwise targets and routes added meanwhile would seem not to exist.

Before the change `slow_response_is_read_while_it_makes_progress` failed with a timeout, and `zone_is_taken_out_while_a_configuration_is_under_way` with "the zone is out of service: not within 30s" (both on a scratch copy with the new limits switched off, a trial).

--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::cookie::{
     Availability, Change, Config, Entry, EntryChange, Listing, ListingUpdate, OperatorState,
-    Presence, Revision, Sequence, Target, Tuning, Version, View,
+    Presence, Revision, Sequence, Target, Tuning, Version, View, ZonesOut,
     directory::{era::EraStart, known_target::KnownTarget},
     hash::cookie,
     store_health::StoreHealth,
@@ -42,6 +42,9 @@
     /// The store's revision up to which all changes of operators have been applied.
     operator_revision: Revision,
     zones_out: BTreeSet<Arc<str>>,
+    /// The store's revision at the last read of the zones out of service. It is higher than
+    /// `operator_revision` if they were read without the configuration since.
+    zones_revision: Revision,
     /// The zones that returned to service, with the store's revision and the time of their return.
     zones_back: BTreeMap<Arc<str>, (Revision, Instant)>,
     /// The zones out of service whose items the store has not shown since it returned from a copy,
@@ -90,6 +93,7 @@
             confirmed_at: None,
             operator_revision: Revision::default(),
             zones_out: BTreeSet::new(),
+            zones_revision: Revision::default(),
             zones_back: BTreeMap::new(),
             unconfirmed_zones: BTreeMap::new(),
             withheld_version: None,
@@ -135,7 +139,7 @@
     /// Records that the store confirmed the configuration as current.
     pub fn confirm_config(&mut self, now: Instant) {
         self.store_health.record_success(now);
-        self.confirmed_at = Some(now);
+        self.confirmed_at = self.confirmed_at.max(Some(now));
     }
 
     /// Applies a complete read of the operator state.
@@ -145,6 +149,10 @@
         }
         let is_same = operator.revision == self.operator_revision;
         let mut listed: BTreeSet<Arc<str>> = operator.zones_out.iter().cloned().collect();
+        if operator.revision < self.zones_revision {
+            // The zones have been read later than the rest.
+            listed = self.confirmed_zones_out();
+        }
         for (zone, _) in &operator.unconfirmed_zones {
             listed.remove(zone);
         }
@@ -159,24 +167,51 @@
         }
         self.unconfirmed_zones.retain(|zone, _| !listed.contains(zone));
         self.merge_unconfirmed_zones(now, operator);
-        let mut zones = listed;
-        zones.extend(self.unconfirmed_zones.keys().cloned());
-        let back: Vec<Arc<str>> = self.zones_out.difference(&zones).cloned().collect();
-        for zone in back {
-            self.zones_back.insert(zone, (operator.revision, now));
-        }
+        self.set_zones_out(now, operator.revision, listed);
         for (zone, since) in &operator.zones_back {
-            if !zones.contains(zone) && !self.zones_back.contains_key(zone) {
+            if !self.zones_out.contains(zone) && !self.zones_back.contains_key(zone) {
                 self.zones_back.insert(zone.clone(), (*since, now));
                 self.sequence += 1;
             }
         }
+        self.release_unconfirmed_zones();
+        if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
+    }
+
+    /// Applies a read of the zones out of service without the configuration. A read of another era
+    /// than the known state is ignored.
+    pub fn apply_zones_out(&mut self, now: Instant, read: &ZonesOut) -> ApplyOutcome {
+        let ZonesOut { revision, zones } = read;
+        if !revision.follows(self.operator_revision) || *revision < self.zones_revision {
+            return ApplyOutcome::Ignored;
+        }
+        let before = self.sequence;
+        self.zones_revision = *revision;
+        let listed: BTreeSet<Arc<str>> = zones.iter().cloned().collect();
+        self.unconfirmed_zones.retain(|zone, _| !listed.contains(zone));
+        self.set_zones_out(now, *revision, listed);
+        if self.sequence == before { ApplyOutcome::Same } else { ApplyOutcome::New }
+    }
+
+    /// Takes the zones `listed`, which have items at `revision`, and those that wait for their items
+    /// out of service, and returns the others to service.
+    fn set_zones_out(&mut self, now: Instant, revision: Revision, listed: BTreeSet<Arc<str>>) {
+        let mut zones = listed;
+        zones.extend(self.unconfirmed_zones.keys().cloned());
+        let back: Vec<Arc<str>> = self.zones_out.difference(&zones).cloned().collect();
+        for zone in back {
+            self.zones_back.insert(zone, (revision, now));
+        }
         if self.zones_out != zones {
             self.zones_out = zones;
-            self.record_operator_change(operator.revision);
+            self.record_operator_change(revision);
         }
-        self.release_unconfirmed_zones();
-        if is_same { ApplyOutcome::Same } else { ApplyOutcome::New }
+    }
+
+    /// Returns the zones out of service whose items the store has shown.
+    fn confirmed_zones_out(&self) -> BTreeSet<Arc<str>> {
+        let is_confirmed = |zone: &&Arc<str>| !self.unconfirmed_zones.contains_key(*zone);
+        self.zones_out.iter().filter(is_confirmed).cloned().collect()
     }
 
     /// Applies one change that operators published at the store's revision `revision`. A change of
@@ -190,7 +225,9 @@
         if !revision.follows(self.operator_revision) {
             return ApplyOutcome::Ignored;
         }
+        let is_known_zone = revision <= self.zones_revision;
         match change {
+            Change::ZoneOut(_) | Change::ZoneBack(..) if is_known_zone => {}
             Change::Config(config) => self.set_config(now, config),
             Change::ZoneOut(zone) => {
                 self.zones_back.remove(&zone);
--- a/src/cookie/mod.rs
+++ b/src/cookie/mod.rs
@@ -50,7 +50,7 @@
 pub use forwarder::Forwarder;
 pub use hash::cookie;
 pub use listing::{EntryChange, Listing, ListingUpdate};
-pub use operator::{Change, OperatorState};
+pub use operator::{Change, OperatorState, ZonesOut};
 pub use packet::{Kind, Packet};
 pub use placement::Placement;
 pub use revision::Revision;
--- a/src/cookie/operator.rs
+++ b/src/cookie/operator.rs
@@ -24,6 +24,15 @@
     pub zones_back: Vec<(Arc<str>, Revision)>,
 }
 
+/// The availability zones out of service, read without the configuration.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct ZonesOut {
+    /// The store's revision at the time of the read.
+    pub revision: Revision,
+    /// The zones that are out of service.
+    pub zones: Vec<Arc<str>>,
+}
+
 /// One change that operators have published.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -11,7 +11,7 @@
     admin::Cursor,
     cookie::{
         ApplyOutcome, Delta, Directory, Entry, Listing, ListingUpdate, OperatorState, Position,
-        Presence, Revision, Tuning, Version, View,
+        Presence, Revision, Tuning, Version, View, ZonesOut,
     },
     gateway::{
         Changes, MAXIMUM_CHANGE_LINES, ReadOutcome, RejectedItem, follow_response::FollowResponse,
@@ -35,6 +35,8 @@
     OperatorStateRead(ReadOutcome<OperatorState>),
     /// The watch of the operators' items has returned the changes since the last read.
     OperatorChangesRead(ReadOutcome<Changes>),
+    /// The zones out of service were read from the store without the configuration.
+    ZonesOutRead(ReadOutcome<ZonesOut>),
     /// All targets were read from the store.
     TargetsRead(ReadOutcome<Listing>),
     /// The watch of the targets has returned the changes since the last read.
@@ -115,13 +117,16 @@
 }
 
 impl State {
+    /// Handles a message. What the store's responses confirm is confirmed as of the arrival of their
+    /// first part, since the rest of a large response may arrive seconds after changes that it does
+    /// not contain.
     fn handle(&mut self, now: Instant, request: Request) {
         match request {
             Request::OperatorStateRead(read) => {
                 self.log_rejected(&read.rejected);
                 // A late response of an earlier era shows what is no longer in the store.
                 if read.value.revision.era >= self.directory.operator_revision().era {
-                    self.directory.confirm_config(now);
+                    self.directory.confirm_config(read.responded_at);
                 }
                 self.directory.apply_operator_state(now, &read.value);
             }
@@ -131,22 +136,26 @@
                 if read.value.revision.era != self.directory.operator_revision().era {
                     return;
                 }
-                self.directory.confirm_config(now);
+                self.directory.confirm_config(read.responded_at);
                 for (revision, change) in read.value.changes {
                     self.directory.apply_change(now, revision, change);
                 }
                 self.directory.advance_operator_revision(read.value.revision);
             }
+            Request::ZonesOutRead(read) => {
+                self.log_rejected(&read.rejected);
+                self.directory.apply_zones_out(now, &read.value);
+            }
             Request::TargetsRead(read) => {
                 self.log_rejected(&read.rejected);
                 let revision = read.value.revision;
-                let applied = self.directory.apply_listing(now, read.value);
+                let applied = self.directory.apply_listing(read.responded_at, read.value);
                 self.log_ignored(applied, revision);
             }
             Request::TargetsUpdated(read) => {
                 self.log_rejected(&read.rejected);
                 let revision = read.value.revision;
-                let applied = self.directory.apply_update(now, read.value);
+                let applied = self.directory.apply_update(read.responded_at, read.value);
                 self.log_ignored(applied, revision);
             }
             Request::PeerStateFetched(state) => {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -45,7 +45,7 @@
 const MAXIMUM_CONFIG_AGE: Duration = Duration::from_millis(3000);
 
 /// How long this daemon may take to read an operators' change from the store after the zone reader
-/// has announced it.
+/// has announced it, if its calls fail.
 const MAXIMUM_OPERATOR_LAG: Duration = Duration::from_millis(1000);
 
 /// The maximum number of daemons that are tried as the zone reader, one after the other.
@@ -64,8 +64,7 @@
     )]
     Inapplicable,
     #[error(
-        "this daemon did not read the operators' changes that the zone reader announced from the \
-         store in time"
+        "this daemon cannot read the operators' changes that the zone reader announced from the store"
     )]
     Lagging,
     #[error("directory actor has stopped")]
@@ -193,11 +192,13 @@
         let read_up_to = applied.ok_or(Error::Inapplicable)?;
         if read_up_to < operator_change_revision {
             let lagging_since = *zone_reader.lagging_since.get_or_insert_with(Instant::now);
-            if lagging_since.elapsed() > MAXIMUM_OPERATOR_LAG {
+            // A large configuration may take longer while its call makes progress.
+            let is_failing = self.shared.is_operator_read_failing.load(Ordering::Relaxed);
+            if is_failing && lagging_since.elapsed() > MAXIMUM_OPERATOR_LAG {
                 return Err(Error::Lagging);
             }
             self.shared.announce_operator_change(operator_change_revision);
-            self.shared.reader_wakeup.notify_waiters();
+            self.shared.operator_announcement.notify_one();
         } else {
             zone_reader.lagging_since = None;
         }
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -1,9 +1,10 @@
 use std::{
+    pin::pin,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use ractor::ActorRef;
 use tokio::time::{sleep_until, timeout};
 
@@ -27,6 +28,13 @@
 /// those that follow it are up to date 4 s after the connection failed.
 const OPERATOR_WATCH_WAIT: Duration = Duration::from_millis(2000);
 
+/// How long a response with operators' items may be under way before the zones out of service are
+/// read separately. A large configuration takes seconds on a slow link.
+const ZONES_READ_DELAY: Duration = Duration::from_millis(500);
+
+/// The time between two separate reads of the zones out of service.
+const ZONES_READ_PERIOD: Duration = Duration::from_millis(1000);
+
 /// How often a reader task checks whether this daemon still follows a zone reader, in case that the
 /// task was not woken up.
 const FOLLOWING_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -86,13 +94,17 @@
         known = known.filter(|known| known.era >= newest_era);
         let request = match known {
             None => {
-                tracker.record_result("watch", source.read_operator_state().await).map(|read| {
+                let call = source.read_operator_state();
+                let no_wait = Duration::ZERO;
+                let result = await_with_zones(&*source, &directory_actor, no_wait, call).await;
+                tracker.record_result("watch", result).map(|read| {
                     known = Some(read.value.revision);
                     Request::OperatorStateRead(read)
                 })
             }
             Some(after) => {
                 let call = source.watch_operator_changes(after, wait);
+                let call = await_with_zones(&*source, &directory_actor, wait, call);
                 let result = tokio::select! {
                     result = call => result,
                     // The connection of the watch may have failed: the process was paused, or another
@@ -127,6 +139,37 @@
     }
 }
 
+/// Returns the result of `call`, a read of the operators' items that the store answers after `wait` at
+/// the latest. While its response is under way, the zones out of service are read separately.
+async fn await_with_zones<T>(
+    source: &impl Source,
+    directory_actor: &ActorRef<Request>,
+    wait: Duration,
+    call: impl Future<Output = T>,
+) -> T {
+    let mut call = pin!(call);
+    let mut next = tokio::time::Instant::now() + wait + ZONES_READ_DELAY;
+    loop {
+        let read_zones = async {
+            sleep_until(next).await;
+            source.read_zones_out().await
+        };
+        let zones = tokio::select! {
+            result = &mut call => return result,
+            zones = read_zones => zones,
+        };
+        match zones {
+            Ok(read) => {
+                if directory_actor.cast(Request::ZonesOutRead(read)).is_err() {
+                    return call.await;
+                }
+            }
+            Err(error) => debug!("zones out of service could not be read separately: {error}"),
+        }
+        next = tokio::time::Instant::now() + ZONES_READ_PERIOD;
+    }
+}
+
 /// Reads and watches the targets until the directory actor has stopped.
 pub(super) async fn run_targets_reader(
     source: Arc<impl Source>,
@@ -261,6 +304,7 @@
         }
         Ok(update) => {
             read.value.apply(update.value);
+            read.responded_at = update.responded_at;
             read.rejected.extend(update.rejected);
             Ok(read)
         }
@@ -306,7 +350,13 @@
         && !is_unread(**shared.announced_operator_revision.load())
     {
         // The condition is checked again both after a wake-up and after the timeout.
-        let _ = timeout(FOLLOWING_CHECK_PERIOD, shared.reader_wakeup.notified()).await;
+        let wakeup = async {
+            tokio::select! {
+                () = shared.reader_wakeup.notified() => {}
+                () = shared.operator_announcement.notified() => {}
+            }
+        };
+        let _ = timeout(FOLLOWING_CHECK_PERIOD, wakeup).await;
     }
     was_following
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -58,6 +58,9 @@
     /// Wakes the reader of the operators' items, since the store may hold a change that its watch has
     /// not reported.
     pub(super) operator_check: Notify,
+    /// Wakes the reader of the operators' items, since the zone reader has announced a change. Unlike
+    /// `reader_wakeup`, it does not end a call that is under way.
+    pub(super) operator_announcement: Notify,
     /// Wakes the tasks that read the store before their next period.
     pub(super) reader_wakeup: Notify,
     /// The statistics of the packet loop at its last sweep.
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -1,7 +1,11 @@
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use crate::{
-    cookie::{Change, Listing, ListingUpdate, OperatorState, Revision},
+    cookie::{Change, Listing, ListingUpdate, OperatorState, Revision, ZonesOut},
     platform::Result,
 };
 
@@ -30,14 +34,18 @@
 pub struct ReadOutcome<T> {
     /// The value that was decoded from the valid items.
     pub value: T,
+    /// When the first part of the store's response arrived, the earliest one of several responses.
+    /// The value shows the store at most the timeouts of a call before this, whereas the last part
+    /// of a large response may have arrived much later.
+    pub responded_at: Instant,
     /// The items that could not be decoded.
     pub rejected: Vec<RejectedItem>,
 }
 
 impl<T> ReadOutcome<T> {
     /// Creates a result without rejected items.
-    pub fn new(value: T) -> ReadOutcome<T> {
-        ReadOutcome { value, rejected: Vec::new() }
+    pub fn new(responded_at: Instant, value: T) -> ReadOutcome<T> {
+        ReadOutcome { value, responded_at, rejected: Vec::new() }
     }
 }
 
@@ -61,6 +69,13 @@
         &self,
     ) -> impl Future<Output = Result<ReadOutcome<OperatorState>>> + Send;
 
+    /// Reads the zones out of service without the configuration, which may be large.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer.
+    fn read_zones_out(&self) -> impl Future<Output = Result<ReadOutcome<ZonesOut>>> + Send;
+
     /// Returns the changes that operators published after the revision `after`. If there are none,
     /// the call waits up to `wait` for the first one.
     ///
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -29,12 +29,12 @@
         /// The cause.
         source: Box<dyn std::error::Error + Send + Sync>,
     },
-    /// The response was not complete within the timeout.
-    #[error("no complete response from {url} after {} ms", after.as_millis())]
+    /// The response, or its next part, did not arrive within a timeout.
+    #[error("no complete response from {url}: a timeout of {} ms has expired", after.as_millis())]
     Timeout {
         /// The URL.
         url: String,
-        /// The timeout of the call.
+        /// The timeout that has expired.
         after: Duration,
     },
     /// The platform rejected the call, since its limit on calls per second is exceeded (429).
--- a/src/platform/fetcher.rs
+++ b/src/platform/fetcher.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt as _, Empty, LengthLimitError, Limited};
 use hyper::{
@@ -27,6 +27,17 @@
 /// reset, and a call that uses it then fails only after its timeout.
 const MAXIMUM_IDLE_TIME: Duration = Duration::from_secs(1);
 
+/// A decoded response.
+#[derive(Debug)]
+pub(crate) struct Fetched<T> {
+    pub(crate) value: T,
+    /// The value of the requested header, if the response has it. Bytes that are not text are
+    /// replaced.
+    pub(crate) header: Option<String>,
+    /// When the first part of the response arrived. The rest of a large one may arrive much later.
+    pub(crate) responded_at: Instant,
+}
+
 /// Sends GET requests with limits on the time and on the size of responses.
 #[derive(Debug, Clone)]
 pub(crate) struct Fetcher {
@@ -55,8 +66,8 @@
 
     /// Returns the status and body of `url`, whose server may wait up to `wait` before it responds.
     pub(crate) async fn get(&self, url: &str, wait: Duration) -> Result<(StatusCode, Bytes)> {
-        let (head, body) = self.get_response(url, wait).await?.into_parts();
-        Ok((head.status, body))
+        let (response, _) = self.get_response(url, wait).await?;
+        Ok((response.status(), response.into_body()))
     }
 
     /// Returns the decoded JSON value of `url`. `index` is the index of the call, which the error
@@ -65,30 +76,29 @@
     where
         T: for<'de> Deserialize<'de>,
     {
-        let (value, _) = self.get_json_with_header(url, "", index, wait).await?;
-        Ok(value)
+        Ok(self.get_json_with_header(url, "", index, wait).await?.value)
     }
 
-    /// Returns the decoded JSON value of `url` and the value of the response's header `header`, if
-    /// there is one. Bytes of the value that are not text are replaced. `index` is the index of the call, which the error
-    /// [`Error::Gone`] contains.
+    /// Returns the decoded JSON value of `url` with the response's header `header`. `index` is the
+    /// index of the call, which the error [`Error::Gone`] contains.
     pub(crate) async fn get_json_with_header<T>(
         &self,
         url: String,
         header: &str,
         index: Index,
         wait: Duration,
-    ) -> Result<(T, Option<String>)>
+    ) -> Result<Fetched<T>>
     where
         T: for<'de> Deserialize<'de>,
     {
-        let response = self.get_response(&url, wait).await?;
+        let (response, responded_at) = self.get_response(&url, wait).await?;
         match response.status() {
             StatusCode::OK => {
                 let text = response.headers().get(header);
                 let text = text.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned());
                 let value = serde_json::from_slice(response.body());
-                Ok((value.map_err(|source| Error::Malformed { url, source })?, text))
+                let value = value.map_err(|source| Error::Malformed { url, source })?;
+                Ok(Fetched { value, header: text, responded_at })
             }
             StatusCode::GONE => Err(Error::Gone { index }),
             StatusCode::TOO_MANY_REQUESTS => Err(Error::RateLimited),
@@ -99,30 +109,35 @@
 
     /// Returns the status of `url` and ignores the body.
     pub(super) async fn get_status(&self, url: &str) -> Result<StatusCode> {
-        let call = async { Ok(self.send_request(url).await?.status()) };
-        self.with_timeout(url, Duration::ZERO, call).await
+        let Timeouts { connect, response, .. } = self.timeouts;
+        let head = with_timeout(url, connect + response, self.send_request(url)).await?;
+        Ok(head.status())
     }
 
-    async fn get_response(&self, url: &str, wait: Duration) -> Result<Response<Bytes>> {
-        let call = async {
-            let (head, body) = self.send_request(url).await?.into_parts();
-            let body = Limited::new(body, self.max_body_bytes).collect().await;
-            let body = body.map_err(|source| self.body_error(url, source))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
-        };
-        self.with_timeout(url, wait, call).await
+    /// Returns the response, and when its first part arrived.
+    async fn get_response(&self, url: &str, wait: Duration) -> Result<(Response<Bytes>, Instant)> {
+        let Timeouts { connect, response, transfer } = self.timeouts;
+        let first_part = self.send_request(url);
+        let head = with_timeout(url, wait + connect + response, first_part).await?;
+        let responded_at = Instant::now();
+        let (head, body) = head.into_parts();
+        let body = with_timeout(url, transfer, self.collect(url, body)).await?;
+        Ok((Response::from_parts(head, body), responded_at))
     }
 
-    async fn with_timeout<T>(
-        &self,
-        url: &str,
-        wait: Duration,
-        call: impl Future<Output = Result<T>>,
-    ) -> Result<T> {
-        let after = wait + self.timeouts.connect + self.timeouts.response;
-        match tokio::time::timeout(after, call).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::Timeout { url: url.into(), after }),
+    /// Returns the whole of a body. A large one may take long, so the timeout applies to each part.
+    async fn collect(&self, url: &str, body: Incoming) -> Result<Bytes> {
+        let mut body = Limited::new(body, self.max_body_bytes);
+        let mut bytes = Vec::new();
+        loop {
+            let next = async { Ok(body.frame().await) };
+            let Some(frame) = with_timeout(url, self.timeouts.response, next).await? else {
+                return Ok(bytes.into());
+            };
+            let frame = frame.map_err(|source| self.body_error(url, source))?;
+            if let Some(data) = frame.data_ref() {
+                bytes.extend_from_slice(data);
+            }
         }
     }
 
@@ -151,3 +166,14 @@
         Error::ConnectionLost { url, source }
     }
 }
+
+async fn with_timeout<T>(
+    url: &str,
+    after: Duration,
+    call: impl Future<Output = Result<T>>,
+) -> Result<T> {
+    match tokio::time::timeout(after, call).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::Timeout { url: url.into(), after }),
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,7 +20,7 @@
 pub use client::Client;
 pub use endpoint::{EndpointClient, Health, Load};
 pub use error::{Error, Result};
-pub(crate) use fetcher::Fetcher;
+pub(crate) use fetcher::{Fetched, Fetcher};
 pub use schedule::{Backoff, Schedule};
 pub use tickets::Tickets;
 pub use timeouts::Timeouts;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -548,6 +548,12 @@
         let zones: Vec<&str> = read.zones_out.iter().map(|zone| &**zone).collect();
         let expected: &[&str] = if has_key { &["zone-a", "zone-b"] } else { &["zone-b"] };
         assert_eq!(zones, expected, "{frame}");
+        let zones_out = client.read_zones_out().await.expect("the zones").value;
+        assert_eq!(
+            (zones_out.revision, zones_out.zones),
+            (read.revision, read.zones_out),
+            "{frame}"
+        );
         let watch =
             client.watch_operator_changes(0.into(), Duration::ZERO).await.expect("changes").value;
         assert_eq!(watch.changes.len(), expected.len() + 1, "{frame}");
--- a/tests/cookie.rs
+++ b/tests/cookie.rs
@@ -12,7 +12,7 @@
 use banyanwharf::cookie::{
     ApplyOutcome, Availability, Cause, Change, CheckOutcome, Cookie, Directory, EntryChange, Event,
     Forwarder, Kind, Listing, ListingUpdate, OperatorState, Packet, Placement, Presence, Reason,
-    Target, Tuning, Verdict, cookie,
+    Revision, Target, Tuning, Verdict, ZonesOut, cookie,
 };
 use cookies::*;
 
@@ -1434,3 +1434,37 @@
     fixture.forwarder.sweep(fixture.now);
     assert_eq!(fixture.forwarder.flow_count(), 0);
 }
+
+/// Guards against a zone that returns to service, or stays in it, because changes that were published
+/// before the zones were read separately are applied later, with a large configuration.
+#[test]
+fn zones_read_separately_are_not_undone_by_earlier_changes() {
+    let mut fixture = DaemonFixture::new(targets("web", 1, 1));
+    let now = fixture.now;
+    let zone: Arc<str> = OTHER_ZONE.into();
+    let read = |number: u64, zones: &[&str]| ZonesOut {
+        revision: number.into(),
+        zones: zones.iter().map(|zone| Arc::from(*zone)).collect(),
+    };
+    let directory = &mut fixture.directory;
+    let zones_out = |directory: &Directory| directory.operator_state(now).zones_out;
+    let own_revision = directory.operator_revision();
+    // Taken out at 8, read at 9; an earlier return at 6 arrives only now.
+    assert_eq!(directory.apply_zones_out(now, &read(9, &[OTHER_ZONE])), ApplyOutcome::New);
+    assert_eq!(directory.operator_revision(), own_revision, "other changes may be missing");
+    directory.apply_change(now, 6.into(), Change::ZoneBack(zone.clone(), 6.into()));
+    let state = OperatorState { revision: 7.into(), ..OperatorState::default() };
+    directory.apply_operator_state(now, &state);
+    assert_eq!(zones_out(directory), std::slice::from_ref(&zone));
+    // A response that was sent earlier and one of another era are ignored.
+    assert_eq!(directory.apply_zones_out(now, &read(8, &[])), ApplyOutcome::Ignored);
+    let later_era = ZonesOut { revision: Revision { era: 1, number: 20 }, zones: Vec::new() };
+    assert_eq!(directory.apply_zones_out(now, &later_era), ApplyOutcome::Ignored);
+    assert_eq!(zones_out(directory), std::slice::from_ref(&zone));
+    // Returned at 11; the earlier change at 8 arrives afterwards.
+    assert_eq!(directory.apply_zones_out(now, &read(12, &[])), ApplyOutcome::New);
+    directory.apply_change(now, 8.into(), Change::ZoneOut(zone.clone()));
+    assert!(zones_out(directory).is_empty());
+    directory.apply_change(now, 13.into(), Change::ZoneOut(zone.clone()));
+    assert_eq!(zones_out(directory), [zone]);
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,16 +12,20 @@
         Arc,
         atomic::{AtomicU16, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use banyanwharf::{
     adapter::{PacketCodec, READY_PATH},
+    admin::{ApiClient as _, Cursor},
     cookie::work::Report,
-    cookie::{Destination, Flow, Listing, ListingUpdate, OperatorState, Packet, Revision},
+    cookie::{
+        Destination, Flow, Listing, ListingUpdate, OperatorState, Packet, Revision, ZonesOut,
+    },
     gateway::{Changes, Codec, Consistency, DecodeError, Gateway, ReadOutcome, Source},
     member,
     platform::Error,
+    ticket::ZoneState,
     wire::{Body, Frame, Keyring, TargetReport},
 };
 use banyanwharf_testkit::{Proxy, ProxyMode, Replica, Store, StoreMode};
@@ -450,6 +454,10 @@
         Err(Error::RateLimited)
     }
 
+    async fn read_zones_out(&self) -> Result<ReadOutcome<ZonesOut>, Error> {
+        Err(Error::RateLimited)
+    }
+
     async fn watch_operator_changes(
         &self,
         _: Revision,
@@ -500,7 +508,11 @@
         tokio::time::sleep(Duration::from_millis(500)).await;
         let is_first = self.operator_reads.fetch_add(1, Ordering::Relaxed) == 0;
         let revision = Revision { era: if is_first { 0 } else { self.era }, number: 5 };
-        Ok(ReadOutcome::new(OperatorState { revision, ..OperatorState::default() }))
+        Ok(ReadOutcome::new(Instant::now(), OperatorState { revision, ..OperatorState::default() }))
+    }
+
+    async fn read_zones_out(&self) -> Result<ReadOutcome<ZonesOut>, Error> {
+        Err(Error::RateLimited)
     }
 
     async fn watch_operator_changes(
@@ -515,7 +527,7 @@
 
     async fn read_targets(&self, _: Consistency) -> Result<ReadOutcome<Listing>, Error> {
         let revision = Revision { era: self.era, number: 5 };
-        Ok(ReadOutcome::new(Listing { revision, targets: Vec::new() }))
+        Ok(ReadOutcome::new(Instant::now(), Listing { revision, targets: Vec::new() }))
     }
 
     async fn watch_targets(
@@ -524,7 +536,7 @@
         wait: Duration,
     ) -> Result<ReadOutcome<ListingUpdate>, Error> {
         tokio::time::sleep(wait).await;
-        Ok(ReadOutcome::new(ListingUpdate { revision, changes: Vec::new() }))
+        Ok(ReadOutcome::new(Instant::now(), ListingUpdate { revision, changes: Vec::new() }))
     }
 }
 
@@ -547,6 +559,90 @@
     }
 }
 
+/// A store whose responses are under way for long, and whose watch of the operators' items never ends.
+struct SlowStore {
+    /// When the first part of each response arrived.
+    responded_at: Instant,
+}
+
+impl Source for SlowStore {
+    async fn read_operator_state(&self) -> Result<ReadOutcome<OperatorState>, Error> {
+        Ok(ReadOutcome::new(
+            self.responded_at,
+            OperatorState { revision: 5.into(), ..OperatorState::default() },
+        ))
+    }
+
+    async fn read_zones_out(&self) -> Result<ReadOutcome<ZonesOut>, Error> {
+        let zones = vec!["zone-b".into()];
+        Ok(ReadOutcome::new(self.responded_at, ZonesOut { revision: 7.into(), zones }))
+    }
+
+    async fn watch_operator_changes(
+        &self,
+        _: Revision,
+        _: Duration,
+    ) -> Result<ReadOutcome<Changes>, Error> {
+        std::future::pending().await
+    }
+
+    async fn read_targets(&self, _: Consistency) -> Result<ReadOutcome<Listing>, Error> {
+        Ok(ReadOutcome::new(self.responded_at, Listing { revision: 5.into(), targets: Vec::new() }))
+    }
+
+    async fn watch_targets(
+        &self,
+        revision: Revision,
+        wait: Duration,
+    ) -> Result<ReadOutcome<ListingUpdate>, Error> {
+        sleep(wait).await;
+        Ok(ReadOutcome::new(self.responded_at, ListingUpdate { revision, changes: Vec::new() }))
+    }
+}
+
+/// Guards against a zone that stays in service for as long as a large configuration is under way.
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_is_taken_out_while_a_configuration_is_under_way() {
+    let port = allocate_ports();
+    let text = settings(1, "zone-a", port, "http://127.0.0.1:9", "127.0.0.1:9").to_string();
+    let settings = banyanwharf::settings::Gateway::parse("test", &text).expect("valid settings");
+    let admin = settings.admin.expect("an admin address");
+    let store = SlowStore { responded_at: Instant::now() };
+    let started = Gateway::start(settings, store, PacketCodec, READY_PATH).await;
+    let _gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
+    let client = banyanwharf::admin::connect(admin, Duration::from_secs(1)).expect("a client");
+    wait_until("the zone is out of service", async || {
+        let zones = client.zones().await.unwrap_or_default();
+        zones.iter().any(|zone| &*zone.name == "zone-b" && zone.state == ZoneState::Out)
+    })
+    .await;
+}
+
+/// Guards against a response that seems to confirm the state at its end, although the store sent its
+/// beginning long before. Targets that have started since would be taken for ended ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_response_confirms_the_state_at_its_beginning() {
+    let port = allocate_ports();
+    let text = settings(1, "zone-a", port, "http://127.0.0.1:9", "127.0.0.1:9").to_string();
+    let settings = banyanwharf::settings::Gateway::parse("test", &text).expect("valid settings");
+    let admin = settings.admin.expect("an admin address");
+    let age = Duration::from_secs(5);
+    let store = SlowStore { responded_at: Instant::now().checked_sub(age).expect("an instant") };
+    let started = Gateway::start(settings, store, PacketCodec, READY_PATH).await;
+    let _gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
+    let client = banyanwharf::admin::connect(admin, Duration::from_secs(1)).expect("a client");
+    let ages = async || {
+        let response = client.follow(Cursor::default()).await.ok()?;
+        let response: serde_json::Value = serde_json::from_str(response.get()).ok()?;
+        let seconds = |field| response["delta"][field]["secs"].as_u64();
+        Some((seconds("age")?, seconds("operator_age")?))
+    };
+    wait_until("the daemon has read the store", async || ages().await.is_some()).await;
+    let (targets, operator) =
+        ages().await.expect("ages of the targets and of the operators' items");
+    assert!(targets >= age.as_secs() && operator >= age.as_secs(), "{targets} {operator}");
+}
+
 /// A codec that panics.
 struct FaultyCodec;
 
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -21,6 +21,43 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpSocket};
 
+/// A response body in parts of one space, one every 40 ms, followed by a list of VMs.
+struct Slow {
+    /// The number of parts before the list.
+    parts: u32,
+    sleep: Pin<Box<tokio::time::Sleep>>,
+}
+
+impl Slow {
+    const PERIOD: Duration = Duration::from_millis(40);
+
+    fn new(parts: u32) -> Slow {
+        Slow { parts, sleep: Box::pin(tokio::time::sleep(Slow::PERIOD)) }
+    }
+}
+
+impl Body for Slow {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.sleep.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        let next = tokio::time::Instant::now() + Slow::PERIOD;
+        self.sleep.as_mut().reset(next);
+        let Some(parts) = self.parts.checked_sub(1) else {
+            return Poll::Ready(None);
+        };
+        self.parts = parts;
+        let text = if parts == 0 { VMS } else { " " };
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(text.as_bytes())))))
+    }
+}
+
 /// A response body that never ends.
 struct Stalled;
 
@@ -44,7 +81,7 @@
 
 async fn respond(
     request: Request<Incoming>,
-) -> Result<Response<Either<Full<Bytes>, Stalled>>, Infallible> {
+) -> Result<Response<Either<Full<Bytes>, Either<Stalled, Slow>>>, Infallible> {
     let path = request.uri().path_and_query().map_or("", |p| p.as_str());
     let (status, text) = match path {
         "/v1/tickets?index=5&wait_ms=9000" => {
@@ -61,7 +98,13 @@
         "/v1/vms?index=10&wait_ms=0" => (200, "{\"index\": -1".to_owned()),
         "/v1/vms?index=11&wait_ms=0" => (200, " ".repeat(1_100_000)),
         "/v1/vms?index=12&wait_ms=0" => {
-            return Ok(Response::new(Either::Right(Stalled)));
+            return Ok(Response::new(Either::Right(Either::Left(Stalled))));
+        }
+        "/v1/vms?index=14&wait_ms=0" => {
+            return Ok(Response::new(Either::Right(Either::Right(Slow::new(50)))));
+        }
+        "/v1/vms?index=15&wait_ms=0" => {
+            return Ok(Response::new(Either::Right(Either::Right(Slow::new(1_000)))));
         }
         "/v1/vms?index=13&wait_ms=0" => std::future::pending().await,
         "/healthy" => (200, "well".to_owned()),
@@ -90,7 +133,8 @@
 
 /// Returns timeouts for calls that are expected to time out.
 fn short_timeouts() -> Timeouts {
-    Timeouts { connect: Duration::from_millis(100), response: Duration::from_millis(100) }
+    let short = Duration::from_millis(100);
+    Timeouts { connect: short, response: short, transfer: Duration::from_millis(600) }
 }
 
 fn client(url: &str, timeouts: Timeouts) -> Client {
@@ -137,6 +181,7 @@
     assert!(matches!(error(11).await, Error::TooLong { .. }));
     assert!(matches!(error(12).await, Error::Timeout { .. }));
     assert!(matches!(error(13).await, Error::Timeout { .. }));
+    assert!(matches!(error(15).await, Error::Timeout { .. }));
     // Bound, so that no other socket takes the port, but not listening.
     let closed = TcpSocket::new_v4().expect("the socket is created");
     let local = "127.0.0.1:0".parse().expect("the address is valid");
@@ -148,6 +193,21 @@
     assert!(error.to_string().contains(&address.to_string()));
 }
 
+/// Guards against a call that is given up although its response arrives, only slowly because it is
+/// large or the link is slow.
+#[tokio::test]
+async fn slow_response_is_read_while_it_makes_progress() {
+    let url = start_server().await;
+    // 50 parts of 40 ms take longer than the first part and any further one may take.
+    let timeouts = Timeouts {
+        connect: Duration::from_millis(100),
+        response: Duration::from_millis(900),
+        transfer: Duration::from_secs(60),
+    };
+    let vms = client(&url, timeouts).vms(14, Duration::ZERO).await;
+    assert_eq!(vms.expect("the list is read").vms.len(), 1);
+}
+
 /// Guards against reporting a failure of the endpoint as a failure of the target.
 #[tokio::test]
 async fn endpoints_are_read() {
