Keep the open flows of a target whose entry cannot be decoded

Cause: an entry that cannot be decoded was passed on as a removed one, which proves the end of its target. An entry of another writer shows only that the target must get no new flows.

Change: such an entry is a state of its own in reads, views, changes for followers and states for peers. The target gets no new flows and keeps the open ones until its item is removed or valid again.

--- a/src/cookie/delta.rs
+++ b/src/cookie/delta.rs
@@ -51,6 +51,10 @@
     /// The targets that have changed since the position and are now [`Presence::Lapsed`]: their
     /// store entries are missing, but they may still be running.
     pub lapsed: Vec<Target>,
+    /// The targets that have changed since the position and are now [`Presence::Unreadable`], each as
+    /// it was last read.
+    #[serde(default)]
+    pub unreadable: Vec<Target>,
     /// The ids of the targets that have changed since the position and have now ended.
     pub ended: Vec<Arc<str>>,
 }
@@ -63,7 +67,7 @@
     pub name: Arc<str>,
     /// The revision of the target's store entry.
     pub revision: Revision,
-    /// Whether the entry is in the store: [`Presence::Present`] or [`Presence::Lapsed`].
+    /// Whether the entry is in the store; not [`Presence::Gone`].
     #[serde(rename = "standing")]
     pub presence: Presence,
 }
--- a/src/cookie/directory/delta.rs
+++ b/src/cookie/directory/delta.rs
@@ -41,6 +41,7 @@
         for (name, known) in changed {
             match known.presence {
                 Presence::Present => delta.written.push((*known.target).clone()),
+                Presence::Unreadable => delta.unreadable.push((*known.target).clone()),
                 Presence::Lapsed => delta.lapsed.push((*known.target).clone()),
                 Presence::Gone => delta.ended.push(name.clone()),
             }
@@ -76,17 +77,25 @@
         self.revision = delta.revision;
         let mut missing: BTreeSet<Arc<str>> = BTreeSet::new();
         let mut lapsed: Vec<Arc<str>> = Vec::new();
+        let mut unreadable: Vec<Arc<str>> = Vec::new();
         if let Some(inventory) = delta.inventory {
             missing.extend(self.targets.keys().cloned());
             for InventoryEntry { name, presence, .. } in inventory {
                 missing.remove(&name);
-                if presence == Presence::Lapsed {
-                    lapsed.push(name);
+                match presence {
+                    Presence::Lapsed => lapsed.push(name),
+                    Presence::Unreadable => unreadable.push(name),
+                    Presence::Present | Presence::Gone => {}
                 }
             }
         }
-        for target in delta.lapsed {
+        for target in &delta.lapsed {
             lapsed.push(target.name.clone());
+        }
+        for target in &delta.unreadable {
+            unreadable.push(target.name.clone());
+        }
+        for target in delta.lapsed.into_iter().chain(delta.unreadable) {
             if !self.is_restored(now, &target) {
                 self.insert_target(now, target);
             }
@@ -102,6 +111,7 @@
         for name in delta.ended.iter().chain(&missing) {
             self.restored_targets.remove(name);
         }
+        unreadable.iter().for_each(|name| self.record_unreadable(name));
         lapsed.iter().for_each(|name| self.record_missing(now, name, true));
         delta.ended.iter().for_each(|name| self.record_missing(now, name, false));
         missing.iter().for_each(|name| self.record_missing(now, name, false));
@@ -130,10 +140,11 @@
         let Some(inventory) = &delta.inventory else {
             return true;
         };
+        let changed = || delta.written.iter().chain(&delta.lapsed).chain(&delta.unreadable);
         let is_known = |item: &InventoryEntry| {
             let known = self.targets.get(&item.name);
             known.is_some_and(|known| known.target.revision.number == item.revision.number)
-                || delta.written.iter().chain(&delta.lapsed).any(|t| t.name == item.name)
+                || changed().any(|target| target.name == item.name)
         };
         let is_lacking = || {
             let listed: BTreeSet<&Arc<str>> = inventory.iter().map(|item| &item.name).collect();
--- a/src/cookie/directory/known_target.rs
+++ b/src/cookie/directory/known_target.rs
@@ -31,10 +31,8 @@
         let former = self.presence;
         match self.presence {
             Presence::Gone => {}
-            Presence::Present | Presence::Lapsed if may_return => {
-                self.presence = Presence::Lapsed;
-            }
-            Presence::Present | Presence::Lapsed => self.mark_ended(now),
+            _ if may_return => self.presence = Presence::Lapsed,
+            Presence::Present | Presence::Unreadable | Presence::Lapsed => self.mark_ended(now),
         }
         self.presence != former
     }
--- a/src/cookie/directory/mod.rs
+++ b/src/cookie/directory/mod.rs
@@ -283,22 +283,25 @@
         self.revision = update.revision;
         let lapsed = self.targets.iter().filter(|(_, known)| known.presence == Presence::Lapsed);
         let mut missing: BTreeSet<Arc<str>> = lapsed.map(|(name, _)| name.clone()).collect();
+        let mut unreadable: BTreeSet<Arc<str>> = BTreeSet::new();
         for change in update.changes {
             if change.revision() <= known_revision {
                 continue;
             }
+            self.restored_targets.remove(change.name());
+            missing.remove(change.name());
+            unreadable.remove(change.name());
             match change {
-                EntryChange::Written(target) => {
-                    missing.remove(&target.name);
-                    self.restored_targets.remove(&target.name);
-                    self.insert_target(now, target);
+                EntryChange::Written(target) => self.insert_target(now, target),
+                EntryChange::Unreadable { name, .. } => {
+                    unreadable.insert(name);
                 }
                 EntryChange::Removed { name, .. } => {
-                    self.restored_targets.remove(&name);
                     missing.insert(name);
                 }
             }
         }
+        unreadable.iter().for_each(|name| self.record_unreadable(name));
         self.record_all_missing(now, missing);
         self.apply_restored(now);
         self.record_read(now, Some(now));
@@ -340,6 +343,10 @@
             missing.remove(&target.name);
             self.insert_target(now, target);
         }
+        for name in &listing.unreadable {
+            missing.remove(name);
+            self.record_unreadable(name);
+        }
         self.record_all_missing(now, missing);
     }
 
@@ -389,6 +396,21 @@
         }
     }
 
+    /// Records that what the store contains in place of a target's entry cannot be decoded. Another
+    /// writer may have written it, so a target that has not ended may still run.
+    fn record_unreadable(&mut self, name: &str) {
+        let (revision, present_ran_until) = (self.revision, self.present_ran_until());
+        if let Some(known) = self.targets.get_mut(name)
+            && known.target.revision <= revision
+            && matches!(known.presence, Presence::Present | Presence::Lapsed)
+        {
+            known.presence = Presence::Unreadable;
+            known.ran_until = known.ran_until.or(present_ran_until);
+            self.sequence += 1;
+            known.last_change = self.sequence;
+        }
+    }
+
     /// Removes the targets that ended so long ago that none of their flows can still be open.
     fn forget_ended(&mut self, now: Instant) {
         let retention = self.tuning.ended_target_retention;
@@ -467,7 +489,9 @@
     pub fn listing(&self) -> Listing {
         let present = self.targets.values().filter(|known| known.presence != Presence::Gone);
         let targets = present.map(|known| (*known.target).clone()).collect();
-        Listing { revision: self.revision, targets }
+        let unreadable = self.targets.iter().filter(|(_, t)| t.presence == Presence::Unreadable);
+        let unreadable = unreadable.map(|(name, _)| name.clone()).collect();
+        Listing { revision: self.revision, targets, unreadable }
     }
 
     /// Returns the ids of the lapsed targets in [`listing`](Directory::listing).
--- a/src/cookie/listing.rs
+++ b/src/cookie/listing.rs
@@ -11,8 +11,12 @@
 pub struct Listing {
     /// The store's revision at the time of the read. Targets may be newer, but none is older.
     pub revision: Revision,
-    /// The targets. Entries that could not be decoded are left out.
+    /// The targets. A target whose entry cannot be decoded is contained only if the entry was read
+    /// before.
     pub targets: Vec<Target>,
+    /// The ids of the targets whose entries cannot be decoded.
+    #[serde(default)]
+    pub unreadable: Vec<Arc<str>>,
 }
 
 impl Listing {
@@ -26,10 +30,12 @@
             if known.is_some_and(|known| known > change.revision()) {
                 continue;
             }
+            self.unreadable.retain(|name| **name != *change.name());
             match change {
                 EntryChange::Written(target) => {
                     by_name.insert(target.name.clone(), target);
                 }
+                EntryChange::Unreadable { name, .. } => self.unreadable.push(name),
                 EntryChange::Removed { name, .. } => {
                     by_name.remove(&name);
                 }
@@ -54,7 +60,14 @@
 pub enum EntryChange {
     /// The entry was written.
     Written(Target),
-    /// The entry was removed, or what was written names no target.
+    /// What was written cannot be decoded. It may come from another writer than the target.
+    Unreadable {
+        /// The id of the target.
+        name: Arc<str>,
+        /// The revision of the change.
+        revision: Revision,
+    },
+    /// The entry was removed.
     Removed {
         /// The id of the target.
         name: Arc<str>,
@@ -68,7 +81,7 @@
     pub fn name(&self) -> &str {
         match self {
             EntryChange::Written(target) => &target.name,
-            EntryChange::Removed { name, .. } => name,
+            EntryChange::Unreadable { name, .. } | EntryChange::Removed { name, .. } => name,
         }
     }
 
@@ -76,7 +89,9 @@
     pub fn revision(&self) -> Revision {
         match self {
             EntryChange::Written(target) => target.revision,
-            EntryChange::Removed { revision, .. } => *revision,
+            EntryChange::Unreadable { revision, .. } | EntryChange::Removed { revision, .. } => {
+                *revision
+            }
         }
     }
 }
--- a/src/cookie/target.rs
+++ b/src/cookie/target.rs
@@ -47,6 +47,9 @@
 pub enum Presence {
     /// The entry exists.
     Present,
+    /// What the store contains in place of the entry cannot be decoded. The target gets no new flows,
+    /// but this does not prove that it has ended.
+    Unreadable,
     /// The entry is missing, but this does not prove that the target has ended: the entry
     /// disappeared around an outage of the store, and the target may still be running.
     Lapsed,
--- a/src/cookie/view.rs
+++ b/src/cookie/view.rs
@@ -223,5 +223,7 @@
 
 /// Returns whether a target may get new flows according to the store.
 pub(super) fn is_usable(target: &Target, presence: Presence, is_zone_out: bool) -> bool {
-    presence != Presence::Gone && target.availability == Availability::Ready && !is_zone_out
+    matches!(presence, Presence::Present | Presence::Lapsed)
+        && target.availability == Availability::Ready
+        && !is_zone_out
 }
--- a/src/gateway/directory_actor.rs
+++ b/src/gateway/directory_actor.rs
@@ -312,6 +312,7 @@
         changed.iter().take(MAXIMUM_CHANGE_LINES).map(|entry| &*entry.target.name).collect();
     info!(
         count = changed.len(), present = count(Presence::Present),
+        unreadable = count(Presence::Unreadable),
         lapsed = count(Presence::Lapsed), gone = count(Presence::Gone),
         usable = changed.iter().filter(|entry| entry.is_usable).count(),
         first = first.join(" "), read:% = view.revision, former_read:% = former.read,
@@ -335,6 +336,7 @@
     let target = &entry.target;
     let presence = match entry.presence {
         Presence::Present => "present",
+        Presence::Unreadable => "unreadable",
         Presence::Lapsed => "lapsed",
         Presence::Gone => "gone",
     };
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -163,7 +163,8 @@
         snapshot.set(REPORTS, [("outcome", outcome)], ReportCounters::get(counter));
     }
     snapshot.set_unlabeled(REPORT_BYTES, ReportCounters::get(&reports.bytes_sent));
-    for presence in [Presence::Present, Presence::Lapsed, Presence::Gone] {
+    let presences = [Presence::Present, Presence::Unreadable, Presence::Lapsed, Presence::Gone];
+    for presence in presences {
         let count = view.entries().iter().filter(|entry| entry.presence == presence).count();
         snapshot.set(TARGETS, [("standing", format!("{presence:?}"))], count as u64);
     }
