--- a/src/cookie/tuning.rs
+++ b/src/cookie/tuning.rs
@@ -30,8 +30,9 @@
     /// confirms the configuration every 2 s.
     pub maximum_config_age: Duration,
     /// How much later than the first packet of an established flow with an unknown route or cookie
-    /// the store must have confirmed that there is no such route or target before the flow is reset:
-    /// longer than a response of the store may be under way.
+    /// the store must have confirmed that there is no such route or target before the flow is reset,
+    /// or forwarded to the target of the same identity: longer than the first part of a response of
+    /// the store may be under way.
     pub unresolved_flow_grace: Duration,
     /// The time without a further retransmission after which the recorded ones are discarded: a
     /// little more than the longest retransmission timeout of callers.
