Overwrite entries of targets in the fault soak

Another writer replaces the entry of a ready target by one that cannot be decoded, up to three times in a run, until the target's next heartbeat. The plan's other actions do not change. SOAK_WITHOUT takes `overwritten-entries`.

--- a/tests/soaks/fleet.rs
+++ b/tests/soaks/fleet.rs
@@ -107,6 +107,8 @@
     pub(crate) faults: Vec<Fault>,
     /// Whether the store returns from copies of earlier states.
     pub(crate) returns_from_copy: bool,
+    /// Whether another writer overwrites entries of targets.
+    pub(crate) overwrites_entries: bool,
 }
 
 impl Default for Habits {
@@ -118,6 +120,7 @@
             silences_connections: true,
             faults: FAULTS.map(|(_, fault)| fault).to_vec(),
             returns_from_copy: true,
+            overwrites_entries: true,
         }
     }
 }
@@ -149,6 +152,7 @@
                 "silent-connections" => habits.silences_connections = false,
                 "faults" => habits.faults.clear(),
                 "returns-from-copy" => habits.returns_from_copy = false,
+                "overwritten-entries" => habits.overwrites_entries = false,
                 _ => panic!("SOAK_WITHOUT names no habit: {name}"),
             }
         }
--- a/tests/soaks/plan.rs
+++ b/tests/soaks/plan.rs
@@ -15,6 +15,9 @@
 /// Distinguishes the random numbers of the returns of the store from those of the rest of a plan.
 const RETURNS_SEED: u64 = 0x0065_7261;
 
+/// Distinguishes the random numbers of the overwritten entries from those of the rest of a plan.
+const OVERWRITES_SEED: u64 = 0x6f64_6479;
+
 /// Something that the run does to the system under test.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Action {
@@ -46,6 +49,9 @@
     PartitionZone(&'static str, Duration),
     /// Stops the answers of a target for a while.
     SilenceTarget(Duration),
+    /// Overwrites the entry of a target by one that cannot be decoded, until the target's next
+    /// heartbeat.
+    OverwriteEntry,
     /// Ends a target without deregistration and starts it again under the same id.
     CrashTarget(Duration),
     /// Ends a target without deregistration for good, and gives its address to a target of the
@@ -119,10 +125,21 @@
     if setup.habits.returns_from_copy {
         plan.extend(returns_from_copy(seed));
     }
+    if setup.habits.overwrites_entries {
+        plan.extend(overwritten_entries(seed));
+    }
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
+/// Returns up to three overwritten entries. They have their own random numbers, like the returns of
+/// the store from a copy.
+fn overwritten_entries(seed: u64) -> Vec<(Duration, Action)> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ OVERWRITES_SEED);
+    let count = random.random_range(0..=3);
+    (0..count).map(|_| (random_start(&mut random), Action::OverwriteEntry)).collect()
+}
+
 /// Returns up to two returns of the store from a copy, for half of the seeds. They have their own
 /// random numbers, so that they do not change the rest of the plan.
 fn returns_from_copy(seed: u64) -> Vec<(Duration, Action)> {
--- a/tests/soaks/testbed.rs
+++ b/tests/soaks/testbed.rs
@@ -57,6 +57,9 @@
 /// again.
 const ENTRY_RETURN_DELAY: Duration = Duration::from_millis(1500);
 
+/// The time between two heartbeats of a target, each of which writes its entry.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
 /// How long the answers of a slow store take.
 const SLOW_ANSWER: Duration = Duration::from_millis(400);
 
@@ -275,6 +278,7 @@
                 self.partition(Partition::Zone(zone), duration).await
             }
             Action::SilenceTarget(duration) => self.silence_target(duration).await,
+            Action::OverwriteEntry => self.overwrite_entry().await,
             Action::CrashTarget(duration) => self.crash_target(duration).await,
             Action::ReuseAddress => self.reuse_address().await,
             Action::ReplaceTarget => self.replace_target().await,
@@ -533,6 +537,16 @@
         self.shared.recorder.end_disturbance(disturbance);
     }
 
+    async fn overwrite_entry(&self) {
+        let Some(number) = self.choose() else { return };
+        let Some(key) = self.with_target(number, Target::store_key) else { return };
+        self.shared.store.put(&key, br#"{"state": "resting"}"#);
+        sleep(HEARTBEAT).await;
+        if self.shared.ready_targets().contains(&number) {
+            self.with_target(number, |target| self.shared.renew_entry(target));
+        }
+    }
+
     async fn crash_target(&self, duration: Duration) {
         let Some(target) = self.choose().and_then(|number| self.remove(number)) else { return };
         let number = target.number;
