Flood the reports' receiver until its queue is full

Its cause is in the test: it sent 2,000 frames and expected that the daemon cannot keep up with them.

The test now floods the daemon from four sockets until the queue is full, so that it asserts the same (frames are dropped and counted within 30 s, requests are served) without assuming a speed.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -37,7 +37,7 @@
     target::Target,
 };
 use serde_json::json;
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{net::UdpSocket, task::JoinHandle, time::sleep};
 
 const WEB: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 80);
 const FILES: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8080);
@@ -250,7 +250,7 @@
 /// are counted and dropped, and requests are served.
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_reports_are_dropped_and_requests_are_served() {
-    const FLOOD: u64 = 2_000;
+    const FLOODS: usize = 4;
     let port = allocate_ports();
     let (store, _targets, first) = start_ready_daemon(port).await;
     let second = Daemon::start(2, "zone-a", port, &store, 1);
@@ -282,10 +282,17 @@
     wait_until("2 frames are dropped", async || frames("\"dropped\"").await == 2).await;
     assert_eq!(frames("\"received\"").await, 2);
     let long = frame("entry-2", 1_000);
-    for _ in 0..FLOOD {
-        socket.send_to(&long, &*peer).await.expect("the datagram is sent");
-    }
+    let flood = async |long: Vec<u8>, peer: String| {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("the socket is bound");
+        loop {
+            socket.send_to(&long, &*peer).await.expect("the datagram is sent");
+        }
+    };
+    // A daemon that keeps up drops nothing, so the flood goes on until the daemon does not.
+    let floods: Vec<JoinHandle<()>> =
+        (0..FLOODS).map(|_| tokio::spawn(flood(long.clone(), peer.clone()))).collect();
     wait_until("the queue is full", async || frames("\"dropped\"").await > 2).await;
+    floods.iter().for_each(JoinHandle::abort);
     let mut caller = Caller::new(1, port, WEB).await;
     let outcome = caller.open_and_request(first.data).await;
     assert!(matches!(outcome, Outcome::Served(1 | 2)), "{outcome:?}");
