--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -17,7 +17,7 @@
 
 use banyanwharf::{
     adapter::{PacketCodec, READY_PATH},
-    admin::{ApiClient as _, Cursor},
+    admin::{ApiClient as _, Client, Cursor},
     cookie::work::Report,
     cookie::{
         Destination, Flow, Listing, ListingUpdate, OperatorState, Packet, Revision, ZonesOut,
@@ -613,17 +613,22 @@
     }
 }
 
-/// Guards against a zone that stays in service for as long as a large configuration is under way.
-#[tokio::test(flavor = "multi_thread")]
-async fn zone_is_taken_out_while_a_configuration_is_under_way() {
+/// Starts a daemon in this process and returns it with a client of its admin API.
+async fn start_with(store: SlowStore) -> (Gateway, Client) {
     let port = allocate_ports();
     let text = settings(1, "zone-a", port, "http://127.0.0.1:9", "127.0.0.1:9").to_string();
     let settings = banyanwharf::settings::Gateway::parse("test", &text).expect("valid settings");
     let admin = settings.admin.expect("an admin address");
-    let store = SlowStore { responded_at: Instant::now() };
     let started = Gateway::start(settings, store, PacketCodec, READY_PATH).await;
-    let _gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
+    let gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
     let client = banyanwharf::admin::connect(admin, Duration::from_secs(1)).expect("a client");
+    (gateway, client)
+}
+
+/// Guards against a zone that stays in service for as long as a large configuration is under way.
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_is_taken_out_while_a_configuration_is_under_way() {
+    let (_gateway, client) = start_with(SlowStore { responded_at: Instant::now() }).await;
     wait_until("the zone is out of service", async || {
         let zones = client.zones().await.unwrap_or_default();
         zones.iter().any(|zone| &*zone.name == "zone-b" && zone.state == ZoneState::Out)
@@ -635,15 +640,9 @@
 /// beginning long before. Targets that have started since would be taken for ended ones.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_response_confirms_the_state_at_its_beginning() {
-    let port = allocate_ports();
-    let text = settings(1, "zone-a", port, "http://127.0.0.1:9", "127.0.0.1:9").to_string();
-    let settings = banyanwharf::settings::Gateway::parse("test", &text).expect("valid settings");
-    let admin = settings.admin.expect("an admin address");
     let age = Duration::from_secs(5);
-    let store = SlowStore { responded_at: Instant::now().checked_sub(age).expect("an instant") };
-    let started = Gateway::start(settings, store, PacketCodec, READY_PATH).await;
-    let _gateway = started.unwrap_or_else(|error| panic!("the daemon does not start: {error}"));
-    let client = banyanwharf::admin::connect(admin, Duration::from_secs(1)).expect("a client");
+    let responded_at = Instant::now().checked_sub(age).expect("an instant");
+    let (_gateway, client) = start_with(SlowStore { responded_at }).await;
     let ages = async || {
         let response = client.follow(Cursor::default()).await.ok()?;
         let response: serde_json::Value = serde_json::from_str(response.get()).ok()?;
