Overwrite entries of targets in the model of resets

The model of tests/resets.rs lets another writer overwrite the entry of a running target until the target's next heartbeat.

--- a/tests/cookies/mod.rs
+++ b/tests/cookies/mod.rs
@@ -158,11 +158,14 @@
 
     /// Applies a read of the targets at a new store revision and publishes the view.
     pub(crate) fn read_targets(&mut self, targets: Vec<Target>) {
+        self.read_entries(targets, Vec::new());
+    }
+
+    /// Applies a read of the targets, of which the entries of `unreadable` cannot be decoded.
+    pub(crate) fn read_entries(&mut self, targets: Vec<Target>, unreadable: Vec<Arc<str>>) {
         self.revision += 1;
-        self.directory.apply_listing(
-            self.now,
-            Listing { revision: self.revision.into(), targets, ..Listing::default() },
-        );
+        let listing = Listing { revision: self.revision.into(), targets, unreadable };
+        self.directory.apply_listing(self.now, listing);
         self.publish_view();
     }
 
--- a/tests/resets.rs
+++ b/tests/resets.rs
@@ -1,10 +1,11 @@
-//! No order of reads, lapsed entries, restarts, reused addresses, lost packets and pauses makes a
-//! daemon reset the flow of a target that runs.
+//! No order of reads, lapsed and overwritten entries, restarts, reused addresses, lost packets and
+//! pauses makes a daemon reset the flow of a target that runs.
 
 mod cookies;
 
 use std::{
     net::SocketAddrV4,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -12,7 +13,10 @@
     Check, CheckOutcome, Cookie, Destination, Packet, Target, TargetNumber, Verdict,
 };
 use cookies::*;
-use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
+use rand::{
+    RngExt as _, SeedableRng as _,
+    seq::{IndexedRandom as _, IteratorRandom as _},
+};
 use rand_pcg::Pcg64Mcg;
 
 /// The number of random orders, one for each seed.
@@ -48,6 +52,8 @@
     former: Option<(Target, Instant)>,
     /// When it writes its entry, if the store is available until then.
     writes_at: Instant,
+    /// When it writes its entry again, if another writer has overwritten it.
+    is_overwritten_until: Option<Instant>,
 }
 
 /// A flow of the daemon under test.
@@ -84,6 +90,7 @@
             has_lapsed: false,
             former: None,
             writes_at: Instant::now(),
+            is_overwritten_until: None,
         };
         let fixture = DaemonFixture::new(all.clone());
         Model {
@@ -131,6 +138,9 @@
         if self.random.random_bool(0.01) {
             self.restart_daemon();
         }
+        if self.random.random_bool(0.01) {
+            self.overwrite_entry();
+        }
         match self.random.random_range(0..40) {
             0 => self.end_target(),
             1 => self.restart_target(),
@@ -187,6 +197,7 @@
         real.target.born = 10_000 + self.next_number;
         real.target.revision = (self.fixture.revision + 1).into();
         real.ended_at = None;
+        real.is_overwritten_until = None;
         self.targets.push(real);
     }
 
@@ -210,9 +221,23 @@
             has_lapsed: false,
             former: None,
             writes_at: self.fixture.now,
+            is_overwritten_until: None,
         });
     }
 
+    /// Overwrites the entry of a running target until its next heartbeat.
+    fn overwrite_entry(&mut self) {
+        if self.store_down_since.is_some() {
+            return;
+        }
+        let until = self.fixture.now + ms(self.random.random_range(0..HEARTBEAT_MS));
+        let is_written = |real: &&mut RealTarget| real.ended_at.is_none() && real.former.is_none();
+        let written: Vec<&mut RealTarget> = self.targets.iter_mut().filter(is_written).collect();
+        if let Some(real) = written.into_iter().choose(&mut self.random) {
+            real.is_overwritten_until = Some(until);
+        }
+    }
+
     /// Replaces the daemon by one that has seen nothing before, if the store is available to it.
     fn restart_daemon(&mut self) {
         if self.store_down_since.is_some() {
@@ -252,6 +277,7 @@
         let is_renewed = self.store_returned_at.is_none_or(|at| now >= at + RENEWAL_TIME);
         let revision = self.fixture.revision + 1;
         let mut entries: Vec<Target> = Vec::new();
+        let mut unreadable: Vec<Arc<str>> = Vec::new();
         for real in &mut self.targets {
             if real.former.is_some() && now >= real.writes_at {
                 real.former = None;
@@ -263,13 +289,20 @@
                 (None, Some(ended_at)) => now < ended_at + ENTRY_LIFETIME && !real.has_lapsed,
                 (None, None) => is_renewed || !real.has_lapsed,
             };
-            if is_shown {
+            let is_written_again = real.is_overwritten_until.is_some_and(|until| now >= until);
+            if is_written_again && real.ended_at.is_none() {
+                real.is_overwritten_until = None;
+                real.target.revision = revision.into();
+            }
+            if is_shown && real.is_overwritten_until.is_some() {
+                unreadable.push(real.target.name.clone());
+            } else if is_shown {
                 let former = real.former.as_ref().map(|(former, _)| former);
                 entries.push(former.unwrap_or(&real.target).clone());
             }
         }
         self.fixture.directory.confirm_config(now);
-        self.fixture.read_targets(entries);
+        self.fixture.read_entries(entries, unreadable);
     }
 
     fn open_flow(&mut self) {
