--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     daemon::Signal,
-    world::{BOARD, World, ZONES},
+    world::{BOARD, SHEETS, World, ZONES},
 };
 
 const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -18,6 +18,9 @@
 /// The number of times that the zone reader is killed.
 const KILLS: usize = 5;
 
+/// The life of a flow that is opened for a request or two.
+const SHORT_FLOW: Duration = Duration::from_millis(400);
+
 /// Long enough that a flow is not closed within a run.
 const WHOLE_RUN: Duration = Duration::from_secs(100);
 
@@ -28,6 +31,7 @@
         return false;
     }
     match case {
+        "entry-of-another-service" => entry_of_another_service(world, has_trouble),
         "entry-without-born" => entry_without_born(world, has_trouble),
         "late-write" => late_write(world, has_trouble),
         "returned-zone" => returned_zone(world, has_trouble),
@@ -49,6 +53,33 @@
     }
 }
 
+/// Another writer writes an entry without `born` that names another service under the key of a running
+/// backend.
+fn entry_of_another_service(world: &mut World, has_trouble: bool) -> bool {
+    let Some(backend) = world.backends.iter().position(|backend| backend.service == SHEETS) else {
+        return false;
+    };
+    let mut turn = 0;
+    let mut next_at = Instant::now();
+    let mut open_often = |world: &mut World, now: Instant| {
+        if now >= next_at {
+            next_at += Duration::from_millis(50);
+            turn += 1;
+            world.open(turn % world.clients.len(), BOARD, REQUEST_INTERVAL, SHORT_FLOW);
+        }
+    };
+    world.run_while(Duration::from_secs(10), &mut open_often);
+    if has_trouble {
+        let backend = &world.backends[backend];
+        let (key, fields) = (backend.key(), backend.entry_fields());
+        let entry = format!("{{\"service\":\"{BOARD}\",{fields},\"seqNo\":4}}");
+        world.record.print(format!("another writer writes {key} of {}: {entry}", backend.service));
+        world.store.write(&key, &entry);
+    }
+    world.run_while(Duration::from_secs(6), &mut open_often);
+    true
+}
+
 /// Another writer writes an entry without `born` under the key of a running backend.
 fn entry_without_born(world: &mut World, has_trouble: bool) -> bool {
     open_long_flows(world, 8);
@@ -171,7 +202,7 @@
         if now >= next_at {
             next_at += Duration::from_millis(20);
             turn += 1;
-            world.open(clients[turn % 2], BOARD, REQUEST_INTERVAL, Duration::from_millis(400));
+            world.open(clients[turn % 2], BOARD, REQUEST_INTERVAL, SHORT_FLOW);
         }
     };
     for _ in 0..ROUNDS {
