--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -39,6 +39,9 @@
     pub resets_of_unheld_flows: u64,
 }
 
+/// The host of the routes, which only stands in packets and in the configuration.
+const ROUTE_HOST: Ipv4Addr = Ipv4Addr::new(127, 99, 0, 1);
+
 /// `warmupPerS` of the services, and `coldOver` and `coldSlack`: a cold backend may get
 /// `COLD_PER_S * COLD_OVER + COLD_SLACK` requests in one second.
 const COLD_PER_S: f64 = 4.0;
@@ -88,7 +91,8 @@
     /// other zone.
     pub fn start(record: Record, folder: &Path) -> World {
         let process = std::process::id();
-        let net = [100 + (process % 100) as u8, (process / 100 % 250) as u8];
+        // Each run has four networks of its own: daemons, backends, clients and a spare one.
+        let net = [100 + (process % 100) as u8, (process / 100 % 62 * 4) as u8];
         let ip = |kind: u8, number: u8| {
             let [a, b] = [net[0], net[1].wrapping_add(kind)];
             Ipv4Addr::new(127, a, b, number)
@@ -152,7 +156,7 @@
 
     pub fn route(service: &str) -> SocketAddrV4 {
         let port = if service == BOARD { 443 } else { 8443 };
-        SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+        SocketAddrV4::new(ROUTE_HOST, port)
     }
 
     /// Writes a configuration, as the operator does.
@@ -160,7 +164,7 @@
         let route = |name: &str, service: &str, kind: &str, priority: u32| {
             let port = World::route(service).port();
             format!(
-                "{{\"name\":\"{name}\",\"host\":\"198.18.0.1\",\"prefix\":\"/{port}/\",\
+                "{{\"name\":\"{name}\",\"host\":\"{ROUTE_HOST}\",\"prefix\":\"/{port}/\",\
                  \"routeType\":\"{kind}\",\"timeoutMs\":2500,\"targetLatencyMs\":150,\
                  \"priority\":{priority},\"service\":\"{service}\",\"attempts\":2}}"
             )
