--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -18,6 +18,9 @@
 /// The number of times that the zone reader is killed.
 const KILLS: usize = 5;
 
+/// The number of times that another writer writes an entry of another service.
+const FOREIGN_WRITES: usize = 3;
+
 /// The life of a flow that is opened for a request or two.
 const SHORT_FLOW: Duration = Duration::from_millis(400);
 
@@ -63,20 +66,23 @@
     let mut next_at = Instant::now();
     let mut open_often = |world: &mut World, now: Instant| {
         if now >= next_at {
-            next_at += Duration::from_millis(50);
+            next_at += Duration::from_millis(25);
             turn += 1;
             world.open(turn % world.clients.len(), BOARD, REQUEST_INTERVAL, SHORT_FLOW);
         }
     };
     world.run_while(Duration::from_secs(10), &mut open_often);
-    if has_trouble {
-        let backend = &world.backends[backend];
-        let (key, fields) = (backend.key(), backend.entry_fields());
-        let entry = format!("{{\"service\":\"{BOARD}\",{fields},\"seqNo\":4}}");
-        world.record.print(format!("another writer writes {key} of {}: {entry}", backend.service));
-        world.store.write(&key, &entry);
+    for _ in 0..FOREIGN_WRITES {
+        if has_trouble {
+            let backend = &world.backends[backend];
+            let (key, fields) = (backend.key(), backend.entry_fields());
+            let entry = format!("{{\"service\":\"{BOARD}\",{fields},\"seqNo\":4}}");
+            let service = backend.service;
+            world.record.print(format!("another writer writes {key} of {service}: {entry}"));
+            world.store.write(&key, &entry);
+        }
+        world.run_while(Duration::from_millis(4300), &mut open_often);
     }
-    world.run_while(Duration::from_secs(6), &mut open_often);
     true
 }
 
